Lay out the project: shared types, error kinds, platform interfaces, checks

The types in internal/table, internal/errkind, internal/platform and internal/config are the seams that the other packages are written against.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+GO ?= go
+export CGO_ENABLED = 1
+GOFILES = $(shell git ls-files --cached --others --exclude-standard '*.go' | grep -v '\.pb\.go$$')
+
+.PHONY: setup build lint test generate demo
+
+setup: ## fetch the declared modules and build the pinned tools
+	$(GO) mod download
+	$(GO) build tool
+
+build: ## build the binary and the stand-ins into bin/
+	mkdir -p bin
+	$(GO) build -o bin/ ./...
+
+lint: ## formatter and linters
+	@out="$$($(GO) tool gofumpt -l $(GOFILES))"; if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+	$(GO) tool revive -config revive.toml -set_exit_status -exclude '**/*.pb.go' ./...
+
+test: ## all tests
+	$(GO) test -count=1 ./...
+
+generate: ## regenerate the peer protocol (needs protoc from Debian's protobuf-compiler)
+	cd internal/peer/peerpb && protoc --plugin=protoc-gen-go="$$($(GO) tool -n protoc-gen-go)" --plugin=protoc-gen-go-drpc="$$($(GO) tool -n protoc-gen-go-drpc)" --go_out=. --go_opt=paths=source_relative --go-drpc_out=. --go-drpc_opt=paths=source_relative peer.proto
--- /dev/null
+++ b/internal/config/settings.go
@@ -0,0 +1,46 @@
+package config
+
+import "github.com/amaranthweir/amaranthweir/internal/table"
+
+// ControlSettings makes a host a control host.
+type ControlSettings struct {
+	// DataFolder holds the files that must survive a restart.
+	DataFolder string
+	// Voters are the control hosts that found the deployment.
+	Voters []PeerSettings
+}
+
+// PeerSettings names another host.
+type PeerSettings struct {
+	Host        table.HostID
+	PeerAddress string
+}
+
+// Settings are what one host is told at start.
+type Settings struct {
+	Host   table.HostID
+	Domain table.Domain
+	// CallerAddress is ip:port for callers (PostgreSQL protocol).
+	CallerAddress string
+	// PeerAddress is ip:port for the other hosts (drpc).
+	PeerAddress string
+	// HTTPAddress is ip:port for announcements, operators, metrics and health.
+	HTTPAddress string
+	// Join lists peer addresses of a few hosts that are asked at start,
+	// control hosts among them.
+	Join []string
+	// Control is nil on a host that is no control host.
+	Control *ControlSettings
+	// SessionKeys sign session tokens; the first one signs, all verify. Each
+	// is at least 32 bytes, written in hexadecimal.
+	SessionKeys []string
+	// MaxCallers bounds open caller connections.
+	MaxCallers int
+	// MaxMessageBytes bounds one message of a caller.
+	MaxMessageBytes int
+	// LogLevel is a logrus level name.
+	LogLevel string
+	// TLSCertificate and TLSKey are files; empty means plain text to callers.
+	TLSCertificate string
+	TLSKey         string
+}
--- /dev/null
+++ b/internal/errkind/errkind.go
@@ -0,0 +1,173 @@
+// Package errkind is the closed list of error kinds and the one table from a
+// kind to the answer that a caller gets.
+package errkind
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Kind is one member of the closed list of error kinds.
+type Kind uint8
+
+// The closed list. A new kind needs a row in the table below and in
+// docs/ops/errors.md.
+const (
+	Internal Kind = iota
+	BadRequest
+	UnknownClass
+	NotSupported
+	Unauthenticated
+	TokenInvalid
+	TokenLost
+	DeadlineUnreachable
+	CallerLimit
+	NoPrimary
+	NoOwner
+	StalenessUnprovable
+	LeaseLost
+	OutcomeUnknown
+	UpstreamLost
+	Cancelled
+	TooLarge
+	ShuttingDown
+	ConfigInvalid
+	ConfigConflict
+	NotLeader
+	NoQuorum
+	kindCount
+)
+
+// Effect says what is known about the statement that failed.
+type Effect uint8
+
+// The effects.
+const (
+	// NotRun means that no byte of the statement reached an upstream.
+	NotRun Effect = iota
+	// Ran means that the statement had its effect.
+	Ran
+	// Unknown means that the statement may or may not have had its effect.
+	Unknown
+)
+
+// String returns the word that callers see.
+func (e Effect) String() string {
+	switch e {
+	case NotRun:
+		return "not run"
+	case Ran:
+		return "ran"
+	default:
+		return "unknown"
+	}
+}
+
+// Answer is what a caller is told about a kind.
+type Answer struct {
+	Name     string // stable name, for logs and metrics
+	SQLState string // five characters
+	Message  string
+	Effect   Effect
+	Repeat   bool // whether repeating the request later may succeed
+}
+
+var answers = [kindCount]Answer{
+	Internal:            {"internal", "XX000", "internal error", Unknown, false},
+	BadRequest:          {"bad_request", "42601", "the request cannot be read", NotRun, false},
+	UnknownClass:        {"unknown_class", "42704", "the document declares no such class", NotRun, false},
+	NotSupported:        {"not_supported", "0A000", "not supported", NotRun, false},
+	Unauthenticated:     {"unauthenticated", "28P01", "authentication failed", NotRun, false},
+	TokenInvalid:        {"token_invalid", "22023", "the session token is not valid", NotRun, false},
+	TokenLost:           {"token_lost", "40004", "writes of this session were lost with an old term", NotRun, false},
+	DeadlineUnreachable: {"deadline_unreachable", "53400", "the deadline cannot be met", NotRun, true},
+	CallerLimit:         {"caller_limit", "53300", "too many connections or requests", NotRun, true},
+	NoPrimary:           {"no_primary", "57P03", "the group has no primary now", NotRun, true},
+	NoOwner:             {"no_owner", "57P04", "no host owns the instance now", NotRun, true},
+	StalenessUnprovable: {"staleness_unprovable", "55P05", "no instance can prove the stated staleness", NotRun, true},
+	LeaseLost:           {"lease_lost", "08007", "the primary changed before the answer was confirmed", Unknown, false},
+	OutcomeUnknown:      {"outcome_unknown", "08007", "the outcome of the request is not known", Unknown, false},
+	UpstreamLost:        {"upstream_lost", "08006", "the connection to the upstream was lost", Unknown, false},
+	Cancelled:           {"cancelled", "57014", "cancelled on request", Unknown, true},
+	TooLarge:            {"too_large", "54000", "the message exceeds the stated limit", NotRun, false},
+	ShuttingDown:        {"shutting_down", "57P01", "the host is shutting down", NotRun, true},
+	ConfigInvalid:       {"config_invalid", "F0000", "the document is not valid", NotRun, false},
+	ConfigConflict:      {"config_conflict", "40001", "another document with this version is in force", NotRun, false},
+	NotLeader:           {"not_leader", "57P05", "this host does not lead the control hosts", NotRun, true},
+	NoQuorum:            {"no_quorum", "57P06", "no majority of the control hosts answers", Unknown, true},
+}
+
+// Answer returns the row of the table for k.
+func (k Kind) Answer() Answer {
+	if k >= kindCount {
+		return answers[Internal]
+	}
+	return answers[k]
+}
+
+// String returns the stable name of the kind.
+func (k Kind) String() string { return k.Answer().Name }
+
+// All returns every kind, in table order.
+func All() []Kind {
+	all := make([]Kind, 0, kindCount)
+	for k := range kindCount {
+		all = append(all, k)
+	}
+	return all
+}
+
+// Error is an error of one kind. Effect may narrow the effect of the table,
+// for example to NotRun when no byte had left the host.
+type Error struct {
+	Kind   Kind
+	Effect Effect
+	Detail string
+	Cause  error
+}
+
+// New returns an error of kind k with the effect of the table.
+func New(k Kind, format string, args ...any) *Error {
+	return &Error{Kind: k, Effect: k.Answer().Effect, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Wrap is New with a cause.
+func Wrap(cause error, k Kind, format string, args ...any) *Error {
+	e := New(k, format, args...)
+	e.Cause = cause
+	return e
+}
+
+// WithEffect returns a copy of e whose effect is known more exactly.
+func (e *Error) WithEffect(effect Effect) *Error {
+	c := *e
+	c.Effect = effect
+	return &c
+}
+
+// Error returns the message, the detail and the effect.
+func (e *Error) Error() string {
+	msg := e.Kind.Answer().Message
+	if e.Detail != "" {
+		msg += ": " + e.Detail
+	}
+	return msg + " (" + e.Effect.String() + ")"
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Of returns the Error within err, or an Internal one that wraps it.
+func Of(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return Wrap(err, Internal, "%v", err)
+}
+
+// Is reports whether err is an error of kind k.
+func Is(err error, k Kind) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == k
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,68 @@
+// Package platform is the narrow edge to the platform that runs the
+// databases. The interfaces here are all that the system asks of it; each has
+// a contract test (package platformtest) that any implementation can be put
+// through.
+package platform
+
+import (
+	"context"
+	"time"
+
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
+
+// Announcement is what an instance says about itself.
+type Announcement struct {
+	Group       table.GroupName  `json:"group"`
+	Instance    table.InstanceID `json:"instance"`
+	Address     string           `json:"address"` // ip:port
+	Domain      table.Domain     `json:"failure_domain"`
+	Role        string           `json:"role"` // "primary" or "replica"
+	Term        table.Term       `json:"term"`
+	Position    table.Position   `json:"position"`
+	Slots       int              `json:"slots"`
+	Connections int              `json:"connections"`
+	Leaving     bool             `json:"leaving"`
+}
+
+// AnnounceReply tells an instance when to announce itself again.
+type AnnounceReply struct {
+	IntervalMillis int64 `json:"interval_ms"`
+}
+
+// Status is what an instance answers to a probe.
+type Status struct {
+	Role table.Role
+	// Mark is the term and the last position it holds durably.
+	Mark table.Mark
+	// TermStart is the position at which its term began.
+	TermStart table.Position
+}
+
+// Announcer takes announcements.
+type Announcer interface {
+	Announce(ctx context.Context, a Announcement) (AnnounceReply, error)
+}
+
+// Prober asks an instance for its state. It fails when no answer comes before
+// the context ends.
+type Prober interface {
+	Probe(ctx context.Context, address string) (Status, error)
+}
+
+// Promoter makes a replica the primary of its group in the given term. It is
+// idempotent: a second call with the same term succeeds. An instance that has
+// seen a higher term refuses.
+type Promoter interface {
+	Promote(ctx context.Context, address string, term table.Term) (Status, error)
+}
+
+// Fencer tells an instance that terms below term are over: a primary of an
+// older term accepts no further write, and connections of owners with an
+// epoch below epoch are closed.
+type Fencer interface {
+	Fence(ctx context.Context, address string, term table.Term, epoch table.Epoch) error
+}
+
+// AnnounceInterval is how often instances are asked to announce themselves.
+const AnnounceInterval = 500 * time.Millisecond
--- /dev/null
+++ b/internal/table/table.go
@@ -0,0 +1,119 @@
+// Package table holds the entities that the decision systems work on: hosts,
+// upstream instances, groups, ownerships and leases. The types are plain
+// data. Nothing in this package does I/O or reads a clock: every moment is a
+// time.Duration on the local monotonic clock, counted from process start.
+package table
+
+import "time"
+
+// HostID names one host of the system, unique within a deployment.
+type HostID string
+
+// InstanceID names one upstream instance, unique within a deployment.
+type InstanceID string
+
+// GroupName names a group: one primary and its replicas.
+type GroupName string
+
+// Domain names a failure domain.
+type Domain string
+
+// Term counts the primaries of a group. It grows by at least one with each
+// change of primary.
+type Term uint64
+
+// Position is a log position within one group, in the unit the upstream
+// reports (bytes for PostgreSQL).
+type Position uint64
+
+// Epoch counts the owners of an instance. It grows with each change of owner.
+type Epoch uint64
+
+// Mark is a point in the history of a group.
+type Mark struct {
+	Term     Term
+	Position Position
+}
+
+// Less reports whether m lies before o in the history of a group. A later
+// term lies after every position of an earlier one.
+func (m Mark) Less(o Mark) bool {
+	if m.Term != o.Term {
+		return m.Term < o.Term
+	}
+	return m.Position < o.Position
+}
+
+// Role is what an instance says it is within its group.
+type Role uint8
+
+// The roles of an instance.
+const (
+	RoleReplica Role = iota
+	RolePrimary
+)
+
+// String returns the name of the role as it stands in announcements.
+func (r Role) String() string {
+	if r == RolePrimary {
+		return "primary"
+	}
+	return "replica"
+}
+
+// Instance is one upstream instance, as its latest announcement described it.
+type Instance struct {
+	ID      InstanceID
+	Group   GroupName
+	Address string // ip:port, PostgreSQL protocol
+	Domain  Domain
+	Role    Role
+	Mark    Mark // term and position it reported last
+	// Slots is how many statements the instance runs at once.
+	Slots int
+	// Connections is how many open connections the instance accepts.
+	Connections int
+	// Leaving is set once the instance said it is going away.
+	Leaving bool
+	// SeenAt is the local moment of the latest announcement.
+	SeenAt time.Duration
+}
+
+// HostState is what the membership knows about a host.
+type HostState uint8
+
+// The states of a host.
+const (
+	HostAlive HostState = iota
+	HostSuspect
+	HostDead
+	HostLeft
+)
+
+// Host is one host of the system.
+type Host struct {
+	ID          HostID
+	Domain      Domain
+	PeerAddress string // ip:port, drpc between hosts
+	Incarnation uint64
+	State       HostState
+	Control     bool // whether it is a control host
+	Draining    bool // takes no new ownerships
+}
+
+// Ownership says which host alone may open connections to an instance.
+type Ownership struct {
+	Instance InstanceID
+	Host     HostID
+	Epoch    Epoch
+}
+
+// Group is the agreed state of one group.
+type Group struct {
+	Name    GroupName
+	Term    Term
+	Primary InstanceID
+	// TermStart is the position at which the current term began: what an
+	// older term holds beyond it was lost.
+	TermStart Position
+}
