--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -110,10 +110,27 @@
 
 // Group is the agreed state of one group.
 type Group struct {
-	Name    GroupName
-	Term    Term
+	Name  GroupName
+	Term  Term
+	Phase GroupPhase
+	// Primary is the instance promoted last; in PhasePromoting it is the
+	// primary of the term before, or empty.
 	Primary InstanceID
+	// Candidate is the only instance that may be promoted in Term.
+	Candidate InstanceID
 	// TermStart is the position at which the current term began: what an
 	// older term holds beyond it was lost.
 	TermStart Position
 }
+
+// GroupPhase is the state of a change of primary.
+type GroupPhase uint8
+
+// The phases of a group.
+const (
+	// PhaseStable means that Primary is promoted in Term.
+	PhaseStable GroupPhase = iota
+	// PhasePromoting means that Term has begun and Candidate is not yet known
+	// to be promoted; no write is acknowledged.
+	PhasePromoting
+)
