--- /dev/null
+++ b/internal/statement/statement.go
@@ -0,0 +1,229 @@
+// Package statement reads as much of an SQL text as routing needs: the tags in
+// its leading comment, and the kind of each statement in it. It does not
+// parse SQL.
+package statement
+
+import "strings"
+
+// Kind is what a statement does, as far as the proxy must know.
+type Kind uint8
+
+// The kinds of statements.
+const (
+	Other Kind = iota // reads or writes data
+	Empty
+	Begin
+	Commit
+	Rollback
+	SetLocal
+	Set         // changes a setting of the session
+	Reset       // RESET, DISCARD
+	Show        // reads a setting
+	Select      // reads, unless it calls a function with effects
+	Unsupported // leaves state on a connection, or needs a protocol part that is not offered
+)
+
+// Statement is one statement of a text.
+type Statement struct {
+	Kind Kind
+	// Verb is the first word in upper case.
+	Verb string
+	// Text is the statement without leading comments and the final semicolon.
+	Text string
+}
+
+// Text is what was read from one SQL text.
+type Text struct {
+	// Tags are the name=value pairs of the leading comment.
+	Tags       Tags
+	Statements []Statement
+}
+
+// Tags are what a caller says about a request in a leading comment such as
+// /* class=settlement request_id=7f3a key=42 */.
+type Tags struct {
+	Class     string
+	RequestID string
+	Key       string
+}
+
+// Read reads an SQL text. It never fails: what it does not know is Other.
+func Read(sql string) Text {
+	var t Text
+	t.Tags, sql = leadingTags(sql)
+	for _, part := range split(sql) {
+		s := classify(part)
+		if s.Kind != Empty {
+			t.Statements = append(t.Statements, s)
+		}
+	}
+	return t
+}
+
+// leadingTags reads the tags of a comment at the very start of sql.
+func leadingTags(sql string) (Tags, string) {
+	var tags Tags
+	trimmed := strings.TrimLeft(sql, " \t\r\n")
+	if !strings.HasPrefix(trimmed, "/*") {
+		return tags, sql
+	}
+	end := commentLength(trimmed)
+	body := strings.TrimSuffix(trimmed[2:end], "*/")
+	for _, word := range strings.Fields(body) {
+		name, value, found := strings.Cut(word, "=")
+		if !found {
+			continue
+		}
+		switch name {
+		case "class":
+			tags.Class = value
+		case "request_id":
+			tags.RequestID = value
+		case "key":
+			tags.Key = value
+		}
+	}
+	return tags, trimmed[end:]
+}
+
+// kindOfVerb has the verbs that decide the kind by themselves; the rest is
+// Other.
+var kindOfVerb = map[string]Kind{
+	"BEGIN":      Begin,
+	"RESET":      Reset,
+	"DISCARD":    Reset,
+	"SHOW":       Show,
+	"SELECT":     Select,
+	"VALUES":     Select,
+	"TABLE":      Select,
+	"COPY":       Unsupported,
+	"LISTEN":     Unsupported,
+	"UNLISTEN":   Unsupported,
+	"NOTIFY":     Unsupported,
+	"PREPARE":    Unsupported,
+	"EXECUTE":    Unsupported,
+	"DEALLOCATE": Unsupported,
+	"LOAD":       Unsupported,
+	"DECLARE":    Unsupported,
+	"FETCH":      Unsupported,
+	"MOVE":       Unsupported,
+	"CLOSE":      Unsupported,
+}
+
+// classify finds the kind of one statement.
+func classify(part string) Statement {
+	text := strings.TrimSpace(skipComments(part))
+	if text == "" {
+		return Statement{Kind: Empty}
+	}
+	verb, rest := nextWord(text)
+	s := Statement{Verb: verb, Text: text}
+	second, rest2 := nextWord(rest)
+	switch verb {
+	case "START":
+		if second == "TRANSACTION" {
+			s.Kind = Begin
+		}
+	case "COMMIT", "END":
+		s.Kind = Commit
+		if second == "PREPARED" {
+			s.Kind = Unsupported
+		}
+	case "ROLLBACK", "ABORT":
+		s.Kind = rollbackKind(second, rest2)
+	case "SET":
+		s.Kind = setKind(second, rest2)
+	case "CREATE":
+		if second == "TEMP" || second == "TEMPORARY" {
+			s.Kind = Unsupported
+		}
+	default:
+		s.Kind = kindOfVerb[verb]
+	}
+	return s
+}
+
+func rollbackKind(second, rest string) Kind {
+	if second == "PREPARED" {
+		return Unsupported
+	}
+	third, _ := nextWord(rest)
+	if second == "TO" || ((second == "WORK" || second == "TRANSACTION") && third == "TO") {
+		return Other // back to a savepoint: the transaction goes on
+	}
+	return Rollback
+}
+
+func setKind(second, rest string) Kind {
+	switch second {
+	case "LOCAL", "TRANSACTION", "CONSTRAINTS":
+		return SetLocal
+	case "SESSION":
+		third, _ := nextWord(rest)
+		if third == "AUTHORIZATION" {
+			return Unsupported
+		}
+		return Set
+	case "ROLE":
+		return Unsupported
+	default:
+		return Set
+	}
+}
+
+// nextWord returns the first word of s in upper case and what follows it.
+func nextWord(s string) (word, rest string) {
+	s = strings.TrimLeft(skipComments(s), " \t\r\n(")
+	i := 0
+	for i < len(s) && isWordByte(s[i]) {
+		i++
+	}
+	return strings.ToUpper(s[:i]), s[i:]
+}
+
+func isWordByte(c byte) bool {
+	return c == '_' || c == '.' || c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+}
+
+// skipComments drops white space and comments at the start of s.
+func skipComments(s string) string {
+	for {
+		s = strings.TrimLeft(s, " \t\r\n")
+		n := commentLength(s)
+		if n == 0 {
+			return s
+		}
+		s = s[n:]
+	}
+}
+
+// commentLength returns the length of the comment that s starts with, or 0.
+// Block comments nest, as in PostgreSQL.
+func commentLength(s string) int {
+	if strings.HasPrefix(s, "--") {
+		if i := strings.IndexByte(s, '\n'); i >= 0 {
+			return i + 1
+		}
+		return len(s)
+	}
+	if !strings.HasPrefix(s, "/*") {
+		return 0
+	}
+	depth := 0
+	for i := 0; i < len(s)-1; {
+		switch s[i : i+2] {
+		case "/*":
+			depth++
+			i += 2
+		case "*/":
+			depth--
+			i += 2
+			if depth == 0 {
+				return i
+			}
+		default:
+			i++
+		}
+	}
+	return len(s)
+}
--- /dev/null
+++ b/internal/statement/statement_test.go
@@ -0,0 +1,56 @@
+package statement
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestRead(t *testing.T) {
+	kinds := func(sql string) []Kind {
+		var ks []Kind
+		for _, s := range Read(sql).Statements {
+			ks = append(ks, s.Kind)
+		}
+		return ks
+	}
+	for _, c := range []struct {
+		sql  string
+		want []Kind
+	}{
+		{"", nil},
+		{" ; ;", nil},
+		{"select 1", []Kind{Select}},
+		{"/* a /* nested */ b */ begin", []Kind{Begin}},
+		{"-- x\nCOMMIT AND CHAIN", []Kind{Commit}},
+		{"BEGIN; insert into t values ('a;b'); COMMIT;", []Kind{Begin, Other, Commit}},
+		{`select ";"; select 'it''s;' ; select e'\';'`, []Kind{Select, Select, Select}},
+		{"select $$;$$; select $a$ ; $$ ; $a$", []Kind{Select, Select}},
+		{"select $1; select a$b;select 2", []Kind{Select, Select, Select}},
+		{"rollback to savepoint a", []Kind{Other}},
+		{"rollback work to a; rollback", []Kind{Other, Rollback}},
+		{"set local x = 1; set x = 1; set session authorization y", []Kind{SetLocal, Set, Unsupported}},
+		{"copy t from stdin", []Kind{Unsupported}},
+		{"create temp table x ()", []Kind{Unsupported}},
+		{"create table x ()", []Kind{Other}},
+		{"with x as (select 1) insert into t select * from x", []Kind{Other}},
+		{"(select 1)", []Kind{Select}},
+		{"'unclosed ; ", []Kind{Other}},
+	} {
+		assert.DeepEqual(t, kinds(c.sql), c.want)
+	}
+}
+
+func TestTags(t *testing.T) {
+	got := Read(" /* class=settlement request_id=a1 key=7 note */ insert into t values (1)")
+	assert.DeepEqual(t, got.Tags, Tags{Class: "settlement", RequestID: "a1", Key: "7"})
+	assert.Equal(t, got.Statements[0].Verb, "INSERT")
+	assert.Equal(t, Read("select 1 /* class=x */").Tags.Class, "")
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add("/* class=a */ select $$x$$; -- y")
+	f.Fuzz(func(_ *testing.T, sql string) {
+		Read(sql)
+	})
+}
