Parse and check settings and service documents

Operators write two files by hand; a mistake has to be named with its place before it reaches a host. The files are JSON with comments. The parser walks the syntax tree of hujson instead of decoding into structs, since encoding/json knows neither columns nor duplicate keys and stops at the first fault. Every problem of a file is reported, each with file, line, column, field path and what was expected.

The digest of a document leaves out comments and white space: an operator who rewords a comment and applies the same version again is told 'unchanged' instead of 'conflict'. The order of members counts, which keeps the digest independent of any re-encoding.

The hujson parser recurses once a level without a bound, so nesting is bounded before it runs (a test sends 1 MiB of opening brackets).

--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,218 @@
+package config
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const goodDocument = `{
+  "service": "shop", "version": 7,
+  "groups": [{"name": "g1"}, {"name": "g2", "instances": 5}],
+  "classes": [
+    {"name": "pay", "access": "write", "group": "g1", "rank": "urgent", "deadline": "250ms", "ack_replicas": 0},
+    {"name": "order", "access": "write", "groups": ["g1", "g2"], "repeatable": true},
+    {"name": "look", "access": "read", "group": "g1", "staleness": "2s"} // last
+  ],
+  "default_class": "look"
+}`
+
+const goodSettings = `{
+  "host": "h1", "failure_domain": "d1",
+  "caller_address": "127.0.0.1:1", "peer_address": "127.0.0.1:2", "http_address": "127.0.0.1:3",
+  "control": {"data_folder": "/data", "voters": [{"host": "h1", "peer_address": "127.0.0.1:2"}]}
+}`
+
+func TestParseDocumentFillsDefaults(t *testing.T) {
+	d, err := ParseDocument("f", []byte(goodDocument))
+	assert.NilError(t, err)
+	assert.Equal(t, d.Version, uint64(7))
+	assert.Equal(t, d.Groups[0].Instances, DefaultInstances)
+	assert.Equal(t, d.RequestWindow, DefaultRequestWindow)
+	assert.Equal(t, d.RankFloors, [RankCount]int{0, DefaultNormalFloor, DefaultBackFloor})
+	pay, _ := d.Class("pay")
+	assert.DeepEqual(t, *pay, Class{
+		Name: "pay", Access: AccessWrite, Rank: RankUrgent, Groups: pay.Groups,
+		Deadline: 250 * time.Millisecond, Worth: DefaultWorth,
+	})
+	order, _ := d.Class("order")
+	assert.Equal(t, order.AckReplicas, 1)
+	assert.Equal(t, order.Rank, RankNormal)
+	assert.Assert(t, order.Repeatable)
+	look, _ := d.Class("look")
+	assert.Assert(t, look.Repeatable)
+	assert.Equal(t, look.AckReplicas, 0)
+	assert.Equal(t, look.Deadline, DefaultDeadline)
+	_, found := d.Class("none")
+	assert.Assert(t, !found)
+}
+
+// fault is one change of a good file and the problems that it must give, each
+// as "text at the place | field | part of the message".
+type fault struct {
+	name, old, changed string
+	want               []string
+}
+
+// textAt returns the text at the place of a problem, without a first quote.
+func textAt(src string, p Problem) string {
+	line := strings.Split(src, "\n")[p.Line-1]
+	return strings.TrimPrefix(line[p.Column-1:], `"`)
+}
+
+func runFaults(t *testing.T, good string, parse func(src []byte) error, faults []fault) {
+	t.Helper()
+	for _, f := range faults {
+		t.Run(f.name, func(t *testing.T) {
+			src := strings.Replace(good, f.old, f.changed, 1)
+			assert.Assert(t, src != good)
+			var problems *Problems
+			assert.Assert(t, errors.As(parse([]byte(src)), &problems), "no problem found")
+			got := strings.Split(problems.Error(), "\n")
+			assert.Equal(t, len(got), len(f.want), problems.Error())
+			for i, want := range f.want {
+				part := strings.SplitN(want, " | ", 3)
+				assert.Equal(t, problems.Items[i].Field, part[1])
+				assert.Assert(t, strings.Contains(got[i], part[2]), got[i])
+				assert.Assert(t, strings.HasPrefix(textAt(src, problems.Items[i]), part[0]), got[i])
+			}
+		})
+	}
+}
+
+func TestParseDocumentNamesEveryProblem(t *testing.T) {
+	parse := func(src []byte) error { _, err := ParseDocument("f", src); return err }
+	runFaults(t, goodDocument, parse, []fault{
+		{"syntax", `"version": 7,`, `"version" 7,`, []string{"7, |  | expected JSON"}},
+		{"not an object", goodDocument, `[1]`, []string{"[1] |  | expected an object"}},
+		{"unknown field", `"version": 7`, `"version": 7, "colour": 1`, []string{"colour | colour | unknown field, expected one of service"}},
+		{"duplicate key", `"version": 7`, `"version": 7, "version": 8`, []string{"version | version | stands twice"}},
+		{"missing field", `"version": 7,`, ``, []string{`{ |  | "version" is missing`}},
+		{"version zero", `"version": 7`, `"version": 0`, []string{"0, | version | found 0, expected a whole number from 1"}},
+		{"version of text", `"version": 7`, `"version": "7"`, []string{"7\" | version | expected a whole number"}},
+		{"bad name", `"shop"`, `"The Shop"`, []string{"The Shop | service | lower-case"}},
+		{"wrong unit", `"2s"`, `"5 parsecs"`, []string{`5 parsecs | classes[2].staleness | found "5 parsecs", expected a duration`}},
+		{"no unit", `"2s"`, `2`, []string{`2} | classes[2].staleness | found 2, expected a duration`}},
+		{"negative duration", `"250ms"`, `"-1s"`, []string{`-1s | classes[0].deadline | expected a duration from 1ms`}},
+		{"no such rank", `"urgent"`, `"vital"`, []string{`vital | classes[0].rank | found "vital", expected one of urgent, normal, background`}},
+		{"no such access", `"read"`, `"peek"`, []string{`peek | classes[2].access | expected one of read, write`}},
+		{"duplicate class", `"order"`, `"pay"`, []string{`pay", "access | classes[1].name | the class "pay" stands twice`}},
+		{"duplicate group", `"g2", "inst`, `"g1", "inst`, []string{
+			`g1", "inst | groups[1].name | the group "g1" stands twice`, `g2"] | classes[1].groups[1] | no group is named "g2"`,
+		}},
+		{"group not listed", `"group": "g1", "rank"`, `"group": "g9", "rank"`, []string{`g9 | classes[0].group | no group is named "g9"`}},
+		{"group twice in a class", `["g1", "g2"]`, `["g1", "g1"]`, []string{`g1"], "rep | classes[1].groups[1] | stands twice`}},
+		{"group and groups", `"group": "g1", "rank"`, `"group": "g1", "groups": ["g2"], "rank"`, []string{`{"name": "pay" | classes[0] | either`}},
+		{"empty groups", `["g1", "g2"]`, `[]`, []string{`[] | classes[1].groups | at least one group`}},
+		{"default class missing", `"default_class": "look"`, `"default_class": "gone"`, []string{`gone | default_class | no class is named "gone"`}},
+		{"floors above 100", `"default_class"`, `"rank_floors": {"urgent": 60, "normal": 30, "background": 20}, "default_class"`, []string{`{"urgent": 60 | rank_floors | add to 110 percent`}},
+		{"floors with the defaults above 100", `"default_class"`, `"rank_floors": {"urgent": 71}, "default_class"`, []string{`{"urgent": 71 | rank_floors | add to 101 percent`}},
+		{"not repeatable read", `"staleness": "2s"`, `"repeatable": false`, []string{`false | classes[2].repeatable | a read is always repeatable`}},
+		{"too many replicas", `"ack_replicas": 0`, `"ack_replicas": 2`, []string{`2} | classes[0].ack_replicas | from 0 to 1`}},
+		{"read that waits for a replica", `"staleness": "2s"`, `"ack_replicas": 1`, []string{`1} | classes[2].ack_replicas | a read waits for no replica`}},
+		{"stale write", `"ack_replicas": 0`, `"staleness": "1s"`, []string{`1s | classes[0].staleness | a write has no staleness`}},
+		{"no classes", goodDocument, `{"service": "s", "version": 1, "groups": [], "classes": [], "default_class": "x"}`, []string{
+			"[], \"cl | groups | at least one group", "[], \"def | classes | at least one class", "x\"} | default_class | no class",
+		}},
+		{"all problems at once", `"rank": "urgent", "deadline": "250ms", "ack_replicas": 0`, `"rank": 1, "deadline": "1h", "worth": -1`, []string{
+			"1, | classes[0].rank | ", "1h | classes[0].deadline | ", "-1 | classes[0].worth | ",
+		}},
+		{"nested too deep", goodDocument, strings.Repeat("[", 1<<20), []string{"[[[ |  | at most 32 levels"}},
+		{"too large", goodDocument, strings.Repeat(" ", MaxFileBytes+1), []string{"  |  | at most 1048576"}},
+	})
+}
+
+func TestParseSettingsNamesEveryProblem(t *testing.T) {
+	parse := func(src []byte) error { _, err := ParseSettings("f", src); return err }
+	const key = `"000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f"`
+	withKeys := func(list string) string { return `"failure_domain": "d1", "session_keys": ` + list }
+	runFaults(t, goodSettings, parse, []fault{
+		{"host name", `"127.0.0.1:1"`, `"localhost:1"`, []string{`localhost | caller_address | not a host name`}},
+		{"no port", `"127.0.0.1:1"`, `"127.0.0.1"`, []string{`127.0.0.1", | caller_address | ip:port`}},
+		{"port zero", `"127.0.0.1:1"`, `"127.0.0.1:0"`, []string{`127.0.0.1:0 | caller_address | ip:port`}},
+		{"same address", `"127.0.0.1:3"`, `"127.0.0.1:1"`, []string{`127.0.0.1:1" | http_address | also stands at caller_address`}},
+		{"unreachable peer address", `"peer_address": "127.0.0.1:2", "http`, `"peer_address": "0.0.0.0:2", "http`, []string{
+			`0.0.0.0:2 | peer_address | that other hosts can reach`, `0.0.0.0:2 | peer_address | is no loopback address`,
+			`127.0.0.1:2"}]} | control.voters[0].peer_address | of this host`,
+		}},
+		{"keys missing", `"127.0.0.1:1"`, `"10.0.0.1:1"`, []string{`10.0.0.1:1 | caller_address | expected "session_keys"`}},
+		{"short key", `"failure_domain": "d1"`, withKeys(`["00ff"]`), []string{"00ff | session_keys[0] | found 4 characters, expected at least 64"}},
+		{"key not hexadecimal", `"failure_domain": "d1"`, withKeys(`["` + strings.Repeat("x", 64) + `"]`), []string{"xxx | session_keys[0] | hexadecimal"}},
+		{"key twice", `"failure_domain": "d1"`, withKeys("[" + key + "," + key + "]"), []string{"000102 | session_keys[1] | stands twice"}},
+		{"no keys", `"failure_domain": "d1"`, withKeys("[]"), []string{"[] | session_keys | at least one key"}},
+		{"nobody to join", `,
+  "control": {"data_folder": "/data", "voters": [{"host": "h1", "peer_address": "127.0.0.1:2"}]}`, ``, []string{`{ |  | at least one address in "join"`}},
+		{"two voters", `[{"host"`, `[{"host": "h2", "peer_address": "127.0.0.1:9"}, {"host"`, []string{"[{ | control.voters | found 2 voters"}},
+		{"same voter", `[{"host"`, `[{"host": "h1", "peer_address": "127.0.0.1:2"}, {"host": "h2", "peer_address": "127.0.0.1:4"}, {"host"`, []string{
+			"h1\" | control.voters[2].host | stands twice", "127.0.0.1:2\"}]} | control.voters[2].peer_address | stands twice",
+		}},
+		{"log level", `"failure_domain": "d1"`, `"failure_domain": "d1", "log_level": "loud"`, []string{"loud | log_level | expected one of trace"}},
+		{"certificate without key", `"failure_domain": "d1"`, `"failure_domain": "d1", "tls_certificate": "c.pem"`, []string{"{ |  | or neither"}},
+		{"unknown field", `"failure_domain": "d1"`, `"failure_domain": "d1", "zone": "x"`, []string{"zone | zone | unknown field"}},
+		{"caller limit", `"failure_domain": "d1"`, `"failure_domain": "d1", "max_callers": 0`, []string{"0, | max_callers | from 1"}},
+	})
+}
+
+func TestDevelopmentKeyIsUsedOnLoopbackOnly(t *testing.T) {
+	s, err := ParseSettings("f", []byte(goodSettings))
+	assert.NilError(t, err)
+	assert.Assert(t, s.DevelopmentKeys)
+	assert.DeepEqual(t, s.SessionKeys, []string{DevelopmentKey})
+	assert.Equal(t, s.MaxCallers, DefaultMaxCallers)
+	own := strings.Replace(goodSettings, `"host": "h1",`, `"host": "h1", "session_keys": ["`+strings.Repeat("ab", 32)+`"],`, 1)
+	s, err = ParseSettings("f", []byte(own))
+	assert.NilError(t, err)
+	assert.Assert(t, !s.DevelopmentKeys)
+}
+
+func TestDigestIgnoresCommentsAndWhiteSpaceOnly(t *testing.T) {
+	base := DocumentDigest([]byte(`{"a": 1, "b": [2]}`))
+	assert.Equal(t, len(base), 64)
+	assert.Equal(t, DocumentDigest([]byte("// note\n{ \"a\":1,\n\"b\":[2,], /* x */ }\n")), base)
+	assert.Assert(t, DocumentDigest([]byte(`{"a": 1, "b": [3]}`)) != base)
+	assert.Assert(t, DocumentDigest([]byte(`{"b": [2], "a": 1}`)) != base)
+	assert.Assert(t, DocumentDigest([]byte("{")) != DocumentDigest([]byte("[")))
+}
+
+func TestExamplesAreValid(t *testing.T) {
+	files, err := filepath.Glob("../../examples/*.jsonc")
+	assert.NilError(t, err)
+	assert.Equal(t, len(files), 4)
+	for _, file := range files {
+		src, err := os.ReadFile(file)
+		assert.NilError(t, err)
+		switch KindOf(src) {
+		case FileDocument:
+			_, err = ParseDocument(file, src)
+		case FileSettings:
+			_, err = ParseSettings(file, src)
+		default:
+			t.Errorf("%s is neither document nor settings", file)
+		}
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, KindOf([]byte("{}")), FileUnknown)
+	assert.Equal(t, KindOf([]byte("[")), FileUnknown)
+}
+
+func FuzzParseDocument(f *testing.F) {
+	f.Add([]byte(goodDocument))
+	f.Add([]byte(goodSettings))
+	f.Fuzz(func(t *testing.T, src []byte) {
+		doc, err := ParseDocument("f", src)
+		_ = DocumentDigest(src)
+		_, _ = ParseSettings("f", src)
+		if err != nil {
+			var problems *Problems
+			assert.Assert(t, errors.As(err, &problems) && len(problems.Items) > 0)
+			return
+		}
+		_, ok := doc.Class(doc.Default)
+		assert.Assert(t, ok)
+	})
+}
--- /dev/null
+++ b/internal/config/parse_document.go
@@ -0,0 +1,287 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/tailscale/hujson"
+
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
+
+// Defaults of a document.
+const (
+	DefaultInstances     = 3
+	DefaultDeadline      = 2 * time.Second
+	DefaultWorth         = 1
+	DefaultNormalFloor   = 20 // percent
+	DefaultBackFloor     = 10 // percent
+	DefaultRequestWindow = 15 * time.Minute
+)
+
+// Bounds of a document.
+const (
+	maxGroups        = 10_000
+	maxClasses       = 1_000
+	maxInstances     = 15
+	maxWorth         = 1_000
+	maxRate          = 1e9
+	maxStaleness     = 24 * time.Hour
+	minDeadline      = time.Millisecond
+	maxDeadline      = 10 * time.Minute
+	minRequestWindow = time.Second
+	maxRequestWindow = 7 * 24 * time.Hour
+	wholePercent     = 100
+)
+
+var (
+	rankNames   = []string{"urgent", "normal", "background"}
+	accessNames = []string{"read", "write"}
+)
+
+// String returns the name of the rank as it stands in documents.
+func (r Rank) String() string {
+	if int(r) >= len(rankNames) {
+		return "unknown"
+	}
+	return rankNames[r]
+}
+
+// String returns the name of the access as it stands in documents.
+func (a Access) String() string {
+	if int(a) >= len(accessNames) {
+		return "unknown"
+	}
+	return accessNames[a]
+}
+
+// Class returns the class with the given name.
+func (d *Document) Class(name string) (*Class, bool) {
+	for i := range d.Classes {
+		if d.Classes[i].Name == name {
+			return &d.Classes[i], true
+		}
+	}
+	return nil, false
+}
+
+// DocumentDigest returns the hexadecimal SHA-256 of the document without its
+// comments, white space and trailing commas: two documents that differ only in
+// these have the same digest and count as the same content. The order of
+// members counts. Text that is not JSON with comments is digested as it is.
+func DocumentDigest(src []byte) string {
+	content := src
+	if _, deep := tooDeep(src); !deep {
+		if small, err := hujson.Minimize(slices.Clone(src)); err == nil {
+			content = small
+		}
+	}
+	sum := sha256.Sum256(content)
+	return hex.EncodeToString(sum[:])
+}
+
+// ParseDocument reads and checks the document of a service. The name of the
+// file appears in problems only. The error is *Problems and lists every
+// problem found.
+func ParseDocument(name string, src []byte) (*Document, error) {
+	r := &reader{name: name, src: src}
+	root, ok := r.parseRoot()
+	if !ok {
+		return nil, r.err()
+	}
+	p := &documentParser{}
+	p.read(root)
+	if err := r.err(); err != nil {
+		return nil, err
+	}
+	return &p.doc, nil
+}
+
+// documentParser fills a document and remembers the places that checks across
+// fields report.
+type documentParser struct {
+	doc      Document
+	classes  []classParser
+	byGroup  map[table.GroupName]bool
+	fallback node // the value of default_class
+	floors   node // the value of rank_floors
+}
+
+// classParser fills a class and remembers its places.
+type classParser struct {
+	class      Class
+	at         node
+	staleness  node
+	repeatable node
+	ack        node
+	groups     []node
+}
+
+// given reports whether the field of the node was in the file.
+func (n node) given() bool { return n.val != nil }
+
+func (p *documentParser) read(root node) {
+	d := &p.doc
+	d.RankFloors = [RankCount]int{RankNormal: DefaultNormalFloor, RankBackground: DefaultBackFloor}
+	d.RequestWindow = DefaultRequestWindow
+	p.byGroup = map[table.GroupName]bool{}
+	ok := root.object(
+		field{"service", true, func(n node) { d.Service, _ = n.name() }},
+		field{"version", true, func(n node) { d.Version = n.integer(1, math.MaxInt64) }},
+		field{"groups", true, p.readGroups},
+		field{"classes", true, p.readClasses},
+		field{"default_class", true, func(n node) { p.fallback = n; d.Default, _ = n.name() }},
+		field{"rank_floors", false, p.readFloors},
+		field{"request_window", false, func(n node) {
+			d.RequestWindow = n.duration(minRequestWindow, maxRequestWindow)
+		}},
+	)
+	if ok {
+		p.check()
+	}
+}
+
+func (p *documentParser) readGroups(n node) {
+	if n.list(maxGroups, p.readGroup) == 0 {
+		n.problem("expected at least one group")
+	}
+}
+
+func (p *documentParser) readGroup(n node) {
+	g := GroupSpec{Instances: DefaultInstances}
+	n.object(
+		field{"name", true, func(n node) {
+			s, ok := n.name()
+			if !ok {
+				return
+			}
+			g.Name = table.GroupName(s)
+			if p.byGroup[g.Name] {
+				n.problem("the group %q stands twice, expected it once", s)
+			}
+			p.byGroup[g.Name] = true
+		}},
+		field{"instances", false, func(n node) { g.Instances = int(n.integer(1, maxInstances)) }},
+	)
+	p.doc.Groups = append(p.doc.Groups, g)
+}
+
+func (p *documentParser) readClasses(n node) {
+	if n.list(maxClasses, p.readClass) == 0 {
+		n.problem("expected at least one class")
+	}
+}
+
+func (p *documentParser) readFloors(n node) {
+	p.floors = n
+	floor := func(r Rank) field {
+		return field{r.String(), false, func(n node) {
+			p.doc.RankFloors[r] = int(n.integer(0, wholePercent))
+		}}
+	}
+	n.object(floor(RankUrgent), floor(RankNormal), floor(RankBackground))
+}
+
+func (p *documentParser) readClass(n node) {
+	c := classParser{at: n, class: Class{
+		Rank: RankNormal, Deadline: DefaultDeadline, Worth: DefaultWorth,
+	}}
+	k := &c.class
+	var one, many node
+	ok := n.object(
+		field{"name", true, func(n node) { c.at = n; k.Name, _ = n.name() }},
+		field{"rank", false, func(n node) { k.Rank = choice[Rank](n, rankNames, strings.Join(rankNames, ", ")) }},
+		field{"access", true, func(n node) { k.Access = choice[Access](n, accessNames, strings.Join(accessNames, ", ")) }},
+		field{"group", false, func(n node) { one = n; c.readGroup(n) }},
+		field{"groups", false, func(n node) { many = n; n.list(maxGroups, c.readGroup) }},
+		field{"staleness", false, func(n node) { c.staleness = n; k.Staleness = n.duration(0, maxStaleness) }},
+		field{"deadline", false, func(n node) { k.Deadline = n.duration(minDeadline, maxDeadline) }},
+		field{"worth", false, func(n node) { k.Worth = int(n.integer(1, maxWorth)) }},
+		field{"rate_per_second", false, func(n node) { k.RatePerSecond = n.number(maxRate) }},
+		field{"repeatable", false, func(n node) { c.repeatable = n; k.Repeatable = n.boolean() }},
+		field{"ack_replicas", false, func(n node) { c.ack = n; k.AckReplicas = int(n.integer(0, 1)) }},
+	)
+	if !ok {
+		return
+	}
+	if one.given() == many.given() {
+		n.problem("expected either the field \"group\" or the field \"groups\"")
+	} else if many.given() && len(c.groups) == 0 {
+		many.problem("expected at least one group")
+	}
+	c.applyDefaults()
+	p.classes = append(p.classes, c)
+}
+
+func (c *classParser) readGroup(n node) {
+	if s, ok := n.name(); ok {
+		c.groups = append(c.groups, n)
+		c.class.Groups = append(c.class.Groups, table.GroupName(s))
+	}
+}
+
+// applyDefaults sets what depends on the access of the class: a read may be
+// repeated, a write may not and waits for one replica.
+func (c *classParser) applyDefaults() {
+	if !c.repeatable.given() {
+		c.class.Repeatable = c.class.Access == AccessRead
+	}
+	if !c.ack.given() && c.class.Access == AccessWrite {
+		c.class.AckReplicas = 1
+	}
+}
+
+// check looks at what holds between fields.
+func (p *documentParser) check() {
+	seen := map[string]bool{}
+	for _, c := range p.classes {
+		p.checkClass(c)
+		if c.class.Name == "" {
+			continue
+		}
+		if seen[c.class.Name] {
+			c.at.problem("the class %q stands twice, expected it once", c.class.Name)
+		}
+		seen[c.class.Name] = true
+		p.doc.Classes = append(p.doc.Classes, c.class)
+	}
+	if p.doc.Default != "" && !seen[p.doc.Default] {
+		p.fallback.problem("no class is named %q, expected the name of a listed class", p.doc.Default)
+	}
+	p.checkFloors()
+}
+
+func (p *documentParser) checkClass(c classParser) {
+	k := c.class
+	if k.Access == AccessRead && !k.Repeatable {
+		c.repeatable.problem("a read is always repeatable, expected true or \"access\": \"write\"")
+	}
+	if k.Access == AccessRead && k.AckReplicas > 0 {
+		c.ack.problem("a read waits for no replica, expected 0 or \"access\": \"write\"")
+	}
+	if k.Access == AccessWrite && c.staleness.given() {
+		c.staleness.problem("a write has no staleness, expected no such field or \"access\": \"read\"")
+	}
+	for i, n := range c.groups {
+		if !p.byGroup[k.Groups[i]] {
+			n.problem("no group is named %q, expected the name of a listed group", k.Groups[i])
+		}
+		if slices.Index(k.Groups, k.Groups[i]) < i {
+			n.problem("the group %q stands twice, expected it once", k.Groups[i])
+		}
+	}
+}
+
+func (p *documentParser) checkFloors() {
+	sum := 0
+	for _, f := range p.doc.RankFloors {
+		sum += f
+	}
+	if sum > wholePercent {
+		p.floors.problem("the floors add to %d percent, expected at most %d", sum, wholePercent)
+	}
+}
--- /dev/null
+++ b/internal/config/parse_settings.go
@@ -0,0 +1,254 @@
+package config
+
+import (
+	"math"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
+
+// Defaults of the settings.
+const (
+	DefaultMaxCallers      = 10_000
+	DefaultMaxMessageBytes = 16 << 20
+	DefaultLogLevel        = "info"
+)
+
+// DevelopmentKey signs session tokens where a host that listens on loopback
+// only is given no key. It is public and protects nothing.
+const DevelopmentKey = "646576656c6f706d656e74206b65793a2070726f7465637473206e6f7468696e67"
+
+// Bounds of the settings.
+const (
+	minKeyBytes     = 32
+	maxKeys         = 8
+	maxCallers      = 1_000_000
+	minMessageBytes = 1 << 10
+	maxMessageBytes = 1 << 30
+	maxJoin         = 64
+)
+
+// voterCounts are the sizes that a founding set of control hosts may have; one
+// is for trials.
+var voterCounts = []int{1, 3, 5}
+
+// ParseSettings reads and checks the settings of a host. The name of the file
+// appears in problems only. The error is *Problems and lists every problem
+// found.
+func ParseSettings(name string, src []byte) (*Settings, error) {
+	r := &reader{name: name, src: src}
+	root, ok := r.parseRoot()
+	if !ok {
+		return nil, r.err()
+	}
+	p := &settingsParser{root: root}
+	p.read()
+	if err := r.err(); err != nil {
+		return nil, err
+	}
+	return &p.s, nil
+}
+
+// settingsParser fills settings and remembers the places that checks across
+// fields report.
+type settingsParser struct {
+	s         Settings
+	root      node
+	addresses []listenAddress
+	joined    bool
+	tlsCert   node
+	tlsKey    node
+	voters    []voterPlace
+}
+
+// voterPlace is the place of one voter.
+type voterPlace struct {
+	host, peerAddress node
+}
+
+// listenAddress is an address of this host and its place.
+type listenAddress struct {
+	at   node
+	addr netip.AddrPort
+}
+
+func (p *settingsParser) read() {
+	s := &p.s
+	s.MaxCallers, s.MaxMessageBytes, s.LogLevel = DefaultMaxCallers, DefaultMaxMessageBytes, DefaultLogLevel
+	ok := p.root.object(
+		field{"host", true, func(n node) { s.Host = readHost(n) }},
+		field{"failure_domain", true, func(n node) { d, _ := n.name(); s.Domain = table.Domain(d) }},
+		field{"caller_address", true, func(n node) { s.CallerAddress = p.listen(n) }},
+		field{"peer_address", true, func(n node) { s.PeerAddress = p.listenForPeers(n) }},
+		field{"http_address", true, func(n node) { s.HTTPAddress = p.listen(n) }},
+		field{"join", false, p.readJoin},
+		field{"control", false, p.readControl},
+		field{"session_keys", false, p.readKeys},
+		field{"max_callers", false, func(n node) { s.MaxCallers = int(n.integer(1, maxCallers)) }},
+		field{"max_message_bytes", false, func(n node) {
+			s.MaxMessageBytes = int(n.integer(minMessageBytes, min(maxMessageBytes, math.MaxInt)))
+		}},
+		field{"log_level", false, p.readLogLevel},
+		field{"tls_certificate", false, func(n node) { p.tlsCert = n; s.TLSCertificate = readFile(n) }},
+		field{"tls_key", false, func(n node) { p.tlsKey = n; s.TLSKey = readFile(n) }},
+	)
+	if ok {
+		p.check()
+	}
+}
+
+func readHost(n node) table.HostID {
+	s, _ := n.name()
+	return table.HostID(s)
+}
+
+// readFile reads the path of a file or folder.
+func readFile(n node) string {
+	s, ok := n.str("a path")
+	if ok && (s == "" || strings.ContainsRune(s, 0)) {
+		n.problem("found %s, expected a path", n.text())
+	}
+	return s
+}
+
+// listen reads an address that this host listens on.
+func (p *settingsParser) listen(n node) string {
+	addr, ok := n.address()
+	if !ok {
+		return ""
+	}
+	for _, other := range p.addresses {
+		if other.addr == addr {
+			n.problem("the address %s also stands at %s, expected another port", addr, other.at.path)
+		}
+	}
+	p.addresses = append(p.addresses, listenAddress{at: n, addr: addr})
+	return addr.String()
+}
+
+// listenForPeers reads an address that other hosts are told of.
+func (p *settingsParser) listenForPeers(n node) string {
+	s := p.listen(n)
+	if s != "" && netip.MustParseAddrPort(s).Addr().IsUnspecified() {
+		n.problem("found %s, expected an address that other hosts can reach", n.text())
+	}
+	return s
+}
+
+func (p *settingsParser) readJoin(n node) {
+	p.joined = n.list(maxJoin, func(n node) {
+		if addr, ok := n.address(); ok {
+			p.s.Join = append(p.s.Join, addr.String())
+		}
+	}) > 0
+}
+
+func (p *settingsParser) readControl(n node) {
+	c := &ControlSettings{}
+	p.s.Control = c
+	n.object(
+		field{"data_folder", true, func(n node) { c.DataFolder = readFile(n) }},
+		field{"voters", true, p.readVoters},
+	)
+}
+
+func (p *settingsParser) readVoters(n node) {
+	count := n.list(slices.Max(voterCounts), p.readVoter)
+	if count >= 0 && !slices.Contains(voterCounts, count) {
+		n.problem("found %d voters, expected 3 or 5, or 1 for a trial", count)
+	}
+}
+
+func (p *settingsParser) readVoter(n node) {
+	v := PeerSettings{}
+	place := voterPlace{}
+	n.object(
+		field{"host", true, func(n node) { place.host = n; v.Host = readHost(n) }},
+		field{"peer_address", true, func(n node) {
+			place.peerAddress = n
+			if addr, ok := n.address(); ok {
+				v.PeerAddress = addr.String()
+			}
+		}},
+	)
+	p.voters = append(p.voters, place)
+	p.s.Control.Voters = append(p.s.Control.Voters, v)
+}
+
+func (p *settingsParser) readKeys(n node) {
+	count := n.list(maxKeys, func(n node) {
+		key, ok := n.key(minKeyBytes)
+		if !ok {
+			return
+		}
+		if slices.Contains(p.s.SessionKeys, key) {
+			n.problem("the key stands twice, expected it once")
+		}
+		p.s.SessionKeys = append(p.s.SessionKeys, key)
+	})
+	if count == 0 {
+		n.problem("expected at least one key")
+	}
+}
+
+func (p *settingsParser) readLogLevel(n node) {
+	s, ok := n.str("a log level")
+	if !ok {
+		return
+	}
+	if _, err := logrus.ParseLevel(s); err != nil {
+		n.problem("found %s, expected one of trace, debug, info, warning, error, fatal, panic", n.text())
+	}
+	p.s.LogLevel = s
+}
+
+// check looks at what holds between fields.
+func (p *settingsParser) check() {
+	if p.s.Control == nil && !p.joined {
+		p.root.problem("expected at least one address in \"join\", as the host is no control host")
+	}
+	if p.tlsCert.given() != p.tlsKey.given() {
+		p.root.problem("expected both \"tls_certificate\" and \"tls_key\", or neither")
+	}
+	p.checkKeys()
+	p.checkVoters()
+}
+
+// checkKeys puts the development key in place where that harms nobody.
+func (p *settingsParser) checkKeys() {
+	if len(p.s.SessionKeys) > 0 {
+		return
+	}
+	for _, a := range p.addresses {
+		if !a.addr.Addr().IsLoopback() {
+			a.at.problem("the address is no loopback address, expected \"session_keys\" with a key of at least %d bytes", minKeyBytes)
+			return
+		}
+	}
+	p.s.SessionKeys = []string{DevelopmentKey}
+	p.s.DevelopmentKeys = true
+}
+
+func (p *settingsParser) checkVoters() {
+	if p.s.Control == nil {
+		return
+	}
+	hosts, addresses := map[table.HostID]bool{}, map[string]bool{}
+	for i, v := range p.s.Control.Voters {
+		at := p.voters[i]
+		if v.Host != "" && hosts[v.Host] {
+			at.host.problem("the host %q stands twice, expected it once", v.Host)
+		}
+		if v.PeerAddress != "" && addresses[v.PeerAddress] {
+			at.peerAddress.problem("the address %s stands twice, expected it once", v.PeerAddress)
+		}
+		if v.Host == p.s.Host && v.PeerAddress != p.s.PeerAddress && v.PeerAddress != "" {
+			at.peerAddress.problem("found %s, expected the peer_address of this host, %s", v.PeerAddress, p.s.PeerAddress)
+		}
+		hosts[v.Host], addresses[v.PeerAddress] = true, true
+	}
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -34,6 +34,9 @@
 	// SessionKeys sign session tokens; the first one signs, all verify. Each
 	// is at least 32 bytes, written in hexadecimal.
 	SessionKeys []string
+	// DevelopmentKeys is set when SessionKeys holds only the public
+	// development key; the host warns about it.
+	DevelopmentKeys bool
 	// MaxCallers bounds open caller connections.
 	MaxCallers int
 	// MaxMessageBytes bounds one message of a caller.
