Add connection pools, the owner of instances and the links between hosts

The owner runs one request at a time on a connection: slot, connection, exchange, confirmation, answer. A write is kept back until the lease was checked after the upstream's answer and one replica holds its position. Links carry many requests on one drpc stream, each frame with its id.

--- /dev/null
+++ b/internal/owner/age.go
@@ -0,0 +1,57 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/platform"
+	"github.com/amaranthweir/amaranthweir/internal/request"
+	"github.com/amaranthweir/amaranthweir/internal/system/freshness"
+)
+
+// ageProof proves how old the data of a replica are.
+type ageProof struct {
+	tracker freshness.Tracker
+}
+
+// processStart is the zero of the clock that the decision systems see.
+var processStart = time.Now()
+
+// since turns a moment into one on the clock of the decision systems.
+func since(t time.Time) time.Duration { return t.Sub(processStart) }
+
+// observeReplica takes a probe of the replica that was sent at asked.
+func (a *ageProof) observeReplica(asked time.Time, st platform.Status) {
+	a.tracker.ObserveReplica(since(asked), st.Mark)
+}
+
+// check returns nil when the replica may serve r.
+func (a *ageProof) check(now time.Time, r *request.Request) error {
+	if r.HasFloor && !a.tracker.Holds(r.Floor) {
+		return errkind.New(errkind.StalenessUnprovable, "the replica does not hold position %d of term %d", r.Floor.Position, r.Floor.Term)
+	}
+	age, ok := a.tracker.Age(since(now))
+	if !ok || age > r.Staleness {
+		return errkind.New(errkind.StalenessUnprovable, "age %v (proven: %t), stated %v", age, ok, r.Staleness)
+	}
+	return nil
+}
+
+// refreshAge asks the primary's owner for its position.
+func (in *instance) refreshAge(ctx context.Context) {
+	if _, primary := in.cfg.Authority.Term(in.group, in.id); primary {
+		return
+	}
+	ctx, stop := context.WithTimeout(ctx, in.cfg.Timing.ProbeTimeout)
+	defer stop()
+	asked := time.Now()
+	p, err := in.cfg.Peers.PrimaryPosition(ctx, in.group)
+	if err != nil {
+		return
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.age.tracker.SetTerm(p.Mark.Term, p.TermStart)
+	in.age.tracker.ObservePrimary(since(asked)-p.Age, since(time.Now()), p.Mark)
+}
--- /dev/null
+++ b/internal/owner/execute.go
@@ -0,0 +1,224 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/amaranthweir/amaranthweir/internal/config"
+	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/pool"
+	"github.com/amaranthweir/amaranthweir/internal/request"
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
+
+// heldAnswerLimit bounds the answer of a write that is kept back until the
+// write is confirmed, in bytes.
+const heldAnswerLimit = 16 << 20
+
+// execute runs one request: admission, connection, exchange, confirmation,
+// answer.
+func (in *instance) execute(ctx context.Context, r *request.Request, s request.Sink) (request.Result, error) {
+	ctx, stop := context.WithDeadline(ctx, r.Deadline)
+	defer stop()
+	idle := request.Result{TxStatus: request.TxIdle}
+	if err := in.mayRun(r); err != nil {
+		return idle, err
+	}
+	t, err := in.slots.acquire(ctx, r)
+	if err != nil {
+		return idle, err
+	}
+	defer t.release()
+	if err := in.mayRun(r); err != nil { // the wait may have been long
+		return idle, err
+	}
+	tx, err := in.begin(ctx, r)
+	if err != nil {
+		return idle, err
+	}
+	return in.run(ctx, &execution{r: r, sink: s, tx: tx, ticket: t})
+}
+
+// mayRun checks what must hold before a byte goes to the upstream.
+func (in *instance) mayRun(r *request.Request) error {
+	if r.Continues {
+		return nil // the transaction was checked when it began
+	}
+	if r.Access == config.AccessRead && r.Staleness > 0 {
+		return in.mayRead(r)
+	}
+	term, primary := in.cfg.Authority.Term(in.group, in.id)
+	if !primary {
+		return errkind.New(errkind.NoPrimary, "%s is not the primary of %s", in.id, in.group)
+	}
+	return in.mayAcknowledge(term, errkind.NotRun)
+}
+
+// mayRead checks a read that states a staleness. The primary may serve it
+// under its lease; a replica when its age is proven and it holds the floor.
+func (in *instance) mayRead(r *request.Request) error {
+	if term, primary := in.cfg.Authority.Term(in.group, in.id); primary {
+		return in.mayAcknowledge(term, errkind.NotRun)
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.age.check(time.Now(), r)
+}
+
+func (in *instance) mayAcknowledge(term table.Term, effect errkind.Effect) error {
+	err := in.cfg.Authority.MayAcknowledge(in.group, in.id, term)
+	if err == nil {
+		return nil
+	}
+	if effect == errkind.NotRun {
+		return errkind.Wrap(err, errkind.NoPrimary, "%v", err)
+	}
+	return errkind.Wrap(err, errkind.LeaseLost, "%v", err)
+}
+
+// begin finds the connection of the session's transaction, or lends one.
+func (in *instance) begin(ctx context.Context, r *request.Request) (*transaction, error) {
+	in.mu.Lock()
+	tx := in.held[r.Session]
+	if tx != nil && (tx.inUse || !r.Continues) {
+		in.mu.Unlock()
+		return nil, errkind.New(errkind.Internal, "session %v has a transaction in use", r.Session).WithEffect(errkind.NotRun)
+	}
+	if tx != nil {
+		tx.inUse = true
+		in.active++
+		in.mu.Unlock()
+		return tx, nil
+	}
+	in.mu.Unlock()
+	if r.Continues {
+		return nil, errkind.New(errkind.UpstreamLost, "the transaction was rolled back").WithEffect(errkind.NotRun)
+	}
+	conn, err := in.pool.Get(ctx)
+	if err != nil {
+		return nil, err
+	}
+	in.mu.Lock()
+	in.active++
+	in.mu.Unlock()
+	return &transaction{conn: conn, inUse: true}, nil
+}
+
+// execution is one request on its connection.
+type execution struct {
+	r      *request.Request
+	sink   request.Sink
+	tx     *transaction
+	ticket *ticket
+	answer []byte // what is kept back until the write is confirmed
+}
+
+// run does the exchange, gives the connection back or keeps it for the
+// transaction, and confirms before it passes on a held answer.
+func (in *instance) run(ctx context.Context, e *execution) (request.Result, error) {
+	confirm := e.r.Access == config.AccessWrite && e.r.MayCommit
+	x := &pool.Exchange{
+		Settings:        e.r.Settings,
+		Prepares:        e.r.Prepares,
+		Messages:        e.r.Messages,
+		ChangesSettings: e.r.ChangesSettings,
+		AskMark:         confirm,
+		Hold:            confirm,
+		HoldLimit:       heldAnswerLimit,
+		Pass:            in.passer(e, confirm),
+	}
+	if e.r.Continues {
+		x.Settings = nil // they were applied when the transaction began
+	}
+	out, err := in.exchange(ctx, e, x)
+	in.end(e, out, err)
+	e.ticket.release()
+	res := request.Result{TxStatus: out.TxStatus, Mark: out.Mark, HasMark: out.HasMark}
+	if err != nil {
+		res.TxStatus = request.TxIdle
+		return res, err
+	}
+	if !confirm {
+		return res, nil
+	}
+	return res, in.confirm(ctx, e, out)
+}
+
+// exchange runs x; when it fails while the caller went away or the deadline
+// passed, the upstream is asked to stop.
+func (in *instance) exchange(ctx context.Context, e *execution, x *pool.Exchange) (pool.Outcome, error) {
+	out, err := e.tx.conn.Run(ctx, e.r.Deadline, x)
+	if err != nil && (ctx.Err() != nil || !time.Now().Before(e.r.Deadline)) {
+		go e.tx.conn.Cancel()
+	}
+	return out, err
+}
+
+// passer returns what takes the answer: kept back for a write to confirm, else
+// passed on, under the lease where the data must be current.
+func (in *instance) passer(e *execution, hold bool) func([]byte) error {
+	if hold {
+		return func(p []byte) error {
+			e.answer = append(e.answer, p...)
+			return nil
+		}
+	}
+	current := e.r.Access == config.AccessRead && e.r.Staleness == 0
+	return func(p []byte) error {
+		if current {
+			term, _ := in.cfg.Authority.Term(in.group, in.id)
+			if err := in.mayAcknowledge(term, errkind.Unknown); err != nil {
+				return err
+			}
+		}
+		return e.sink.Answer(p)
+	}
+}
+
+// end gives the connection back, keeps it for an open transaction, or closes
+// it when anything about it is in doubt.
+func (in *instance) end(e *execution, out pool.Outcome, err error) {
+	in.mu.Lock()
+	in.active--
+	tx := e.tx
+	tx.inUse = false
+	tx.wrote = tx.wrote || e.r.Access == config.AccessWrite
+	open := err == nil && !tx.doomed && out.TxStatus != request.TxIdle
+	if open {
+		in.held[e.r.Session] = tx
+	} else {
+		delete(in.held, e.r.Session)
+	}
+	in.mu.Unlock()
+	switch {
+	case open:
+	case err != nil || tx.doomed:
+		in.pool.Discard(tx.conn)
+	default:
+		in.pool.Put(tx.conn)
+	}
+}
+
+// confirm makes sure that a write counts before the caller hears of it: the
+// lease still holds in the term that took the write, and as many replicas as
+// the class wants have it.
+func (in *instance) confirm(ctx context.Context, e *execution, out pool.Outcome) error {
+	if out.Failed && out.Tag == "" {
+		return e.sink.Answer(e.answer) // nothing was written
+	}
+	if out.TxStatus != request.TxIdle {
+		return e.sink.Answer(e.answer) // not committed yet
+	}
+	if !out.HasMark {
+		return errkind.New(errkind.OutcomeUnknown, "the upstream reported no position")
+	}
+	if e.r.AckReplicas > 0 {
+		if err := in.cfg.Peers.AwaitAnyReplica(ctx, in.group, out.Mark); err != nil {
+			return errkind.Wrap(err, errkind.OutcomeUnknown, "no replica confirmed the write")
+		}
+	}
+	if err := in.mayAcknowledge(out.Mark.Term, errkind.Unknown); err != nil {
+		return err
+	}
+	return e.sink.Answer(e.answer)
+}
--- /dev/null
+++ b/internal/owner/owner.go
@@ -0,0 +1,200 @@
+// Package owner runs requests on the instances that this host owns: it gives
+// out their slots, lends their connections, keeps transactions on one
+// connection, and confirms each write before it is acknowledged.
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/platform"
+	"github.com/amaranthweir/amaranthweir/internal/request"
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
+
+// Authority says what this host may do. It is asked before a request runs and
+// again after the upstream answered.
+type Authority interface {
+	// MayAcknowledge returns nil while this host holds a valid lease on
+	// instance as the primary of group in term.
+	MayAcknowledge(group table.GroupName, instance table.InstanceID, term table.Term) error
+	// Term returns the agreed term of the group and whether instance is its
+	// promoted primary.
+	Term(group table.GroupName, instance table.InstanceID) (term table.Term, primary bool)
+}
+
+// Peers reaches the replicas of a group at their owners.
+type Peers interface {
+	// PrimaryPosition samples the position of the primary of the group.
+	PrimaryPosition(ctx context.Context, group table.GroupName) (request.PositionSample, error)
+	// AwaitAnyReplica returns once one replica of the group holds m.
+	AwaitAnyReplica(ctx context.Context, group table.GroupName, m table.Mark) error
+}
+
+// Config describes an Owner.
+type Config struct {
+	Authority Authority
+	Peers     Peers
+	Prober    platform.Prober
+	Log       logrus.FieldLogger
+	// User, Password are what upstream connections log in with.
+	User     string
+	Password string
+	Database string
+	// Timing holds the intervals and time-outs.
+	Timing Timing
+}
+
+// Timing holds the intervals and time-outs of an Owner.
+type Timing struct {
+	// Probe is the interval between probes of an instance, ProbeTimeout bounds
+	// one.
+	Probe        time.Duration
+	ProbeTimeout time.Duration
+	// Dial bounds the opening of a connection.
+	Dial time.Duration
+	// Idle is after how long a spare connection is closed.
+	Idle time.Duration
+	// ReplicaPoll is the interval between looks at a replica that a write
+	// waits for.
+	ReplicaPoll time.Duration
+}
+
+// DefaultTiming suits failure domains a few milliseconds apart.
+func DefaultTiming() Timing {
+	return Timing{
+		Probe:        100 * time.Millisecond,
+		ProbeTimeout: 250 * time.Millisecond,
+		Dial:         time.Second,
+		Idle:         time.Minute,
+		ReplicaPoll:  5 * time.Millisecond,
+	}
+}
+
+// Owner is the Executor for the instances that this host owns.
+type Owner struct {
+	cfg Config
+
+	mu        sync.RWMutex
+	instances map[table.InstanceID]*instance
+}
+
+// New returns an Owner of no instances.
+func New(cfg Config) *Owner {
+	return &Owner{cfg: cfg, instances: map[table.InstanceID]*instance{}}
+}
+
+// Acquire begins to serve an instance under an ownership epoch. A second call
+// with the same epoch updates slots and connections.
+func (o *Owner) Acquire(ctx context.Context, desc table.Instance, epoch table.Epoch) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if in, ok := o.instances[desc.ID]; ok {
+		if in.epoch == epoch && in.address == desc.Address {
+			return in.resize(desc)
+		}
+		in.shut()
+		delete(o.instances, desc.ID)
+	}
+	in, err := newInstance(ctx, o.cfg, desc, epoch)
+	if err != nil {
+		return err
+	}
+	o.instances[desc.ID] = in
+	return nil
+}
+
+// Release stops serving an instance. It returns at once; Quiet tells when the
+// last transaction has ended.
+func (o *Owner) Release(id table.InstanceID) {
+	o.mu.Lock()
+	in := o.instances[id]
+	delete(o.instances, id)
+	o.mu.Unlock()
+	if in != nil {
+		in.shut()
+	}
+}
+
+// Owned returns the owned instances and their epochs.
+func (o *Owner) Owned() map[table.InstanceID]table.Epoch {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	owned := make(map[table.InstanceID]table.Epoch, len(o.instances))
+	for id, in := range o.instances {
+		owned[id] = in.epoch
+	}
+	return owned
+}
+
+// Reports returns the latest probe of each owned instance.
+func (o *Owner) Reports(now time.Time) []Report {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	reports := make([]Report, 0, len(o.instances))
+	for _, in := range o.instances {
+		reports = append(reports, in.report(now))
+	}
+	return reports
+}
+
+// Running returns how many transactions and statements are still going on.
+func (o *Owner) Running() int {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	n := 0
+	for _, in := range o.instances {
+		n += in.running()
+	}
+	return n
+}
+
+func (o *Owner) instance(id table.InstanceID) (*instance, error) {
+	o.mu.RLock()
+	in := o.instances[id]
+	o.mu.RUnlock()
+	if in == nil {
+		return nil, errkind.New(errkind.NoOwner, "instance %s is not owned here", id)
+	}
+	return in, nil
+}
+
+// Execute implements request.Executor.
+func (o *Owner) Execute(ctx context.Context, r *request.Request, s request.Sink) (request.Result, error) {
+	in, err := o.instance(r.Instance)
+	if err != nil {
+		return request.Result{TxStatus: request.TxIdle}, err
+	}
+	return in.execute(ctx, r, s)
+}
+
+// Position implements request.Executor.
+func (o *Owner) Position(ctx context.Context, id table.InstanceID) (request.PositionSample, error) {
+	in, err := o.instance(id)
+	if err != nil {
+		return request.PositionSample{}, err
+	}
+	return in.position(ctx)
+}
+
+// AwaitReplica implements request.Executor.
+func (o *Owner) AwaitReplica(ctx context.Context, id table.InstanceID, m table.Mark) error {
+	in, err := o.instance(id)
+	if err != nil {
+		return err
+	}
+	return in.awaitMark(ctx, m)
+}
+
+// EndSession implements request.Executor.
+func (o *Owner) EndSession(s request.SessionID) {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	for _, in := range o.instances {
+		in.endSession(s)
+	}
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,239 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/peer/peerpb"
+	"github.com/amaranthweir/amaranthweir/internal/request"
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
+
+// Method answers one control call: it takes and returns JSON.
+type Method func(ctx context.Context, body []byte) (any, error)
+
+// Server answers other hosts.
+type Server struct {
+	// Owner runs the requests of other hosts.
+	Owner request.Executor
+	// Methods are the control calls by name.
+	Methods map[string]Method
+	// Deliver takes messages of the replicated log; nil on a host that is
+	// no control host.
+	Deliver func(body []byte) error
+	Log     logrus.FieldLogger
+}
+
+// Serve answers on a listener until ctx ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	mux := drpcmux.New()
+	if err := peerpb.DRPCRegisterPeer(mux, s); err != nil {
+		return err
+	}
+	options := drpcserver.Options{
+		Manager: managerOptions(),
+		Log:     func(err error) { s.Log.WithError(err).Debug("peer connection") },
+	}
+	return drpcserver.NewWithOptions(mux, options).Serve(ctx, l)
+}
+
+// Call implements the generated service.
+func (s *Server) Call(ctx context.Context, in *peerpb.CallRequest) (*peerpb.CallReply, error) {
+	method, ok := s.Methods[in.GetMethod()]
+	if !ok {
+		err := errkind.New(errkind.NotSupported, "method %q", in.GetMethod())
+		return &peerpb.CallReply{Failure: encodeFailure(err)}, nil
+	}
+	out, err := method(ctx, in.GetBody())
+	if err != nil {
+		return &peerpb.CallReply{Failure: encodeFailure(err)}, nil
+	}
+	body, err := json.Marshal(out)
+	if err != nil {
+		return &peerpb.CallReply{Failure: encodeFailure(err)}, nil
+	}
+	return &peerpb.CallReply{Body: body}, nil
+}
+
+// Consensus implements the generated service.
+func (s *Server) Consensus(stream peerpb.DRPCPeer_ConsensusStream) error {
+	for {
+		m, err := stream.Recv()
+		if err != nil {
+			return stream.SendAndClose(&peerpb.Empty{})
+		}
+		if s.Deliver == nil {
+			return errkind.New(errkind.NotSupported, "not a control host")
+		}
+		if err := s.Deliver(m.GetBody()); err != nil {
+			s.Log.WithError(err).Warn("message of the replicated log refused")
+		}
+	}
+}
+
+// Exchange implements the generated service. All that the other host's
+// sessions hold here ends with the stream.
+func (s *Server) Exchange(stream peerpb.DRPCPeer_ExchangeStream) error {
+	ctx, stop := context.WithCancel(stream.Context())
+	e := &exchange{
+		server:   s,
+		stream:   stream,
+		ctx:      ctx,
+		running:  map[uint64]context.CancelFunc{},
+		sessions: map[request.SessionID]struct{}{},
+	}
+	defer e.end()
+	defer stop()
+	for {
+		f, err := stream.Recv()
+		if err != nil {
+			return nil
+		}
+		e.take(f)
+	}
+}
+
+// exchange is one open Exchange stream at the answering host.
+type exchange struct {
+	server *Server
+	ctx    context.Context
+	work   sync.WaitGroup
+
+	sendMu sync.Mutex
+	stream peerpb.DRPCPeer_ExchangeStream
+
+	mu       sync.Mutex
+	running  map[uint64]context.CancelFunc
+	sessions map[request.SessionID]struct{}
+}
+
+func (e *exchange) take(f *peerpb.Frame) {
+	id := f.GetId()
+	switch b := f.GetBody().(type) {
+	case *peerpb.Frame_Request:
+		e.start(id, func(ctx context.Context) { e.execute(ctx, id, b.Request) })
+	case *peerpb.Frame_Position:
+		e.start(id, func(ctx context.Context) { e.position(ctx, id, b.Position) })
+	case *peerpb.Frame_Await:
+		e.start(id, func(ctx context.Context) { e.await(ctx, id, b.Await) })
+	case *peerpb.Frame_Cancel:
+		e.cancel(id)
+	case *peerpb.Frame_EndSession:
+		e.endSession(decodeSession(b.EndSession))
+	case *peerpb.Frame_Ping:
+		e.send(&peerpb.Frame{Body: &peerpb.Frame_Pong{Pong: &peerpb.Empty{}}})
+	}
+}
+
+// start runs one call beside the others.
+func (e *exchange) start(id uint64, run func(ctx context.Context)) {
+	ctx, stop := context.WithCancel(e.ctx)
+	e.mu.Lock()
+	e.running[id] = stop
+	e.mu.Unlock()
+	e.work.Add(1)
+	go func() {
+		defer e.work.Done()
+		defer e.cancel(id)
+		run(ctx)
+	}()
+}
+
+func (e *exchange) cancel(id uint64) {
+	e.mu.Lock()
+	stop := e.running[id]
+	delete(e.running, id)
+	e.mu.Unlock()
+	if stop != nil {
+		stop()
+	}
+}
+
+func (e *exchange) send(f *peerpb.Frame) {
+	e.sendMu.Lock()
+	defer e.sendMu.Unlock()
+	_ = e.stream.Send(f) // a lost stream ends Recv too
+}
+
+func (e *exchange) answer(id uint64, a *peerpb.Answer) {
+	e.send(&peerpb.Frame{Id: id, Body: &peerpb.Frame_Answer{Answer: a}})
+}
+
+// sink passes the parts of an answer on to the other host.
+type sink struct {
+	exchange *exchange
+	id       uint64
+}
+
+// Answer implements request.Sink.
+func (s *sink) Answer(p []byte) error {
+	s.exchange.answer(s.id, &peerpb.Answer{Messages: p})
+	return s.exchange.ctx.Err()
+}
+
+func (e *exchange) execute(ctx context.Context, id uint64, p *peerpb.Request) {
+	r, err := decodeRequest(p, time.Now())
+	if err != nil {
+		e.answer(id, &peerpb.Answer{Last: true, TxStatus: uint32(request.TxIdle), Failure: encodeFailure(err)})
+		return
+	}
+	e.mu.Lock()
+	e.sessions[r.Session] = struct{}{}
+	e.mu.Unlock()
+	res, err := e.server.Owner.Execute(ctx, r, &sink{exchange: e, id: id})
+	a := &peerpb.Answer{Last: true, TxStatus: uint32(res.TxStatus)}
+	if res.HasMark {
+		a.Mark = encodeMark(res.Mark)
+	}
+	if err != nil {
+		a.Failure = encodeFailure(err)
+	}
+	e.answer(id, a)
+}
+
+func (e *exchange) position(ctx context.Context, id uint64, q *peerpb.PositionQuery) {
+	p, err := e.server.Owner.Position(ctx, table.InstanceID(q.GetInstance()))
+	a := &peerpb.Answer{Last: true, Mark: encodeMark(p.Mark), TermStart: uint64(p.TermStart), AgeNanos: int64(p.Age)}
+	if err != nil {
+		a = &peerpb.Answer{Last: true, Failure: encodeFailure(err)}
+	}
+	e.answer(id, a)
+}
+
+func (e *exchange) await(ctx context.Context, id uint64, q *peerpb.AwaitQuery) {
+	if q.GetRemainingNanos() > 0 {
+		var stop context.CancelFunc
+		ctx, stop = context.WithTimeout(ctx, time.Duration(q.GetRemainingNanos()))
+		defer stop()
+	}
+	a := &peerpb.Answer{Last: true}
+	if err := e.server.Owner.AwaitReplica(ctx, table.InstanceID(q.GetInstance()), decodeMark(q.GetMark())); err != nil {
+		a.Failure = encodeFailure(err)
+	}
+	e.answer(id, a)
+}
+
+func (e *exchange) endSession(s request.SessionID) {
+	e.mu.Lock()
+	delete(e.sessions, s)
+	e.mu.Unlock()
+	e.server.Owner.EndSession(s)
+}
+
+// end closes what the sessions of the lost stream hold.
+func (e *exchange) end() {
+	e.work.Wait()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for s := range e.sessions {
+		e.server.Owner.EndSession(s)
+	}
+}
--- /dev/null
+++ b/internal/pool/run.go
@@ -0,0 +1,234 @@
+package pool
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/request"
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
+
+// chunkBytes is how much of an answer is gathered before it is passed on.
+const chunkBytes = 32 << 10
+
+// statusQuery asks for the term and the position; see docs/ops/upstreams.md.
+const statusQuery = "SELECT * FROM amaranthweir.status()"
+
+// Exchange is one request on one connection.
+type Exchange struct {
+	Settings        []string
+	Prepares        []request.Prepare
+	Messages        []byte
+	ChangesSettings bool
+	// AskMark adds a question for the mark behind the messages, which then
+	// covers their writes.
+	AskMark bool
+	// Hold keeps the whole answer back until the end; it is an error if it
+	// grows over HoldLimit bytes.
+	Hold      bool
+	HoldLimit int
+	// Pass takes the answer in chunks; the bytes are valid during the call.
+	Pass func(p []byte) error
+}
+
+// Outcome is what is known after an exchange.
+type Outcome struct {
+	TxStatus byte
+	Mark     table.Mark
+	HasMark  bool
+	// Failed is set when the upstream answered with an error.
+	Failed bool
+	// Tag is the last command tag, such as "INSERT 0 1".
+	Tag string
+}
+
+// answerReader gathers the answer of one exchange.
+type answerReader struct {
+	x       *Exchange
+	skip    int // ParseComplete messages that belong to injected statements
+	buf     []byte
+	outcome Outcome
+	status  statusRow
+}
+
+// Run does one exchange. Errors are *errkind.Error; after one, the connection
+// must be discarded, unless the effect is NotRun and Usable says so.
+func (c *Conn) Run(ctx context.Context, deadline time.Time, x *Exchange) (Outcome, error) {
+	lift := c.guard(ctx, deadline)
+	defer lift()
+	if err := c.applySettings(x.Settings); err != nil {
+		return Outcome{}, settingsError(err)
+	}
+	if x.ChangesSettings {
+		c.settings = unknownSettings
+	}
+	injected := c.encode(x)
+	if _, err := c.net.Write(c.out); err != nil {
+		return Outcome{}, interrupted(ctx, err)
+	}
+	r := &answerReader{x: x, skip: injected}
+	if err := c.readAnswer(r); err != nil {
+		return r.outcome, interrupted(ctx, err)
+	}
+	c.usedAt = time.Now()
+	return r.outcome, r.flush()
+}
+
+// settingsError is the error of a failed SET before the request itself.
+func settingsError(err error) error {
+	var pgErr *pgconn.PgError
+	if errors.As(err, &pgErr) {
+		return errkind.Wrap(err, errkind.BadRequest, "session settings: %s", pgErr.Message)
+	}
+	return lost(err, false)
+}
+
+// interrupted tells a caller's own cancel from a lost connection.
+func interrupted(ctx context.Context, err error) error {
+	var kind *errkind.Error
+	if errors.As(err, &kind) {
+		return kind
+	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return errkind.Wrap(err, errkind.Cancelled, "")
+	}
+	return lost(err, true)
+}
+
+// encode puts everything that the exchange sends into c.out and returns how
+// many statements it injected.
+func (c *Conn) encode(x *Exchange) int {
+	injected := 0
+	buf := c.out[:0]
+	for _, p := range x.Prepares {
+		if _, ok := c.prepared[p.Name]; ok {
+			continue
+		}
+		c.prepared[p.Name] = struct{}{}
+		buf = append(buf, p.Parse...)
+		injected++
+	}
+	buf = append(buf, x.Messages...)
+	if x.AskMark {
+		buf, _ = (&pgproto3.Query{String: statusQuery}).Encode(buf)
+	}
+	c.out = buf
+	return injected
+}
+
+// readAnswer reads up to the ReadyForQuery of the messages, and the answer to
+// the question for the mark.
+func (c *Conn) readAnswer(r *answerReader) error {
+	for {
+		msg, err := c.frontend.Receive()
+		if err != nil {
+			return err
+		}
+		if ready, ok := msg.(*pgproto3.ReadyForQuery); ok {
+			c.txStatus = ready.TxStatus
+			r.outcome.TxStatus = ready.TxStatus
+			break
+		}
+		if err := r.take(msg); err != nil {
+			return err
+		}
+	}
+	if r.skip > 0 {
+		c.doomed = true // which statements exist on it is not known
+	}
+	if !r.x.AskMark {
+		return nil
+	}
+	return c.readMark(r)
+}
+
+func (c *Conn) readMark(r *answerReader) error {
+	status := c.txStatus
+	err := c.readQuery(&r.status)
+	c.txStatus = status
+	var pgErr *pgconn.PgError
+	if errors.As(err, &pgErr) {
+		return nil // an aborted transaction answers nothing; there is no mark
+	}
+	r.outcome.Mark, r.outcome.HasMark = r.status.mark, r.status.ok
+	return err
+}
+
+// take adds one message to the answer.
+func (r *answerReader) take(msg pgproto3.BackendMessage) error {
+	switch m := msg.(type) {
+	case *pgproto3.ParseComplete:
+		if r.skip > 0 {
+			r.skip--
+			return nil
+		}
+	case *pgproto3.ParameterStatus, *pgproto3.NotificationResponse:
+		return nil // belongs to the connection, not to the caller
+	case *pgproto3.ErrorResponse:
+		r.outcome.Failed = true
+	case *pgproto3.CommandComplete:
+		r.outcome.Tag = string(m.CommandTag)
+	case *pgproto3.CopyInResponse, *pgproto3.CopyOutResponse, *pgproto3.CopyBothResponse:
+		return errkind.New(errkind.NotSupported, "COPY").WithEffect(errkind.Unknown)
+	}
+	var err error
+	r.buf, err = msg.Encode(r.buf)
+	if err != nil {
+		return err
+	}
+	if r.x.Hold {
+		if len(r.buf) > r.x.HoldLimit {
+			return errkind.New(errkind.TooLarge, "answer of a write over %d bytes", r.x.HoldLimit).WithEffect(errkind.Unknown)
+		}
+		return nil
+	}
+	if len(r.buf) >= chunkBytes {
+		return r.flush()
+	}
+	return nil
+}
+
+// flush passes on what was gathered.
+func (r *answerReader) flush() error {
+	if len(r.buf) == 0 {
+		return nil
+	}
+	err := r.x.Pass(r.buf)
+	r.buf = r.buf[:0]
+	return err
+}
+
+// statusRow reads the row of amaranthweir.status(): role, term, position and
+// term start as text.
+type statusRow struct {
+	mark      table.Mark
+	termStart table.Position
+	role      table.Role
+	ok        bool
+}
+
+func (s *statusRow) row(values [][]byte) {
+	if len(values) < 4 {
+		return
+	}
+	var numbers [3]uint64
+	for i, v := range values[1:4] {
+		n, err := strconv.ParseUint(string(v), 10, 64)
+		if err != nil {
+			return
+		}
+		numbers[i] = n
+	}
+	if string(values[0]) == table.RolePrimary.String() {
+		s.role = table.RolePrimary
+	}
+	s.mark = table.Mark{Term: table.Term(numbers[0]), Position: table.Position(numbers[1])}
+	s.termStart = table.Position(numbers[2])
+	s.ok = true
+}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -65,6 +65,9 @@
 	Prepares []Prepare
 	// Messages are the encoded messages.
 	Messages []byte
+	// MayCommit is set when writes may be committed by the time of the answer:
+	// a statement outside of a transaction, or one that ends it.
+	MayCommit bool
 	// ChangesSettings is set when the messages change session settings.
 	ChangesSettings bool
 }
