Choose the instance of a request at the entry host

Writes and current reads go to the primary, a read that may be stale to a replica that nothing recent speaks against, the own failure domain first. The owner checks age and position exactly, so hints may be wrong at the cost of a hop. A bounce is remembered for requests as strict as the one that bounced.

--- /dev/null
+++ b/internal/system/routing/reason.go
@@ -0,0 +1,67 @@
+package routing
+
+// Reason says why a request goes where it goes. It stands in the log line of
+// each decision.
+type Reason uint8
+
+// The closed list of reasons.
+const (
+	// ReasonWrite: a write goes to the primary.
+	ReasonWrite Reason = iota
+	// ReasonCurrentRead: a read that must be current goes to the primary.
+	ReasonCurrentRead
+	// ReasonReplicaLocal: a replica in the caller's failure domain.
+	ReasonReplicaLocal
+	// ReasonReplicaRemote: a replica in another failure domain.
+	ReasonReplicaRemote
+	// ReasonReplicaWait: a replica that is expected to reach the floor soon.
+	ReasonReplicaWait
+	// ReasonReplicaLastResort: no primary, and a replica whose hints speak
+	// against it.
+	ReasonReplicaLastResort
+	// ReasonPrimarySooner: the primary answers sooner than a lagging replica.
+	ReasonPrimarySooner
+	// ReasonReplicasBusy: the queues of the replicas eat up the deadline.
+	ReasonReplicasBusy
+	// ReasonReplicasStale: no replica is expected to be fresh enough.
+	ReasonReplicasStale
+	// ReasonNoReplica: the group has no usable replica.
+	ReasonNoReplica
+	// ReasonDeadlinePassed: refused, the deadline is over.
+	ReasonDeadlinePassed
+	// ReasonNoPrimary: refused, the group has no primary.
+	ReasonNoPrimary
+	// ReasonPrimaryLeaving: refused, the primary is leaving.
+	ReasonPrimaryLeaving
+	// ReasonNoOwner: refused, no live host owns the instance.
+	ReasonNoOwner
+	// ReasonUnprovable: refused, no primary and every replica too stale.
+	ReasonUnprovable
+	reasonCount
+)
+
+var reasonNames = [reasonCount]string{
+	ReasonWrite:             "write",
+	ReasonCurrentRead:       "current_read",
+	ReasonReplicaLocal:      "replica_local",
+	ReasonReplicaRemote:     "replica_remote",
+	ReasonReplicaWait:       "replica_wait",
+	ReasonReplicaLastResort: "replica_last_resort",
+	ReasonPrimarySooner:     "primary_sooner",
+	ReasonReplicasBusy:      "replicas_busy",
+	ReasonReplicasStale:     "replicas_stale",
+	ReasonNoReplica:         "no_replica",
+	ReasonDeadlinePassed:    "deadline_passed",
+	ReasonNoPrimary:         "no_primary",
+	ReasonPrimaryLeaving:    "primary_leaving",
+	ReasonNoOwner:           "no_owner",
+	ReasonUnprovable:        "unprovable",
+}
+
+// String returns the stable name of the reason.
+func (r Reason) String() string {
+	if r >= reasonCount {
+		return "unknown"
+	}
+	return reasonNames[r]
+}
--- /dev/null
+++ b/internal/system/routing/routing_test.go
@@ -0,0 +1,194 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthweir/amaranthweir/internal/config"
+	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
+
+const (
+	ms  = time.Millisecond
+	now = 10 * time.Second
+)
+
+func mark(term table.Term, p table.Position) table.Mark {
+	return table.Mark{Term: term, Position: p}
+}
+
+// group is a primary p in domain a and replicas r1 in a and r2 in b, all
+// fresh, each owned by the host of its domain.
+func group() *GroupView {
+	hint := Hint{At: now - 20*ms, Age: 100 * ms, AgeKnown: true, Mark: mark(2, 90)}
+	return &GroupView{Name: "g", Term: 2, Primary: "p", Candidates: []Candidate{
+		{Instance: "p", Owner: "ha", Domain: "a", Role: table.RolePrimary},
+		{Instance: "r1", Owner: "ha", Domain: "a", Hint: hint},
+		{Instance: "r2", Owner: "hb", Domain: "b", Hint: hint},
+	}}
+}
+
+func queued(d time.Duration) [config.RankCount]time.Duration {
+	return [config.RankCount]time.Duration{d, d, d}
+}
+
+type change = func(*Query, *GroupView)
+
+func bounced(age time.Duration, b Bounce) change {
+	return func(_ *Query, v *GroupView) {
+		b.Hint = Hint{At: now - 10*ms, Age: age, AgeKnown: true, Mark: mark(2, 90)}
+		*v = *v.WithBounce("r1", b)
+	}
+}
+
+func floor(q *Query) { q.Floor, q.HasFloor = mark(2, 100), true }
+
+// chooseCases say what a change of the usual query or group leads to.
+var chooseCases = map[string]struct {
+	change change
+	want   table.InstanceID
+	reason Reason
+	kind   errkind.Kind
+}{
+	"read":                   {func(*Query, *GroupView) {}, "r1", ReasonReplicaLocal, 0},
+	"read from b":            {func(q *Query, _ *GroupView) { q.Home = "b" }, "r2", ReasonReplicaLocal, 0},
+	"read from c":            {func(q *Query, _ *GroupView) { q.Home, q.Seed = "c", 1<<32+1 }, "r2", ReasonReplicaRemote, 0},
+	"write":                  {func(q *Query, _ *GroupView) { q.Access = config.AccessWrite }, "p", ReasonWrite, 0},
+	"current read":           {func(q *Query, _ *GroupView) { q.Staleness = 0 }, "p", ReasonCurrentRead, 0},
+	"deadline passed":        {func(q *Query, _ *GroupView) { q.Deadline = now }, "", ReasonDeadlinePassed, errkind.DeadlineUnreachable},
+	"long queue at home":     {func(_ *Query, v *GroupView) { v.Candidates[1].Hint.QueueWait = queued(20 * ms) }, "r2", ReasonReplicaRemote, 0},
+	"queue slightly longer":  {func(_ *Query, v *GroupView) { v.Candidates[1].Hint.QueueWait = queued(3 * ms) }, "r1", ReasonReplicaLocal, 0},
+	"leaving replica":        {func(_ *Query, v *GroupView) { v.Candidates[1].Leaving = true }, "r2", ReasonReplicaRemote, 0},
+	"owner dead":             {func(_ *Query, v *GroupView) { v.Candidates[1].OwnerState = table.HostDead }, "r2", ReasonReplicaRemote, 0},
+	"owner suspect":          {func(_ *Query, v *GroupView) { v.Candidates[1].OwnerState = table.HostSuspect }, "r2", ReasonReplicaRemote, 0},
+	"no owner":               {func(_ *Query, v *GroupView) { v.Candidates[1].Owner = "" }, "r2", ReasonReplicaRemote, 0},
+	"stale replica":          {func(_ *Query, v *GroupView) { v.Candidates[1].Hint.Age = 2 * time.Second }, "r2", ReasonReplicaRemote, 0},
+	"old hint of stale":      {func(_ *Query, v *GroupView) { h := &v.Candidates[1].Hint; h.Age, h.At = 2*time.Second, now-2*hintLife }, "r1", ReasonReplicaLocal, 0},
+	"no hint yet":            {func(_ *Query, v *GroupView) { v.Candidates[1].Hint = Hint{} }, "r1", ReasonReplicaLocal, 0},
+	"bounced, as strict":     {bounced(100*ms, Bounce{Staleness: time.Second}), "r2", ReasonReplicaRemote, 0},
+	"bounced, less strict":   {bounced(100*ms, Bounce{Staleness: 50 * ms}), "r1", ReasonReplicaLocal, 0},
+	"bounced, another floor": {bounced(100*ms, Bounce{Floor: mark(2, 100), HasFloor: true}), "r1", ReasonReplicaLocal, 0},
+	"bounced, same floor": {func(q *Query, v *GroupView) {
+		floor(q)
+		v.Candidates[2].Hint.Mark = mark(2, 100)
+		bounced(100*ms, Bounce{Floor: mark(2, 100), HasFloor: true})(q, v)
+	}, "r2", ReasonReplicaRemote, 0},
+	"behind the floor": {func(q *Query, _ *GroupView) { floor(q) }, "r1", ReasonReplicaWait, 0},
+	"one reached the floor": {func(q *Query, v *GroupView) {
+		floor(q)
+		v.Candidates[2].Hint.Mark = mark(2, 100)
+	}, "r2", ReasonReplicaRemote, 0},
+	"behind, urgent":         {func(q *Query, _ *GroupView) { floor(q); q.Rank = config.RankUrgent }, "p", ReasonPrimarySooner, 0},
+	"behind, short deadline": {func(q *Query, _ *GroupView) { floor(q); q.Deadline = now + 200*ms }, "p", ReasonReplicasStale, 0},
+	"floor of an older term": {func(q *Query, _ *GroupView) { q.Floor, q.HasFloor = mark(1, 100), true }, "r1", ReasonReplicaLocal, 0},
+	"all stale":              {func(q *Query, _ *GroupView) { q.Staleness = 50 * ms }, "p", ReasonReplicasStale, 0},
+	"all busy": {func(_ *Query, v *GroupView) {
+		v.Candidates[1].Hint.QueueWait, v.Candidates[2].Hint.QueueWait = queued(900*ms), queued(900*ms)
+	}, "p", ReasonReplicasBusy, 0},
+	"replicas gone": {func(_ *Query, v *GroupView) { v.Candidates = v.Candidates[:1] }, "p", ReasonNoReplica, 0},
+	"no primary":    {func(q *Query, v *GroupView) { q.Access = config.AccessWrite; v.Primary = "" }, "", ReasonNoPrimary, errkind.NoPrimary},
+	"primary leaving": {func(q *Query, v *GroupView) {
+		q.Access = config.AccessWrite
+		v.Candidates[0].Leaving = true
+	}, "", ReasonPrimaryLeaving, errkind.NoPrimary},
+	"primary not owned": {func(q *Query, v *GroupView) { q.Staleness = 0; v.Candidates[0].Owner = "" }, "", ReasonNoOwner, errkind.NoOwner},
+	"no primary, doubted replicas": {func(q *Query, v *GroupView) {
+		q.Staleness, v.Primary = 50*ms, ""
+		v.Candidates = v.Candidates[1:]
+	}, "r1", ReasonReplicaLastResort, 0},
+	"no primary, all bounced": {func(q *Query, v *GroupView) {
+		bounced(100*ms, Bounce{Staleness: time.Second})(q, v)
+		v.Primary, v.Candidates = "", v.Candidates[1:2]
+	}, "", ReasonUnprovable, errkind.StalenessUnprovable},
+}
+
+func TestChoose(t *testing.T) {
+	for name, tt := range chooseCases {
+		t.Run(name, func(t *testing.T) {
+			q := Query{Staleness: time.Second, Deadline: now + 2*time.Second, Rank: config.RankNormal, Home: "a"}
+			v := group()
+			tt.change(&q, v)
+			d := Choose(now, &q, v)
+			assert.Equal(t, d.Reason.String(), tt.reason.String())
+			assert.Equal(t, d.Instance, tt.want)
+			assert.Equal(t, d.Refuse, tt.kind)
+			assert.Equal(t, d.Refused(), tt.want == "")
+			assert.Assert(t, d.Wait <= (q.Deadline-now)/waitShare)
+		})
+	}
+	d := Choose(now, &Query{Deadline: now + 1}, nil)
+	assert.Assert(t, d.Refused())
+}
+
+func TestBouncesInARowDouble(t *testing.T) {
+	v, at := group(), now
+	for range 3 {
+		v = v.WithBounce("r1", Bounce{Hint: Hint{At: at}, Staleness: 1})
+		v = v.WithBounce("r1", Bounce{Hint: Hint{At: at + ms}, Staleness: 1}) // under way together
+		at = v.Candidates[1].avoid.until
+	}
+	assert.Equal(t, v.Candidates[1].avoid.backoff, 4*minAvoid)
+	next := v.Rebuild(group())
+	assert.Equal(t, next.Candidates[1].avoid.until, at)
+	assert.Equal(t, v.WithServed("r1", Hint{}).Candidates[1].avoid.until, time.Duration(0))
+}
+
+func filled(groups int) (*Table, []table.GroupName) {
+	t := &Table{}
+	names := make([]table.GroupName, groups)
+	for i := range names {
+		names[i] = table.GroupName(fmt.Sprintf("group-%04d", i))
+		t.Update(names[i], func(*GroupView) *GroupView { return group() })
+	}
+	return t, names
+}
+
+func TestTable(t *testing.T) {
+	tab, names := filled(300)
+	for _, n := range names {
+		assert.Assert(t, tab.Lookup(n) != nil, n)
+	}
+	tab.Remove(names[7])
+	assert.Assert(t, tab.Lookup(names[7]) == nil)
+	assert.Assert(t, tab.Lookup("none") == nil)
+}
+
+// maxDecisionTime and the absence of allocation bound a lookup and a choice.
+const maxDecisionTime = 2 * time.Microsecond
+
+// BenchmarkChoose looks a group up in a table of today's size and of 8,800
+// groups and chooses for a read with a floor.
+func BenchmarkChoose(b *testing.B) {
+	for _, groups := range []int{3, 8800} {
+		b.Run(fmt.Sprintf("groups=%d", groups), func(b *testing.B) {
+			tab, names := filled(groups)
+			q := Query{
+				Staleness: time.Second, Deadline: now + 2*time.Second, Rank: config.RankNormal, Home: "c",
+				Floor: mark(2, 80), HasFloor: true,
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				q.Seed = uint64(i) * 0x9e3779b97f4a7c15
+				if d := Choose(now, &q, tab.Lookup(names[q.Seed%uint64(groups)])); d.Refused() {
+					b.Fatal(d.Reason)
+				}
+			}
+			if per := b.Elapsed() / time.Duration(b.N); b.N > 10000 && per > maxDecisionTime {
+				b.Errorf("%v a decision, the bound is %v", per, maxDecisionTime)
+			}
+		})
+	}
+}
+
+func TestChooseDoesNotAllocate(t *testing.T) {
+	tab, names := filled(100)
+	q := Query{Staleness: time.Second, Deadline: now + 2*time.Second, Home: "c", Floor: mark(2, 100), HasFloor: true}
+	assert.Equal(t, testing.AllocsPerRun(1000, func() {
+		q.Seed++
+		Choose(now, &q, tab.Lookup(names[q.Seed%100]))
+	}), 0.0)
+}
--- /dev/null
+++ b/internal/system/routing/view.go
@@ -0,0 +1,165 @@
+// Package routing chooses, at the entry host, the instance that a request
+// goes to. Its inputs are hints: the owner of the instance checks age and
+// position exactly when it runs the request, so a wrong hint costs a hop and
+// never a wrong answer. All moments are on the local monotonic clock.
+package routing
+
+import (
+	"time"
+
+	"github.com/amaranthweir/amaranthweir/internal/config"
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
+
+const (
+	// minAvoid is how long a replica is avoided after its first bounce.
+	minAvoid = 50 * time.Millisecond
+	// maxAvoid bounds the doubling of that time.
+	maxAvoid = 2 * time.Second
+)
+
+// Candidate is one instance of a group as the entry host knows it.
+type Candidate struct {
+	Instance   table.InstanceID
+	Owner      table.HostID // empty when no host owns it
+	Domain     table.Domain
+	Role       table.Role
+	Leaving    bool
+	OwnerState table.HostState
+
+	Hint  Hint
+	avoid avoidance
+}
+
+// Hint is what the owner of an instance said last, with an answer or in
+// gossip.
+type Hint struct {
+	// At is the local moment at which the hint arrived. Zero means that
+	// nothing has been heard.
+	At time.Duration
+	// Age is the age that the owner could prove; AgeKnown is false when it
+	// could prove none.
+	Age      time.Duration
+	AgeKnown bool
+	Mark     table.Mark
+	// QueueWait estimates how long work of each rank waits for a slot.
+	QueueWait [config.RankCount]time.Duration
+}
+
+// recent reports whether the hint still counts at now.
+func (h *Hint) recent(now time.Duration) bool {
+	return h.At > 0 && now-h.At <= hintLife
+}
+
+// avoidance is the memory of a bounce.
+type avoidance struct {
+	until     time.Duration
+	backoff   time.Duration
+	staleness time.Duration // the staleness that could not be proven, zero if none
+	floor     table.Mark    // the floor that was not reached
+	hasFloor  bool
+}
+
+// covers reports whether a request of q would bounce for the same cause.
+func (a *avoidance) covers(now time.Duration, q *Query) bool {
+	if now >= a.until {
+		return false
+	}
+	if a.hasFloor && q.HasFloor && !q.Floor.Less(a.floor) {
+		return true
+	}
+	return a.staleness > 0 && q.Staleness <= a.staleness
+}
+
+// Bounce is the answer of an owner that its replica was not fresh enough.
+type Bounce struct {
+	Hint Hint // what the owner knew
+	// Staleness is the staleness of the request if its age could not be
+	// proven, else zero.
+	Staleness time.Duration
+	// Floor is the floor of the request if the replica did not hold it.
+	Floor    table.Mark
+	HasFloor bool
+}
+
+// GroupView is what the entry host knows about one group. A published view is
+// immutable.
+type GroupView struct {
+	Name       table.GroupName
+	Term       table.Term
+	Primary    table.InstanceID // empty while there is none
+	Candidates []Candidate
+}
+
+// WithHint returns a copy of v with a new hint for one instance.
+func (v *GroupView) WithHint(id table.InstanceID, h Hint) *GroupView {
+	return v.with(id, func(c *Candidate) {
+		c.Hint = h
+	})
+}
+
+// WithBounce returns a copy of v that avoids the instance for requests as
+// strict as the one that bounced. Each bounce in a row doubles the time.
+func (v *GroupView) WithBounce(id table.InstanceID, b Bounce) *GroupView {
+	return v.with(id, func(c *Candidate) {
+		c.Hint = b.Hint
+		backoff := c.avoid.backoff
+		if b.Hint.At >= c.avoid.until {
+			backoff = min(max(2*backoff, minAvoid), maxAvoid)
+		}
+		c.avoid = avoidance{
+			until:     b.Hint.At + backoff,
+			backoff:   backoff,
+			staleness: b.Staleness,
+			floor:     b.Floor,
+			hasFloor:  b.HasFloor,
+		}
+	})
+}
+
+// WithServed returns a copy of v after the instance served a request: the
+// memory of its bounces ends.
+func (v *GroupView) WithServed(id table.InstanceID, h Hint) *GroupView {
+	return v.with(id, func(c *Candidate) {
+		c.Hint = h
+		c.avoid = avoidance{}
+	})
+}
+
+// Rebuild returns next with the hints and bounces that v holds for the same
+// instances, for a view rebuilt from the tables.
+func (v *GroupView) Rebuild(next *GroupView) *GroupView {
+	if v == nil {
+		return next
+	}
+	for i := range next.Candidates {
+		c := &next.Candidates[i]
+		old := v.find(c.Instance)
+		if old == nil {
+			continue
+		}
+		if old.Hint.At > c.Hint.At {
+			c.Hint = old.Hint
+		}
+		c.avoid = old.avoid
+	}
+	return next
+}
+
+func (v *GroupView) find(id table.InstanceID) *Candidate {
+	for i := range v.Candidates {
+		if v.Candidates[i].Instance == id {
+			return &v.Candidates[i]
+		}
+	}
+	return nil
+}
+
+func (v *GroupView) with(id table.InstanceID, change func(*Candidate)) *GroupView {
+	next := *v
+	next.Candidates = append([]Candidate(nil), v.Candidates...)
+	if c := next.find(id); c != nil {
+		change(c)
+	}
+	return &next
+}
