Add the stand-in upstream: statements, transactions, slots, announcing

The demo and the tests of the request path need an instance that ordinary drivers can talk to, with scarce slots and connections. A lock is awaited before a slot is taken, so that a lock holder never waits for the slot of its waiter.

--- /dev/null
+++ b/standin/announce.go
@@ -0,0 +1,86 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/amaranthweir/amaranthweir/internal/platform"
+)
+
+const (
+	// announceTimeout bounds one announcement.
+	announceTimeout = time.Second
+	// announceRetry is the wait after an announcement that failed.
+	announceRetry = 50 * time.Millisecond
+	// minAnnounceInterval bounds the interval that a reply may ask for.
+	minAnnounceInterval = 10 * time.Millisecond
+)
+
+// announce announces the instance to one entry host after the other.
+func (in *Instance) announce() {
+	for i := 0; len(in.cfg.Entries) > 0 && in.ctx.Err() == nil; i++ {
+		entry := in.cfg.Entries[i%len(in.cfg.Entries)]
+		interval, err := in.announceTo(entry)
+		if err != nil {
+			interval = announceRetry
+		}
+		timer := time.NewTimer(interval)
+		select {
+		case <-in.wake:
+		case <-timer.C:
+		case <-in.ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+func (in *Instance) announceTo(entry string) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(in.ctx, announceTimeout)
+	defer cancel()
+	if err := in.faults.pass(ctx, entry); err != nil {
+		return 0, err
+	}
+	body, err := json.Marshal(in.announcement())
+	if err != nil {
+		return 0, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+"/v1/announce", bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := in.client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return 0, fmt.Errorf("announcement refused: %s", resp.Status)
+	}
+	var reply platform.AnnounceReply
+	if err := json.NewDecoder(resp.Body).Decode(&reply); err != nil {
+		return 0, err
+	}
+	interval := time.Duration(reply.IntervalMillis) * time.Millisecond
+	return max(interval, minAnnounceInterval), nil
+}
+
+func (in *Instance) announcement() platform.Announcement {
+	st := in.store.state()
+	return platform.Announcement{
+		Group:       in.cfg.Group,
+		Instance:    in.cfg.Instance,
+		Address:     in.Address(),
+		Domain:      in.cfg.Domain,
+		Role:        st.role().String(),
+		Term:        st.Mark.Term,
+		Position:    st.Mark.Position,
+		Slots:       in.cfg.Slots,
+		Connections: in.cfg.Connections,
+		Leaving:     in.leave.Load(),
+	}
+}
--- /dev/null
+++ b/standin/config.go
@@ -0,0 +1,74 @@
+package standin
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
+
+// Config describes one instance.
+type Config struct {
+	Group    table.GroupName
+	Instance table.InstanceID
+	Domain   table.Domain
+	// Address is ip:port for the PostgreSQL protocol. Port 0 picks a free one.
+	Address string
+	// ControlAddress is ip:port of the HTTP port for fellows of the group and
+	// for the fault switches. Port 0 picks a free one.
+	ControlAddress string
+	// Primary founds the group: the instance starts as its primary in term 1,
+	// unless a fellow already follows a term.
+	Primary bool
+	// Peers are the control addresses of the fellows.
+	Peers []string
+	// Entries are the HTTP addresses (ip:port) of the hosts that take
+	// announcements. None means that the instance does not announce itself.
+	Entries []string
+	// Slots is how many statements run at once.
+	Slots int
+	// Connections is how many connections callers may have open.
+	Connections int
+	// Work is how long a statement holds its slot.
+	Work time.Duration
+	// OpenCost is how long it takes to open a connection.
+	OpenCost time.Duration
+	// Lag is how long after its commit an entry reaches this instance while it
+	// is a replica.
+	Lag time.Duration
+}
+
+// DefaultConfig returns a Config on free loopback ports with the slots,
+// connections and open cost of today's instances and no work time or lag.
+func DefaultConfig(group table.GroupName, instance table.InstanceID) Config {
+	return Config{
+		Group:          group,
+		Instance:       instance,
+		Address:        "127.0.0.1:0",
+		ControlAddress: "127.0.0.1:0",
+		Slots:          3,
+		Connections:    45,
+		OpenCost:       10 * time.Millisecond,
+	}
+}
+
+func (c Config) validate() error {
+	if c.Group == "" || c.Instance == "" {
+		return errors.New("group and instance must be named")
+	}
+	if c.Slots < 1 || c.Connections < 1 {
+		return errors.New("slots and connections must be at least 1")
+	}
+	if c.Work < 0 || c.OpenCost < 0 || c.Lag < 0 {
+		return errors.New("work, open cost and lag must not be negative")
+	}
+	addresses := append([]string{c.Address, c.ControlAddress}, c.Peers...)
+	for _, a := range append(addresses, c.Entries...) {
+		if _, _, err := net.SplitHostPort(a); err != nil {
+			return fmt.Errorf("address %q: %w", a, err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/locks.go
@@ -0,0 +1,98 @@
+package standin
+
+import (
+	"context"
+	"slices"
+	"sync"
+)
+
+// lockTable holds the locks that transactions have on rows. Waiters get a lock
+// in the order in which they asked for it.
+type lockTable struct {
+	mu   sync.Mutex
+	rows map[rowKey]*rowLock
+}
+
+type rowLock struct {
+	holder  *tx
+	waiters []*lockWaiter
+}
+
+type lockWaiter struct {
+	tx      *tx
+	granted chan struct{}
+}
+
+func newLockTable() *lockTable {
+	return &lockTable{rows: map[rowKey]*rowLock{}}
+}
+
+// acquire locks row for t until release. It fails with errDeadlock when t
+// would wait for itself, and when ctx ends.
+func (l *lockTable) acquire(ctx context.Context, t *tx, row rowKey) error {
+	w, err := l.request(t, row)
+	if err != nil || w == nil {
+		return err
+	}
+	select {
+	case <-w.granted:
+		return nil
+	case <-ctx.Done():
+		l.abandon(w, row)
+		return ctx.Err()
+	}
+}
+
+// request takes the lock or returns the waiter for it.
+func (l *lockTable) request(t *tx, row rowKey) (*lockWaiter, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	lock := l.rows[row]
+	if lock == nil {
+		l.rows[row] = &rowLock{holder: t}
+		t.locks = append(t.locks, row)
+		return nil, nil
+	}
+	if lock.holder == t {
+		return nil, nil
+	}
+	for next := lock; next != nil; next = next.holder.waitsFor {
+		if next.holder == t {
+			return nil, errDeadlock
+		}
+	}
+	w := &lockWaiter{tx: t, granted: make(chan struct{})}
+	lock.waiters = append(lock.waiters, w)
+	t.waitsFor = lock
+	return w, nil
+}
+
+// abandon takes w out of the queue, unless it holds the lock by now.
+func (l *lockTable) abandon(w *lockWaiter, row rowKey) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w.tx.waitsFor = nil
+	if lock := l.rows[row]; lock != nil {
+		lock.waiters = slices.DeleteFunc(lock.waiters, func(o *lockWaiter) bool { return o == w })
+	}
+}
+
+// release gives each lock of t to its first waiter.
+func (l *lockTable) release(t *tx) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, row := range t.locks {
+		lock := l.rows[row]
+		if len(lock.waiters) == 0 {
+			delete(l.rows, row)
+			continue
+		}
+		w := lock.waiters[0]
+		lock.waiters = lock.waiters[1:]
+		lock.holder = w.tx
+		w.tx.waitsFor = nil
+		w.tx.locks = append(w.tx.locks, row)
+		close(w.granted)
+	}
+	t.locks = nil
+}
