--- /dev/null
+++ b/internal/gateway/do.go
@@ -0,0 +1,223 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/amaranthweir/amaranthweir/internal/config"
+	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/request"
+	"github.com/amaranthweir/amaranthweir/internal/statement"
+	"github.com/amaranthweir/amaranthweir/internal/system/routing"
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
+
+// plan is what is known of a unit before it is routed.
+type plan struct {
+	class     *config.Class
+	group     table.GroupName
+	requestID string
+	begins    bool // a transaction is open after it
+	ends      bool // the open transaction ends with it
+	sets      bool // it changes session settings
+}
+
+// Do runs one unit and passes its answer on. It returns the transaction state
+// after it. Errors are *errkind.Error.
+func (s *Session) Do(ctx context.Context, w *Work, sink request.Sink) (byte, error) {
+	started := time.Now()
+	p, err := s.plan(w)
+	if err != nil {
+		return s.status(), err
+	}
+	run := &run{session: s, work: w, plan: p, sink: countingSink{sink: sink}, started: started}
+	res, err := run.execute(ctx)
+	s.observe(run, err)
+	if err != nil {
+		return s.failed(err), err
+	}
+	s.settle(run, res)
+	return res.TxStatus, nil
+}
+
+// status is the transaction state when a unit was refused before it ran.
+func (s *Session) status() byte {
+	if s.tx != nil {
+		return request.TxOpen
+	}
+	return request.TxIdle
+}
+
+// failed notes the state after an error: what is not known to be still there
+// is given up.
+func (s *Session) failed(err error) byte {
+	if s.tx == nil {
+		return request.TxIdle
+	}
+	if errkind.Of(err).Effect == errkind.NotRun && errkind.Is(err, errkind.DeadlineUnreachable) {
+		return request.TxOpen // refused a slot: the transaction is untouched
+	}
+	s.Close()
+	s.pending = nil
+	return request.TxIdle
+}
+
+// settle notes the state after an answer.
+func (s *Session) settle(r *run, res request.Result) {
+	if res.HasMark {
+		s.token.Raise(r.plan.group, res.Mark)
+	}
+	if r.plan.sets || res.TxStatus == request.TxIdle {
+		s.keepSettings(r.work, res.TxStatus)
+	}
+	if res.TxStatus == request.TxIdle {
+		s.tx = nil
+		s.RequestID = ""
+		return
+	}
+	if s.tx == nil {
+		s.tx = &transaction{
+			class:    r.plan.class,
+			group:    r.plan.group,
+			instance: r.instance,
+			owner:    r.owner,
+			executor: r.executor,
+			replica:  r.replica,
+		}
+	}
+}
+
+func (s *Session) observe(r *run, err error) {
+	o := Observation{
+		Service:  s.service,
+		Class:    r.plan.class.Name,
+		Rank:     r.plan.class.Rank,
+		Access:   r.plan.class.Access,
+		Replica:  r.replica,
+		Took:     time.Since(r.started),
+		Attempts: r.attempts,
+	}
+	if err != nil {
+		o.Err = errkind.Of(err)
+	}
+	s.gateway.cfg.Observer.Request(o)
+}
+
+// plan reads what a unit wants and refuses what cannot be served.
+func (s *Session) plan(w *Work) (*plan, error) {
+	doc := s.gateway.cfg.Directory.Document(s.service)
+	if doc == nil {
+		return nil, errkind.New(errkind.UnknownClass, "service %s", s.service)
+	}
+	tags := firstTags(w.Texts)
+	p := &plan{requestID: tags.RequestID}
+	if p.requestID == "" {
+		p.requestID = s.RequestID
+	}
+	if err := p.read(w); err != nil {
+		return nil, err
+	}
+	if s.tx != nil {
+		p.class, p.group = s.tx.class, s.tx.group
+		return p, checkAccess(p.class, w)
+	}
+	name := tags.Class
+	if name == "" {
+		name = s.class
+	}
+	class, err := findClass(doc, name)
+	if err != nil {
+		return nil, err
+	}
+	key := tags.Key
+	if key == "" {
+		key = s.Key
+	}
+	p.class = class
+	if p.group, err = chooseGroup(class, key); err != nil {
+		return nil, err
+	}
+	return p, checkAccess(class, w)
+}
+
+func firstTags(texts []statement.Text) statement.Tags {
+	for _, t := range texts {
+		if t.Tags != (statement.Tags{}) {
+			return t.Tags
+		}
+	}
+	return statement.Tags{}
+}
+
+// read goes through the statements of a unit.
+func (p *plan) read(w *Work) error {
+	for _, t := range w.Texts {
+		for _, st := range t.Statements {
+			switch st.Kind {
+			case statement.Unsupported:
+				return errkind.New(errkind.NotSupported, "%s", st.Verb)
+			case statement.Begin:
+				p.begins, p.ends = true, false
+			case statement.Commit, statement.Rollback:
+				p.begins, p.ends = false, true
+			case statement.Set:
+				p.sets = true
+			case statement.Reset:
+				return errkind.New(errkind.NotSupported, "%s together with other statements", st.Verb)
+			}
+		}
+	}
+	return nil
+}
+
+// writeVerbs are refused in a class that only reads.
+var writeVerbs = map[string]bool{
+	"INSERT": true, "UPDATE": true, "DELETE": true, "MERGE": true, "TRUNCATE": true,
+	"CREATE": true, "ALTER": true, "DROP": true, "CALL": true, "DO": true,
+}
+
+// checkAccess refuses what a class that only reads must not run.
+func checkAccess(c *config.Class, w *Work) error {
+	if c.Access == config.AccessWrite {
+		return nil
+	}
+	for _, t := range w.Texts {
+		for _, st := range t.Statements {
+			if writeVerbs[st.Verb] {
+				return errkind.New(errkind.BadRequest, "class %s only reads: %s", c.Name, st.Verb)
+			}
+		}
+	}
+	return nil
+}
+
+// countingSink knows whether a part of the answer has gone out.
+type countingSink struct {
+	sink  request.Sink
+	bytes int
+}
+
+// Answer implements request.Sink.
+func (c *countingSink) Answer(p []byte) error {
+	c.bytes += len(p)
+	return c.sink.Answer(p)
+}
+
+// logDecision writes the log line of a routing decision.
+func (r *run) logDecision(q *request.Request, d routing.Decision) {
+	r.session.gateway.cfg.Log.WithFields(logrus.Fields{
+		"request":  q.ID,
+		"service":  q.Service,
+		"class":    q.Class,
+		"rank":     q.Rank.String(),
+		"group":    q.Group,
+		"instance": d.Instance,
+		"owner":    d.Owner,
+		"reason":   d.Reason.String(),
+		"floor":    q.Floor.Position,
+		"term":     q.Floor.Term,
+		"attempt":  r.attempts,
+	}).Info("route")
+}
--- /dev/null
+++ b/internal/gateway/run.go
@@ -0,0 +1,204 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/amaranthweir/amaranthweir/internal/config"
+	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/request"
+	"github.com/amaranthweir/amaranthweir/internal/system/routing"
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
+
+const (
+	// minBackoff and maxBackoff bound the pause before a request is tried
+	// again.
+	minBackoff = 2 * time.Millisecond
+	maxBackoff = 50 * time.Millisecond
+)
+
+// run follows one request until its answer or the end of its deadline.
+type run struct {
+	session  *Session
+	work     *Work
+	plan     *plan
+	sink     countingSink
+	started  time.Time
+	deadline time.Time
+	attempts int
+
+	// Where the latest attempt went.
+	instance table.InstanceID
+	owner    table.HostID
+	executor request.Executor
+	replica  bool
+}
+
+func (r *run) execute(ctx context.Context) (request.Result, error) {
+	r.deadline = r.started.Add(r.plan.class.Deadline)
+	ctx, stop := context.WithDeadline(ctx, r.deadline)
+	defer stop()
+	q := r.request()
+	if tx := r.session.tx; tx != nil {
+		r.attempts = 1
+		r.instance, r.owner, r.executor, r.replica = tx.instance, tx.owner, tx.executor, tx.replica
+		q.Instance = tx.instance
+		return tx.executor.Execute(ctx, q, &r.sink)
+	}
+	if err := r.findFloor(ctx, q); err != nil {
+		return request.Result{TxStatus: request.TxIdle}, err
+	}
+	r.session.gateway.budget.deposit()
+	for {
+		changed := r.session.gateway.cfg.Directory.Changed()
+		res, err := r.attempt(ctx, q)
+		if err == nil || !r.mayRetry(err) {
+			return res, err
+		}
+		if !r.pause(ctx, changed) {
+			return res, err
+		}
+	}
+}
+
+// request is the unit as its owner will see it.
+func (r *run) request() *request.Request {
+	s, c := r.session, r.plan.class
+	open := s.tx != nil
+	return &request.Request{
+		ID:              s.gateway.requestID(),
+		Session:         s.id,
+		Service:         s.service,
+		Class:           c.Name,
+		Caller:          s.caller,
+		Rank:            c.Rank,
+		Access:          c.Access,
+		Group:           r.plan.group,
+		Continues:       open,
+		Deadline:        r.deadline,
+		Staleness:       c.Staleness,
+		Repeatable:      c.Repeatable,
+		RequestID:       r.plan.requestID,
+		AckReplicas:     c.AckReplicas,
+		RatePerSecond:   c.RatePerSecond,
+		Settings:        s.settings,
+		Prepares:        r.work.Prepares,
+		Messages:        r.work.Messages,
+		ChangesSettings: r.plan.sets,
+		MayCommit:       !r.work.OnlyPrepares && (r.plan.ends || !open && !r.plan.begins),
+	}
+}
+
+// findFloor sets what a read must not be older than. A session that brought no
+// token gets the primary's position at its first read of a group, for what its
+// caller has seen elsewhere is not known.
+func (r *run) findFloor(ctx context.Context, q *request.Request) error {
+	s := r.session
+	if group, ok := s.gateway.cfg.Directory.History(q.Group); ok {
+		if err := s.gateway.cfg.Tokens.CheckLost(s.token, group); err != nil {
+			return err
+		}
+	}
+	if q.Access != config.AccessRead || q.Staleness == 0 {
+		return nil
+	}
+	q.Floor, q.HasFloor = s.token.Floor(q.Group)
+	if q.HasFloor || s.given {
+		return nil
+	}
+	floor, err := s.gateway.groupFloor(ctx, q.Group)
+	if err != nil {
+		return err
+	}
+	s.token.Raise(q.Group, floor)
+	q.Floor, q.HasFloor = floor, true
+	return nil
+}
+
+// attempt routes the request once and runs it where the decision says.
+func (r *run) attempt(ctx context.Context, q *request.Request) (request.Result, error) {
+	idle := request.Result{TxStatus: request.TxIdle}
+	g := r.session.gateway
+	r.attempts++
+	view := g.cfg.Directory.Groups().Lookup(q.Group)
+	now := g.cfg.Clock()
+	d := routing.Choose(now, &routing.Query{
+		Access:    q.Access,
+		Staleness: q.Staleness,
+		Floor:     q.Floor,
+		HasFloor:  q.HasFloor,
+		Deadline:  now + time.Until(r.deadline),
+		Rank:      q.Rank,
+		Home:      g.cfg.Domain,
+		Seed:      rand.Uint64(),
+	}, view)
+	r.logDecision(q, d)
+	if d.Refused() {
+		return idle, errkind.New(d.Refuse, "group %s: %s", q.Group, d.Reason).WithEffect(errkind.NotRun)
+	}
+	executor, ok := g.cfg.Directory.Executor(d.Owner)
+	if !ok {
+		return idle, errkind.New(errkind.NoOwner, "host %s is not known", d.Owner)
+	}
+	q.Instance, q.Wait = d.Instance, d.Wait
+	r.instance, r.owner, r.executor = d.Instance, d.Owner, executor
+	r.replica = view.Primary != d.Instance
+	res, err := executor.Execute(ctx, q, &r.sink)
+	if errkind.Is(err, errkind.StalenessUnprovable) {
+		r.bounced(q)
+	}
+	return res, err
+}
+
+// bounced remembers that a replica was not fresh enough.
+func (r *run) bounced(q *request.Request) {
+	g := r.session.gateway
+	b := routing.Bounce{
+		Hint:      routing.Hint{At: g.cfg.Clock()},
+		Staleness: q.Staleness,
+		Floor:     q.Floor,
+		HasFloor:  q.HasFloor,
+	}
+	g.cfg.Directory.Groups().Update(q.Group, func(v *routing.GroupView) *routing.GroupView {
+		if v == nil {
+			return nil
+		}
+		return v.WithBounce(q.Instance, b)
+	})
+}
+
+// mayRetry reports whether the request may be sent again: it has not run, or
+// it is a read of which nothing was passed on yet and the retry budget allows
+// it.
+func (r *run) mayRetry(err error) bool {
+	e := errkind.Of(err)
+	if r.sink.bytes > 0 {
+		return false
+	}
+	switch e.Kind {
+	case errkind.NoPrimary, errkind.NoOwner, errkind.StalenessUnprovable, errkind.UpstreamLost, errkind.OutcomeUnknown, errkind.LeaseLost:
+	default:
+		return false
+	}
+	if e.Effect == errkind.NotRun {
+		return true
+	}
+	return r.plan.class.Access == config.AccessRead && r.plan.class.Repeatable && r.session.gateway.budget.withdraw()
+}
+
+// pause waits before the next attempt: a random part of a growing time, or
+// until the tables changed. It reports whether time is left.
+func (r *run) pause(ctx context.Context, changed <-chan struct{}) bool {
+	limit := min(maxBackoff, minBackoff<<min(r.attempts, 10))
+	timer := time.NewTimer(minBackoff + rand.N(limit))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-changed:
+	case <-ctx.Done():
+		return false
+	}
+	return ctx.Err() == nil
+}
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -69,6 +69,7 @@
 		Messages:        r.Messages,
 		ChangesSettings: r.ChangesSettings,
 		MayCommit:       r.MayCommit,
+		WaitNanos:       int64(r.Wait),
 	}
 	if r.HasFloor {
 		p.Floor = encodeMark(r.Floor)
@@ -107,6 +108,7 @@
 		Messages:        p.GetMessages(),
 		ChangesSettings: p.GetChangesSettings(),
 		MayCommit:       p.GetMayCommit(),
+		Wait:            time.Duration(p.GetWaitNanos()),
 	}
 	for _, s := range p.GetPrepares() {
 		r.Prepares = append(r.Prepares, request.Prepare{Name: s.GetName(), Parse: s.GetParse()})
--- a/internal/peer/remote.go
+++ b/internal/peer/remote.go
@@ -25,7 +25,6 @@
 	link    *link
 	opening chan struct{} // closed when the current attempt has ended
 	failed  error         // of the latest attempt
-	rpc     *drpcconn.Conn
 }
 
 var _ request.Executor = (*Remote)(nil)
--- /dev/null
+++ b/internal/pg/answer.go
@@ -0,0 +1,29 @@
+package pg
+
+import (
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/amaranthweir/amaranthweir/internal/errkind"
+)
+
+// errorResponse is the answer for an error, by the table of kinds. The hint
+// says in a fixed form what is known of the effect.
+func errorResponse(e *errkind.Error, severity string) *pgproto3.ErrorResponse {
+	a := e.Kind.Answer()
+	msg := a.Message
+	if e.Detail != "" {
+		msg += ": " + e.Detail
+	}
+	repeat := "no"
+	if a.Repeat {
+		repeat = "yes"
+	}
+	return &pgproto3.ErrorResponse{
+		Severity:            severity,
+		SeverityUnlocalized: severity,
+		Code:                a.SQLState,
+		Message:             msg,
+		Detail:              "kind: " + a.Name + "; effect: " + e.Effect.String(),
+		Hint:                "repeat: " + repeat,
+	}
+}
--- /dev/null
+++ b/internal/pg/listener.go
@@ -0,0 +1,254 @@
+package pg
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/sirupsen/logrus"
+
+	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/gateway"
+	"github.com/amaranthweir/amaranthweir/internal/request"
+)
+
+// pastDeadline makes a blocked read end at once.
+var pastDeadline = time.Unix(1, 0)
+
+// Config describes a Listener.
+type Config struct {
+	Gateway *gateway.Gateway
+	TLS     *tls.Config // nil: plain text
+	Log     logrus.FieldLogger
+	// MaxCallers bounds open connections, MaxMessageBytes one message.
+	MaxCallers      int
+	MaxMessageBytes int
+	// Counters hears of what happens at the edge; see package metrics.
+	Counters Counters
+}
+
+// Counters counts events of caller connections.
+type Counters interface {
+	Callers(delta int)
+	Refused(kind errkind.Kind)
+}
+
+// Listener serves callers.
+type Listener struct {
+	cfg Config
+
+	mu       sync.Mutex
+	sessions map[uint32]*entry // by process id, for cancel requests
+	nextPID  uint32
+	ending   bool
+	work     sync.WaitGroup
+}
+
+// entry is an open caller connection and the key of its cancel requests.
+type entry struct {
+	session *session
+	key     uint32
+}
+
+// NewListener returns a Listener that serves no connection yet.
+func NewListener(cfg Config) *Listener {
+	return &Listener{cfg: cfg, sessions: map[uint32]*entry{}}
+}
+
+// Serve accepts callers until ctx ends or l is closed.
+func (l *Listener) Serve(ctx context.Context, ln net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+	defer stop()
+	for {
+		nc, err := ln.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return err
+		}
+		l.work.Add(1)
+		go func() {
+			defer l.work.Done()
+			l.serve(ctx, nc)
+		}()
+	}
+}
+
+// serve runs one connection from start-up to its end.
+func (l *Listener) serve(ctx context.Context, nc net.Conn) {
+	log := l.cfg.Log.WithField("caller", nc.RemoteAddr().String())
+	nc, start, err := readStartup(nc, l.cfg.TLS)
+	defer func() { _ = nc.Close() }()
+	if err != nil {
+		l.refuse(log, nc, errkind.Wrap(err, errkind.BadRequest, "%v", err))
+		return
+	}
+	if start.cancel != nil {
+		l.cancel(start.cancel)
+		return
+	}
+	s, err := l.login(nc, start, log)
+	if err != nil {
+		l.refuse(log, nc, errkind.Of(err))
+		return
+	}
+	l.cfg.Counters.Callers(1)
+	defer l.cfg.Counters.Callers(-1)
+	pid := l.add(s)
+	defer l.remove(pid)
+	defer s.gate.Close()
+	if err := s.welcome(pid, l.key(pid), start); err != nil {
+		return
+	}
+	err = s.run(ctx)
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		_ = nc.SetDeadline(time.Now().Add(startupTimeout))
+		_ = s.goodbye()
+	case err != nil:
+		l.refuse(log, nc, errkind.Of(err))
+	}
+}
+
+// refuse tells a caller why its connection ends.
+func (l *Listener) refuse(log logrus.FieldLogger, nc net.Conn, e *errkind.Error) {
+	l.cfg.Counters.Refused(e.Kind)
+	log.WithField("kind", e.Kind.String()).WithError(e).Info("caller refused")
+	buf, err := errorResponse(e, "FATAL").Encode(nil)
+	if err != nil {
+		return
+	}
+	_ = nc.SetWriteDeadline(time.Now().Add(time.Second))
+	_, _ = nc.Write(buf)
+}
+
+// login checks what the caller said at its start.
+func (l *Listener) login(nc net.Conn, start *startup, log logrus.FieldLogger) (*session, error) {
+	l.mu.Lock()
+	full, ending := len(l.sessions) >= l.cfg.MaxCallers, l.ending
+	l.mu.Unlock()
+	if ending {
+		return nil, errkind.New(errkind.ShuttingDown, "connect to another host")
+	}
+	if full {
+		return nil, errkind.New(errkind.CallerLimit, "%d callers are connected", l.cfg.MaxCallers)
+	}
+	gate, err := l.cfg.Gateway.NewSession(start.database, start.user)
+	if err != nil {
+		return nil, err
+	}
+	backend := pgproto3.NewBackend(nc, nc)
+	backend.SetMaxBodyLen(l.cfg.MaxMessageBytes)
+	s := &session{
+		listener: l,
+		net:      nc,
+		backend:  backend,
+		gate:     gate,
+		log:      log,
+		known:    map[string]prepared{},
+		unit:     newUnit(),
+		txStatus: request.TxIdle,
+	}
+	for name, value := range start.params {
+		if !ownParam(name) {
+			continue
+		}
+		if err := s.set(name, value); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func ownParam(name string) bool {
+	return name == paramToken || name == paramClass || name == paramKey
+}
+
+// welcome ends the start-up of a caller.
+func (s *session) welcome(pid, key uint32, start *startup) error {
+	s.backend.Send(&pgproto3.AuthenticationOk{})
+	for _, p := range [][2]string{
+		{"server_version", serverVersion},
+		{"server_encoding", "UTF8"},
+		{"client_encoding", "UTF8"},
+		{"DateStyle", "ISO, MDY"},
+		{"integer_datetimes", "on"},
+		{"standard_conforming_strings", "on"},
+		{"application_name", start.params["application_name"]},
+	} {
+		s.backend.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
+	}
+	s.backend.Send(&pgproto3.BackendKeyData{ProcessID: pid, SecretKey: []byte{byte(key >> 24), byte(key >> 16), byte(key >> 8), byte(key)}})
+	_ = s.net.SetDeadline(time.Time{})
+	return s.ready()
+}
+
+func (l *Listener) add(s *session) uint32 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.nextPID++
+	l.sessions[l.nextPID] = &entry{session: s, key: newCancelKey()}
+	return l.nextPID
+}
+
+func (l *Listener) key(pid uint32) uint32 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sessions[pid].key
+}
+
+func (l *Listener) remove(pid uint32) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.sessions, pid)
+}
+
+// cancel interrupts the request of the named session if the key is right.
+func (l *Listener) cancel(m *pgproto3.CancelRequest) {
+	l.mu.Lock()
+	e := l.sessions[m.ProcessID]
+	l.mu.Unlock()
+	if e == nil || len(m.SecretKey) != 4 {
+		return
+	}
+	key := uint32(m.SecretKey[0])<<24 | uint32(m.SecretKey[1])<<16 | uint32(m.SecretKey[2])<<8 | uint32(m.SecretKey[3])
+	if key == e.key {
+		e.session.interrupt()
+	}
+}
+
+// Drain refuses new callers, ends idle ones with the proper message, and lets
+// running requests and transactions finish. It returns the ones that are left
+// when ctx ends.
+func (l *Listener) Drain(ctx context.Context) []string {
+	l.mu.Lock()
+	l.ending = true
+	for _, e := range l.sessions {
+		e.session.end()
+	}
+	l.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		l.work.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var left []string
+	for pid, e := range l.sessions {
+		left = append(left, "session "+strconv.FormatUint(uint64(pid), 10)+" of "+e.session.net.RemoteAddr().String())
+	}
+	return left
+}
--- /dev/null
+++ b/internal/pg/session.go
@@ -0,0 +1,353 @@
+package pg
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"sync"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/sirupsen/logrus"
+
+	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/gateway"
+	"github.com/amaranthweir/amaranthweir/internal/request"
+	"github.com/amaranthweir/amaranthweir/internal/statement"
+)
+
+// session is one caller connection after its start-up.
+type session struct {
+	listener *Listener
+	net      net.Conn
+	backend  *pgproto3.Backend
+	gate     *gateway.Session
+	log      logrus.FieldLogger
+	known    map[string]prepared
+	unit     *unit
+	skipping bool // until the next Sync, after an error of the extended protocol
+	txStatus byte
+	token    string // as the caller has it
+
+	mu     sync.Mutex
+	cancel context.CancelFunc // of the request that runs
+	busy   bool
+	ending bool
+}
+
+// Answer implements request.Sink: it writes a part of an answer.
+func (s *session) Answer(p []byte) error {
+	if _, err := s.net.Write(p); err != nil {
+		return errkind.Wrap(err, errkind.Cancelled, "the caller went away")
+	}
+	return nil
+}
+
+// run serves the caller until it leaves.
+func (s *session) run(ctx context.Context) error {
+	for {
+		msg, err := s.backend.Receive()
+		if err != nil {
+			return endOfCaller(err)
+		}
+		if _, ok := msg.(*pgproto3.Terminate); ok {
+			return nil
+		}
+		if !s.start() {
+			return s.goodbye()
+		}
+		err = s.handle(ctx, msg)
+		last := s.finish()
+		if err != nil {
+			return err
+		}
+		if last {
+			return s.goodbye()
+		}
+	}
+}
+
+func endOfCaller(err error) error {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// start marks the session as busy; it fails once the session is ending and
+// outside of a transaction.
+func (s *session) start() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ending && s.txStatus == request.TxIdle && s.unit.empty() {
+		return false
+	}
+	s.busy = true
+	return true
+}
+
+// finish marks the session as idle and reports whether it has to end.
+func (s *session) finish() (end bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy = s.txStatus != request.TxIdle || !s.unit.empty()
+	return s.ending && !s.busy
+}
+
+// goodbye tells the caller that this host shuts down.
+func (s *session) goodbye() error {
+	s.backend.Send(errorResponse(errkind.New(errkind.ShuttingDown, "connect again"), "FATAL"))
+	return s.backend.Flush()
+}
+
+// handle answers one message.
+func (s *session) handle(ctx context.Context, msg pgproto3.FrontendMessage) error {
+	switch m := msg.(type) {
+	case *pgproto3.Query:
+		return s.simpleQuery(ctx, m)
+	case *pgproto3.Sync:
+		return s.sync(ctx, m)
+	case *pgproto3.Flush:
+		s.unit.fail(errkind.New(errkind.NotSupported, "Flush before Sync"))
+		return s.reportUnit()
+	case *pgproto3.Parse, *pgproto3.Bind, *pgproto3.Describe, *pgproto3.Execute, *pgproto3.Close:
+		if !s.skipping {
+			s.unit.add(msg, s.known)
+		}
+		return nil
+	case *pgproto3.FunctionCall:
+		return s.fail(errkind.New(errkind.NotSupported, "function call protocol"))
+	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
+		return nil // leftovers of a COPY that was refused
+	default:
+		return errkind.New(errkind.BadRequest, "message %T", msg)
+	}
+}
+
+// reportUnit sends the error of a unit at once and skips up to the Sync.
+func (s *session) reportUnit() error {
+	if s.unit.failure == nil || s.skipping {
+		return nil
+	}
+	s.skipping = true
+	s.backend.Send(errorResponse(s.unit.failure, "ERROR"))
+	return s.backend.Flush()
+}
+
+func (s *session) sync(ctx context.Context, m *pgproto3.Sync) error {
+	u := s.unit
+	s.unit = newUnit()
+	if s.skipping {
+		s.skipping = false
+		return s.ready()
+	}
+	if u.failure != nil {
+		return s.fail(u.failure)
+	}
+	if len(u.messages) == 0 {
+		return s.ready()
+	}
+	u.append(m)
+	w := &gateway.Work{Messages: u.messages, Texts: u.texts}
+	for _, p := range u.prepares {
+		w.Prepares = append(w.Prepares, p)
+	}
+	if !u.executes {
+		w.Texts = u.definedTexts()
+		w.OnlyPrepares = true
+	}
+	ok, err := s.do(ctx, w)
+	if ok {
+		u.commit(s.known)
+	}
+	return err
+}
+
+func (u *unit) definedTexts() []statement.Text {
+	var texts []statement.Text
+	for _, p := range u.defined {
+		texts = append(texts, p.text)
+	}
+	return texts
+}
+
+func (s *session) simpleQuery(ctx context.Context, m *pgproto3.Query) error {
+	text := statement.Read(m.String)
+	if len(text.Statements) == 0 {
+		s.backend.Send(&pgproto3.EmptyQueryResponse{})
+		return s.ready()
+	}
+	if done, err := s.own(text); done {
+		return err
+	}
+	buf, err := m.Encode(nil)
+	if err != nil {
+		return s.fail(errkind.Wrap(err, errkind.BadRequest, "%v", err))
+	}
+	_, err = s.do(ctx, &gateway.Work{Messages: buf, Texts: []statement.Text{text}})
+	return err
+}
+
+// own answers what the proxy itself answers: its own settings.
+func (s *session) own(text statement.Text) (done bool, err error) {
+	if len(text.Statements) != 1 {
+		return false, nil
+	}
+	st := text.Statements[0]
+	switch st.Kind {
+	case statement.Set:
+		name, value, ok := assignment(st.Text)
+		if !ok || !strings.HasPrefix(name, "amaranthweir.") {
+			return false, nil
+		}
+		if err := s.set(name, value); err != nil {
+			return true, s.fail(errkind.Of(err))
+		}
+		s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte("SET")})
+		return true, s.ready()
+	case statement.Reset:
+		if s.txStatus != request.TxIdle {
+			return true, s.fail(errkind.New(errkind.NotSupported, "%s inside a transaction", st.Verb))
+		}
+		s.gate.ResetSettings(st.Text)
+		if st.Verb == "DISCARD" {
+			clear(s.known)
+		}
+		s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(tagOfReset(st))})
+		return true, s.ready()
+	}
+	return false, nil
+}
+
+func tagOfReset(st statement.Statement) string {
+	if st.Verb == "DISCARD" {
+		return "DISCARD ALL"
+	}
+	return "RESET"
+}
+
+// set takes one of the proxy's own settings.
+func (s *session) set(name, value string) error {
+	switch name {
+	case paramToken:
+		return s.gate.UseToken(value)
+	case paramClass:
+		return s.gate.SetClass(value)
+	case paramKey:
+		s.gate.Key = value
+	case paramRequestID:
+		s.gate.RequestID = value
+	default:
+		return errkind.New(errkind.BadRequest, "unknown setting %s", name)
+	}
+	return nil
+}
+
+// assignment reads SET [SESSION] name = 'value' and SET name TO value.
+func assignment(sql string) (name, value string, ok bool) {
+	rest := strings.TrimSpace(sql[len("SET"):])
+	if fields := strings.Fields(rest); len(fields) > 0 && strings.EqualFold(fields[0], "SESSION") {
+		rest = strings.TrimSpace(rest[len("SESSION"):])
+	}
+	end := strings.IndexAny(rest, " =\t\n")
+	if end < 0 {
+		return "", "", false
+	}
+	name = strings.ToLower(rest[:end])
+	rest = strings.TrimSpace(rest[end:])
+	if after, found := strings.CutPrefix(rest, "="); found {
+		rest = after
+	} else if len(rest) > 2 && strings.EqualFold(rest[:2], "TO") {
+		rest = rest[2:]
+	} else {
+		return "", "", false
+	}
+	value = strings.Trim(strings.TrimSpace(rest), "'")
+	return name, value, true
+}
+
+// do hands a unit to the gateway and ends its answer. It reports whether the
+// unit ran without an error.
+func (s *session) do(ctx context.Context, w *gateway.Work) (ok bool, err error) {
+	ctx, stop := context.WithCancel(ctx)
+	s.mu.Lock()
+	s.cancel = stop
+	s.mu.Unlock()
+	watch := watchErrors{sink: s}
+	status, err := s.gate.Do(ctx, w, &watch)
+	s.mu.Lock()
+	s.cancel = nil
+	s.mu.Unlock()
+	stop()
+	s.setStatus(status)
+	if err != nil {
+		return false, s.fail(errkind.Of(err))
+	}
+	return !watch.failed, s.ready()
+}
+
+func (s *session) setStatus(status byte) {
+	s.mu.Lock()
+	s.txStatus = status
+	s.mu.Unlock()
+}
+
+// watchErrors notes whether an ErrorResponse is among the answers.
+type watchErrors struct {
+	sink   request.Sink
+	failed bool
+}
+
+// Answer implements request.Sink. The parts of an answer hold whole messages.
+func (w *watchErrors) Answer(p []byte) error {
+	const header = 5
+	for rest := p; len(rest) >= header; {
+		if rest[0] == 'E' {
+			w.failed = true
+		}
+		n := 1 + int(rest[1])<<24 + int(rest[2])<<16 + int(rest[3])<<8 + int(rest[4])
+		if n < header || n > len(rest) {
+			break
+		}
+		rest = rest[n:]
+	}
+	return w.sink.Answer(p)
+}
+
+// fail answers a unit with an error of the proxy.
+func (s *session) fail(e *errkind.Error) error {
+	s.backend.Send(errorResponse(e, "ERROR"))
+	return s.ready()
+}
+
+// ready ends an answer. A new session token goes before it, as a reported
+// parameter that drivers keep.
+func (s *session) ready() error {
+	if token := s.gate.Token(); token != s.token {
+		s.token = token
+		s.backend.Send(&pgproto3.ParameterStatus{Name: paramToken, Value: token})
+	}
+	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: s.txStatus})
+	return s.backend.Flush()
+}
+
+// interrupt cancels the request that runs.
+func (s *session) interrupt() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cancel != nil {
+		s.cancel()
+	}
+}
+
+// end makes the session leave: at once when it is idle, else at the end of its
+// transaction.
+func (s *session) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ending = true
+	if !s.busy {
+		_ = s.net.SetReadDeadline(pastDeadline)
+	}
+}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -65,6 +65,8 @@
 	Prepares []Prepare
 	// Messages are the encoded messages.
 	Messages []byte
+	// Wait is how long a read may wait for the replica to become fresh enough.
+	Wait time.Duration
 	// MayCommit is set when writes may be committed by the time of the answer:
 	// a statement outside of a transaction, or one that ends it.
 	MayCommit bool
