Add the replicated log of the control hosts, first working version

The control hosts need a log of their own: documents, terms and owners must survive the loss of a host and never go back.

Messages are encoded by hand with hard size limits: a generated codec was weighed, but the same encoding is needed for the records of the files.

Host identities are a host id with an incarnation drawn at first start. The founding membership is pinned by every listed voter before any acts on it, so a host that loses its disk during the founding cannot count twice.

--- /dev/null
+++ b/internal/control/members.go
@@ -0,0 +1,130 @@
+package control
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/amaranthweir/amaranthweir/internal/consensus"
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
+
+// foundingIndex is the index of the snapshot that opens every log.
+const foundingIndex = 1
+
+// stampTimeouts is how many election timeouts an echoed stamp stays fresh.
+const stampTimeouts = 4
+
+func (r *replica) blank() bool { return r.node.LastIndex() == 0 }
+
+func (r *replica) sendHello(to table.HostID, ask bool) {
+	r.cfg.Transport.Send(to, encodeHello(hello{
+		From: r.id, To: to, Ask: ask, Blank: r.blank(),
+		Pinned: r.founding.pinned,
+		Stamp:  r.token + r.node.Now(),
+		Echo:   r.echoes[to],
+	}))
+}
+
+func (r *replica) takeHello(h hello) error {
+	if h.To != r.id.Host || h.From.Host == r.id.Host || !slices.Contains(r.cfg.Voters, h.From.Host) {
+		return nil
+	}
+	r.echoes[h.From.Host] = h.Stamp
+	if r.blank() {
+		if r.founding.take(h) {
+			r.log.WithField("from", h.From.String()).
+				Error("another founding membership is pinned there: empty the data folders of hosts that were never in use")
+		}
+		return r.found()
+	}
+	if h.Ask {
+		r.sendHello(h.From.Host, false)
+	}
+	if h.Ask && h.Blank && r.freshEcho(h.Echo) {
+		r.joining[h.From.Host] = joiner{id: h.From, tick: r.node.Now()}
+	}
+	return nil
+}
+
+// freshEcho reports whether stamp was sent by this process a short while ago.
+func (r *replica) freshEcho(stamp uint64) bool {
+	return r.token+r.node.Now()-stamp < uint64(stampTimeouts*r.cfg.ElectionTicks)
+}
+
+// found goes on with the founding of a deployment as far as it can.
+func (r *replica) found() error {
+	f := r.founding
+	if !r.blank() {
+		return nil
+	}
+	if len(f.pinned) == 0 {
+		members, ok := f.complete(r.cfg.Voters)
+		if !ok {
+			return nil
+		}
+		if err := r.wal.SaveFounding(members); err != nil {
+			return err
+		}
+		f.pinned = members.Voters
+		r.log.WithField("voters", fmt.Sprint(members.Voters)).Info("founding membership pinned")
+	}
+	if !f.settled(r.id.Host, r.cfg.Voters) {
+		return nil
+	}
+	return r.begin(consensus.Members{Voters: f.pinned})
+}
+
+// begin starts the log with the founding membership.
+func (r *replica) begin(members consensus.Members) error {
+	data, err := r.state.Snapshot()
+	if err != nil {
+		return err
+	}
+	s := consensus.Snapshot{Index: foundingIndex, Term: 1, Members: members, Data: data}
+	if err := r.node.Found(s); err != nil {
+		return err
+	}
+	r.log.WithField("voters", fmt.Sprint(members.Voters)).Info("deployment founded")
+	return nil
+}
+
+// arrangeMembers brings in hosts that came back without their disk: the old
+// identity goes, the new one becomes a learner and, once it has caught up, a
+// voter. One step is proposed at a time.
+func (r *replica) arrangeMembers() {
+	for _, id := range r.node.Members().Learners {
+		if r.change(consensus.PromoteLearner, id) {
+			return
+		}
+	}
+	for _, host := range r.cfg.Voters {
+		j, ok := r.joining[host]
+		if !ok {
+			continue
+		}
+		now, member := r.node.Members().Host(host)
+		switch {
+		case member && now == j.id, r.node.Now()-j.tick > uint64(stampTimeouts*r.cfg.ElectionTicks):
+			delete(r.joining, host)
+		case member:
+			if r.change(consensus.RemoveMember, now) {
+				return
+			}
+		case r.change(consensus.AddLearner, j.id):
+			return
+		}
+	}
+}
+
+func (r *replica) change(kind consensus.ConfChangeType, id consensus.NodeID) bool {
+	err := r.node.ProposeConfChange(consensus.ConfChange{Type: kind, Node: id})
+	if err == nil {
+		r.log.WithField("node", id.String()).Infof("proposed: %s", kind)
+		return true
+	}
+	if !errors.Is(err, consensus.ErrPendingChange) && !errors.Is(err, consensus.ErrNotCaughtUp) {
+		r.log.WithError(err).Warn("cannot change the control membership")
+	}
+	return false
+}
--- /dev/null
+++ b/internal/control/replica.go
@@ -0,0 +1,267 @@
+package control
+
+import (
+	"fmt"
+
+	"github.com/amaranthweir/amaranthweir/internal/consensus"
+	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/table"
+	"github.com/amaranthweir/amaranthweir/internal/wal"
+	"github.com/sirupsen/logrus"
+)
+
+// replica is one control host without its goroutine and clock: the node, its
+// log and the state. The Server drives it.
+type replica struct {
+	cfg   ServerConfig
+	log   logrus.FieldLogger
+	wal   *wal.Log
+	id    consensus.NodeID
+	node  *consensus.Node
+	state *State
+
+	// token makes the stamps of this process differ from those of others.
+	token    uint64
+	founding *founding
+	echoes   map[table.HostID]uint64
+	joining  map[table.HostID]joiner
+
+	waiting      map[uint64]waiter
+	snapshotAt   uint64 // applied index of the last snapshot
+	loggedTerm   uint64
+	loggedLeader consensus.NodeID
+}
+
+// joiner is a blank host that proved to run at a tick.
+type joiner struct {
+	id   consensus.NodeID
+	tick uint64
+}
+
+// waiter is a proposal that is not answered yet.
+type waiter struct {
+	term uint64
+	done func(Result, error)
+}
+
+func newReplica(cfg ServerConfig, fs wal.FS) (*replica, error) {
+	log, contents, err := wal.Open(fs, wal.Options{SegmentBytes: cfg.SegmentBytes})
+	if err != nil {
+		return nil, err
+	}
+	id, err := log.Identity(cfg.Host, cfg.Random())
+	if err != nil {
+		return nil, err
+	}
+	pinned, err := log.Founding()
+	if err != nil {
+		return nil, err
+	}
+	r := &replica{
+		cfg: cfg, wal: log, id: id, state: NewState(),
+		log:        cfg.Log.WithFields(logrus.Fields{"component": "control", "member": id.String()}),
+		token:      cfg.Random(),
+		founding:   newFounding(id, pinned),
+		echoes:     map[table.HostID]uint64{},
+		joining:    map[table.HostID]joiner{},
+		waiting:    map[uint64]waiter{},
+		snapshotAt: contents.Snapshot.Index,
+	}
+	if contents.TornBytes > 0 {
+		r.log.WithField("bytes", contents.TornBytes).Warn("cut off an unfinished write at the end of the log")
+	}
+	return r, r.restore(contents)
+}
+
+func (r *replica) restore(c wal.Contents) error {
+	if !c.Snapshot.IsZero() {
+		if err := r.state.Restore(c.Snapshot.Data); err != nil {
+			return err
+		}
+	}
+	node, err := consensus.New(consensus.Config{
+		ID:             r.id,
+		ElectionTicks:  r.cfg.ElectionTicks,
+		HeartbeatTicks: r.cfg.HeartbeatTicks,
+		LeaseTicks:     r.cfg.leaseTicks(),
+		MaxAppendBytes: maxAppendBytes,
+		MaxInflight:    maxInflightEntries,
+		KeepEntries:    r.cfg.KeepEntries,
+		Seed:           r.cfg.Random(),
+		Snapshot:       c.Snapshot,
+		Entries:        c.Entries,
+		HardState:      c.HardState,
+	})
+	if err != nil {
+		return err
+	}
+	r.node = node
+	return r.flush()
+}
+
+// tick counts one tick of the clock.
+func (r *replica) tick() error {
+	r.node.Tick()
+	if r.node.Now()%uint64(r.cfg.HeartbeatTicks) != 0 {
+		return nil
+	}
+	if r.node.Role() == consensus.RoleLeader {
+		r.arrangeMembers()
+		return nil
+	}
+	if r.node.Members().Contains(r.id) {
+		return nil
+	}
+	for _, host := range r.cfg.Voters {
+		if host != r.id.Host {
+			r.sendHello(host, true)
+		}
+	}
+	return r.found()
+}
+
+// receive takes in a message of a peer.
+func (r *replica) receive(in inbound) error {
+	if in.hello != nil {
+		return r.takeHello(*in.hello)
+	}
+	if err := r.node.Step(*in.message); err != nil {
+		r.log.WithError(err).WithField("from", in.message.From.String()).Error("refused a message of a control host")
+	}
+	return nil
+}
+
+// propose appends a command to the log; done is called once, with the answer
+// or the reason why there is none.
+func (r *replica) propose(data []byte, done func(Result, error)) {
+	index, term, err := r.node.Propose(data)
+	if err != nil {
+		done(Result{}, r.notLeader())
+		return
+	}
+	r.waiting[index] = waiter{term: term, done: done}
+}
+
+func (r *replica) notLeader() error {
+	return errkind.New(errkind.NotLeader, "the leader is %q", r.node.Leader().Host)
+}
+
+// flush carries out all that the node asks for.
+func (r *replica) flush() error {
+	for r.node.HasReady() {
+		if err := r.carryOut(r.node.Ready()); err != nil {
+			return err
+		}
+		r.node.Advance()
+	}
+	if r.node.Role() != consensus.RoleLeader {
+		r.abandonWaiting()
+	}
+	r.logLeader()
+	if r.node.Applied()-r.snapshotAt >= r.cfg.SnapshotEvery {
+		return r.snapshot()
+	}
+	return nil
+}
+
+func (r *replica) carryOut(rd consensus.Ready) error {
+	if rd.Snapshot != nil {
+		if err := r.wal.ResetTo(*rd.Snapshot); err != nil {
+			return err
+		}
+	}
+	if err := r.wal.Save(rd.HardState, rd.Entries, rd.MustSync); err != nil {
+		return err
+	}
+	for i := range rd.Messages {
+		r.send(&rd.Messages[i])
+	}
+	if rd.Snapshot != nil {
+		if err := r.state.Restore(rd.Snapshot.Data); err != nil {
+			return err
+		}
+		r.snapshotAt = rd.Snapshot.Index
+	}
+	for _, e := range rd.Committed {
+		if err := r.apply(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *replica) send(m *consensus.Message) {
+	frame, err := m.AppendBinary([]byte{frameConsensus})
+	if err != nil || len(frame) > consensus.MaxMessageBytes {
+		r.log.WithField("bytes", len(frame)).Error("a message for a control host is too large")
+		return
+	}
+	r.cfg.Transport.Send(m.To.Host, frame)
+}
+
+func (r *replica) apply(e consensus.Entry) error {
+	var result Result
+	switch e.Type {
+	case consensus.EntryCommand:
+		command, err := decodeCommand(e.Data)
+		if err != nil {
+			return fmt.Errorf("entry %d: %w", e.Index, err)
+		}
+		result = r.state.Apply(command)
+	case consensus.EntryMembers:
+		r.logMembers(e)
+	case consensus.EntryEmpty:
+	}
+	w, ok := r.waiting[e.Index]
+	if !ok {
+		return nil
+	}
+	delete(r.waiting, e.Index)
+	if w.term != e.Term {
+		w.done(Result{}, r.notLeader())
+		return nil
+	}
+	w.done(result, nil)
+	return nil
+}
+
+// abandonWaiting answers proposals of a leader that leads no more: whether
+// they will be committed is not known here.
+func (r *replica) abandonWaiting() {
+	for index, w := range r.waiting {
+		delete(r.waiting, index)
+		w.done(Result{}, errkind.New(errkind.NoQuorum, "the leader changed before the command was committed"))
+	}
+}
+
+func (r *replica) snapshot() error {
+	data, err := r.state.Snapshot()
+	if err != nil {
+		return err
+	}
+	s := r.node.Compact(data)
+	if err := r.wal.SaveSnapshot(s); err != nil {
+		return err
+	}
+	r.snapshotAt = s.Index
+	r.log.WithFields(logrus.Fields{"index": s.Index, "bytes": len(data)}).Info("snapshot taken")
+	return nil
+}
+
+func (r *replica) logLeader() {
+	if r.loggedTerm == r.node.Term() && r.loggedLeader == r.node.Leader() {
+		return
+	}
+	r.loggedTerm, r.loggedLeader = r.node.Term(), r.node.Leader()
+	r.log.WithFields(logrus.Fields{
+		"term": r.loggedTerm, "leader": string(r.loggedLeader.Host), "role": r.node.Role().String(),
+	}).Info("control leader changed")
+}
+
+func (r *replica) logMembers(e consensus.Entry) {
+	var m consensus.Members
+	if err := m.UnmarshalBinary(e.Data); err == nil {
+		r.log.WithFields(logrus.Fields{"voters": fmt.Sprint(m.Voters), "learners": fmt.Sprint(m.Learners)}).
+			Info("control membership changed")
+	}
+}
--- /dev/null
+++ b/internal/control/server_test.go
@@ -0,0 +1,192 @@
+package control
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/table"
+	"github.com/amaranthweir/amaranthweir/internal/wal/waltest"
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+)
+
+// network connects Servers in a synctest bubble.
+type network struct {
+	mu      sync.Mutex
+	servers map[table.HostID]*Server
+	cancel  map[table.HostID]context.CancelFunc
+	done    map[table.HostID]chan error
+	folders map[table.HostID]*waltest.Folder
+	cut     map[table.HostID]bool
+	voters  []table.HostID
+	random  uint64
+	tune    func(*ServerConfig)
+}
+
+func newNetwork(hosts int) *network {
+	n := &network{
+		servers: map[table.HostID]*Server{}, cancel: map[table.HostID]context.CancelFunc{},
+		done: map[table.HostID]chan error{}, folders: map[table.HostID]*waltest.Folder{},
+		cut: map[table.HostID]bool{}, tune: func(*ServerConfig) {},
+	}
+	for i := range hosts {
+		host := table.HostID(fmt.Sprintf("h%d", i+1))
+		n.voters = append(n.voters, host)
+		n.folders[host] = waltest.NewFolder()
+	}
+	return n
+}
+
+type port struct {
+	n    *network
+	from table.HostID
+}
+
+func (p port) Send(to table.HostID, msg []byte) {
+	p.n.mu.Lock()
+	defer p.n.mu.Unlock()
+	s := p.n.servers[to]
+	if s != nil && !p.n.cut[p.from] && !p.n.cut[to] {
+		_ = s.Receive(msg)
+	}
+}
+
+func (n *network) isolate(host table.HostID, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[host] = cut
+}
+
+func (n *network) start(t *testing.T, host table.HostID) {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	cfg := ServerConfig{
+		Host: host, FS: n.folders[host], Voters: n.voters, Transport: port{n, host}, Log: log,
+		Random: func() uint64 { n.random += 0x9e3779b97f4a7c15; return n.random },
+	}
+	n.tune(&cfg)
+	s, err := NewServer(cfg)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	n.mu.Lock()
+	n.servers[host], n.cancel[host], n.done[host] = s, cancel, done
+	n.mu.Unlock()
+	go func() { done <- s.Run(ctx) }()
+}
+
+func (n *network) startAll(t *testing.T) {
+	t.Helper()
+	for _, host := range n.voters {
+		n.start(t, host)
+	}
+}
+
+// stop ends a server and crashes its folder; nothing unsynced survives.
+func (n *network) stop(t *testing.T, host table.HostID) {
+	t.Helper()
+	n.mu.Lock()
+	cancel, done := n.cancel[host], n.done[host]
+	n.servers[host] = nil
+	n.mu.Unlock()
+	cancel()
+	assert.NilError(t, <-done)
+	n.folders[host] = n.folders[host].Crash(func(int) int { return 0 })
+}
+
+func (n *network) stopAll(t *testing.T) {
+	t.Helper()
+	for _, host := range n.voters {
+		if n.servers[host] != nil {
+			n.stop(t, host)
+		}
+	}
+}
+
+// leader waits for a server with a valid lease.
+func (n *network) leader(t *testing.T) *Server {
+	t.Helper()
+	for range 1000 {
+		for _, host := range n.voters {
+			if s := n.servers[host]; s != nil {
+				if _, _, leased := s.Leader(); leased {
+					return s
+				}
+			}
+		}
+		time.Sleep(DefaultTickInterval)
+	}
+	t.Fatal("no leader within 10 s")
+	return nil
+}
+
+func put(service string, version uint64, body string) Command {
+	sum := sha256.Sum256([]byte(body))
+	return Command{PutDocument: &PutDocument{
+		Service: service, Version: version, Digest: hex.EncodeToString(sum[:]), Body: []byte(body),
+	}}
+}
+
+func propose(t *testing.T, s *Server, c Command) (Result, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	return s.Propose(ctx, c)
+}
+
+func TestProposeIsAppliedOnEveryHost(t *testing.T) {
+	for _, hosts := range []int{1, 3, 5} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork(hosts)
+				n.startAll(t)
+				defer n.stopAll(t)
+				r, err := propose(t, n.leader(t), put("ledger", 1, "one"))
+				assert.NilError(t, err)
+				assert.NilError(t, r.Err())
+				time.Sleep(time.Second)
+				for _, host := range n.voters {
+					s := n.servers[host]
+					assert.Equal(t, s.Revision(), uint64(1), host)
+					assert.Equal(t, string(s.View().Documents["ledger"].Body), "one")
+					assert.Assert(t, s.CaughtUp())
+				}
+			})
+		})
+	}
+}
+
+func TestProposeOnAFollowerNamesTheLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(3)
+		n.startAll(t)
+		defer n.stopAll(t)
+		leader := n.leader(t)
+		time.Sleep(time.Second)
+		for _, s := range n.servers {
+			if s != leader {
+				_, err := propose(t, s, put("ledger", 1, "one"))
+				assert.Assert(t, errkind.Is(err, errkind.NotLeader))
+				assert.ErrorContains(t, err, string(leader.cfg.Host))
+			}
+		}
+	})
+}
+
+func TestReceiveRefusesGarbage(t *testing.T) {
+	n := newNetwork(1)
+	s, err := NewServer(ServerConfig{Host: "h1", FS: n.folders["h1"], Voters: n.voters, Transport: port{n, "h1"}})
+	assert.NilError(t, err)
+	for _, b := range []string{"", "\x00", "\x01", "\x02{", "\x01\x01\x09", "\x03abc"} {
+		assert.Assert(t, s.Receive([]byte(b)) != nil, "%q", b)
+	}
+}
--- /dev/null
+++ b/internal/control/state.go
@@ -0,0 +1,267 @@
+package control
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
+
+// historyKept is how many versions of a document are remembered, so that the
+// resend of an accepted one gets its first answer.
+const historyKept = 64
+
+// State is the replicated state. It is not safe for concurrent use; View
+// returns snapshots that are.
+type State struct {
+	view View
+	// history has the latest versions of each document, the one in force last.
+	history map[string][]pastVersion
+	// shared says which maps a View refers to: they are copied before the
+	// next change.
+	sharedDocuments bool
+	sharedGroups    bool
+	sharedOwners    bool
+}
+
+// pastVersion is a version that was accepted once.
+type pastVersion struct {
+	Version  uint64 `json:"version"`
+	Digest   string `json:"digest"`
+	Revision uint64 `json:"revision"`
+}
+
+// NewState returns the state before the first command.
+func NewState() *State {
+	return &State{view: *NewView(), history: map[string][]pastVersion{}}
+}
+
+// Revision counts the changes so far.
+func (s *State) Revision() uint64 { return s.view.Revision }
+
+// View returns an immutable snapshot of the state.
+func (s *State) View() *View {
+	s.sharedDocuments, s.sharedGroups, s.sharedOwners = true, true, true
+	v := s.view
+	v.changes = slices.Clip(v.changes)
+	return &v
+}
+
+// Snapshot returns the whole state as bytes, the same ones for the same state.
+func (s *State) Snapshot() ([]byte, error) {
+	e := s.view.whole()
+	e.History = s.history
+	return json.Marshal(e)
+}
+
+// Restore replaces the state by one that Snapshot returned.
+func (s *State) Restore(data []byte) error {
+	var e encodedView
+	if err := json.Unmarshal(data, &e); err != nil {
+		return fmt.Errorf("control: the snapshot cannot be read: %w", err)
+	}
+	v, err := NewView().apply(e)
+	if err != nil {
+		return err
+	}
+	history := maps.Clone(e.History)
+	if history == nil {
+		history = map[string][]pastVersion{}
+	}
+	*s = State{view: *v, history: history, sharedDocuments: true, sharedGroups: true, sharedOwners: true}
+	return nil
+}
+
+// Apply carries out a command and returns the answer to it. It is
+// deterministic: the same commands in the same order give the same state and
+// the same answers.
+func (s *State) Apply(c Command) Result {
+	switch {
+	case c.PutDocument != nil:
+		return s.putDocument(c.PutDocument)
+	case c.BeginTerm != nil:
+		return s.beginTerm(c.BeginTerm)
+	case c.SetPrimary != nil:
+		return s.setPrimary(c.SetPrimary)
+	case c.AssignOwners != nil:
+		return s.assignOwners(c.AssignOwners)
+	case c.SetKeys != nil:
+		return s.setKeys(c.SetKeys)
+	default:
+		return Result{Refusal: RefusedInvalid, Revision: s.Revision()}
+	}
+}
+
+func (s *State) note(kind changeKind, name string) {
+	s.view.Revision++
+	if len(s.view.changes) >= 2*changesKept {
+		s.view.changes = slices.Clone(s.view.changes[changesKept:])
+	}
+	s.view.changes = append(s.view.changes, change{Revision: s.view.Revision, Kind: kind, Name: name})
+}
+
+// writable returns m, or a copy of it if a view refers to it.
+func writable[K comparable, V any](m map[K]V, shared *bool) map[K]V {
+	if !*shared {
+		return m
+	}
+	*shared = false
+	return maps.Clone(m)
+}
+
+func (s *State) putDocument(p *PutDocument) Result {
+	now := s.view.Documents[p.Service]
+	for _, past := range s.history[p.Service] {
+		if past.Version == p.Version && past.Digest == p.Digest {
+			return documentResult(Accepted, past.Revision, p.Service, now)
+		}
+	}
+	refusal := Accepted
+	sum := sha256.Sum256(p.Body)
+	switch {
+	case p.Version == now.Version && p.Version != 0:
+		refusal = RefusedConflict
+	case p.Version <= now.Version:
+		refusal = RefusedOld
+	case p.Version > now.Version+1:
+		refusal = RefusedGap
+	case p.Service == "" || p.Digest != hex.EncodeToString(sum[:]):
+		refusal = RefusedInvalid
+	}
+	if refusal != Accepted {
+		return documentResult(refusal, s.Revision(), p.Service, now)
+	}
+	s.note(changeDocument, p.Service)
+	s.view.Documents = writable(s.view.Documents, &s.sharedDocuments)
+	next := Document{Version: p.Version, Digest: p.Digest, Body: p.Body}
+	s.view.Documents[p.Service] = next
+	s.remember(p.Service, pastVersion{p.Version, p.Digest, s.Revision()})
+	return documentResult(Accepted, s.Revision(), p.Service, next)
+}
+
+func (s *State) remember(service string, v pastVersion) {
+	history := append(s.history[service], v)
+	s.history[service] = slices.Clone(history[max(0, len(history)-historyKept):])
+}
+
+func documentResult(r Refusal, revision uint64, service string, d Document) Result {
+	inForce := &DocumentResult{Service: service, Version: d.Version, Digest: d.Digest}
+	return Result{Refusal: r, Revision: revision, Document: inForce}
+}
+
+func (s *State) beginTerm(b *BeginTerm) Result {
+	now, known := s.view.Groups[b.Group]
+	if !known {
+		now.Name = b.Group
+	}
+	refusal := Accepted
+	switch {
+	case b.Group == "" || b.Candidate == "":
+		refusal = RefusedInvalid
+	case b.Term == now.Term && b.Term != 0:
+		refusal = RefusedConflict
+	case b.Term <= now.Term:
+		refusal = RefusedOld
+	}
+	if refusal != Accepted {
+		return Result{Refusal: refusal, Revision: s.Revision(), Group: &now}
+	}
+	next := now
+	next.Term, next.Candidate, next.Phase = b.Term, b.Candidate, table.PhasePromoting
+	return s.putGroup(next)
+}
+
+func (s *State) setPrimary(p *SetPrimary) Result {
+	now := s.view.Groups[p.Group]
+	refusal := Accepted
+	switch {
+	case p.Term < now.Term:
+		refusal = RefusedOld
+	case p.Term > now.Term:
+		refusal = RefusedGap
+	case p.Term == 0 || p.Primary != now.Candidate:
+		refusal = RefusedInvalid
+	case now.Phase == table.PhaseStable && p.TermStart != now.TermStart:
+		refusal = RefusedConflict
+	}
+	if refusal != Accepted || now.Phase == table.PhaseStable {
+		return Result{Refusal: refusal, Revision: s.Revision(), Group: &now}
+	}
+	next := now
+	next.Phase, next.Primary, next.TermStart = table.PhaseStable, p.Primary, p.TermStart
+	return s.putGroup(next)
+}
+
+func (s *State) putGroup(g table.Group) Result {
+	s.note(changeGroup, string(g.Name))
+	s.view.Groups = writable(s.view.Groups, &s.sharedGroups)
+	s.view.Groups[g.Name] = g
+	return Result{Revision: s.Revision(), Group: &g}
+}
+
+func (s *State) assignOwners(a *AssignOwners) Result {
+	r := Result{Refusal: RefusedInvalid}
+	for i, o := range a.Ownerships {
+		answer := s.assignOwner(o)
+		r.Owners = append(r.Owners, answer)
+		if i == 0 || answer.Refusal == Accepted {
+			r.Refusal = answer.Refusal
+		}
+	}
+	r.Revision = s.Revision()
+	return r
+}
+
+func (s *State) assignOwner(o table.Ownership) OwnerResult {
+	now := s.view.Owners[o.Instance]
+	switch {
+	case o.Instance == "":
+		return OwnerResult{RefusedInvalid, now}
+	case o.Epoch == now.Epoch && o.Epoch != 0:
+		return OwnerResult{RefusedConflict, now}
+	case o.Epoch <= now.Epoch:
+		return OwnerResult{RefusedOld, now}
+	case o.Epoch > now.Epoch+1:
+		return OwnerResult{RefusedGap, now}
+	}
+	s.note(changeOwner, string(o.Instance))
+	s.view.Owners = writable(s.view.Owners, &s.sharedOwners)
+	s.view.Owners[o.Instance] = o
+	return OwnerResult{Accepted, o}
+}
+
+func (s *State) setKeys(k *SetKeys) Result {
+	now := s.view.Keys.Version
+	refusal := Accepted
+	switch {
+	case len(k.Keys) == 0:
+		refusal = RefusedInvalid
+	case k.Version == now && now != 0:
+		refusal = RefusedConflict
+	case k.Version <= now:
+		refusal = RefusedOld
+	case k.Version > now+1:
+		refusal = RefusedGap
+	}
+	if refusal != Accepted {
+		return Result{Refusal: refusal, Revision: s.Revision(), KeysVersion: now}
+	}
+	s.note(changeKeys, "")
+	s.view.Keys = Keys{Version: k.Version, Keys: k.Keys}
+	return Result{Revision: s.Revision(), KeysVersion: k.Version}
+}
+
+// encode returns the form of the command in the log.
+func (c Command) encode() ([]byte, error) { return json.Marshal(c) }
+
+func decodeCommand(data []byte) (Command, error) {
+	var c Command
+	if err := json.Unmarshal(data, &c); err != nil {
+		return Command{}, fmt.Errorf("control: a command in the log cannot be read: %w", err)
+	}
+	return c, nil
+}
