Add the HTTP/JSON interface of a host

Instances announce themselves and operators apply and ask over HTTP/JSON. The handler checks and bounds everything before it asks the narrow Backend, which the host implements: body sizes, a time for each path, exact field names.

encoding/json alone was ruled out for announcements: it takes unknown case, duplicate and missing members. The flat object is scanned for these first. The client tells an answer that says no from no answer.

--- /dev/null
+++ b/internal/api/client.go
@@ -0,0 +1,118 @@
+package api
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/amaranthweir/amaranthweir/internal/platform"
+)
+
+// Limits of the client.
+const (
+	// DefaultClientTimeout bounds one call; it lies above the time that a
+	// host takes for any request.
+	DefaultClientTimeout = ApplyTimeout + 5*time.Second
+	dialTimeout          = 3 * time.Second
+	maxReplyBytes        = 64 << 20
+)
+
+// Client calls the interface of one host. It is safe for concurrent use.
+type Client struct {
+	host string // ip:port
+	http *http.Client
+}
+
+// NewClient returns a client of the host at ip:port whose calls end after
+// timeout.
+func NewClient(host string, timeout time.Duration) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Client{host: host, http: &http.Client{
+		Timeout:   timeout,
+		Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout},
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		},
+	}}
+}
+
+// Announce sends an announcement.
+func (c *Client) Announce(ctx context.Context, a platform.Announcement) (platform.AnnounceReply, error) {
+	var reply platform.AnnounceReply
+	body, err := json.Marshal(a)
+	if err != nil {
+		return reply, err
+	}
+	err = c.call(ctx, http.MethodPost, PathAnnounce, body, &reply)
+	return reply, err
+}
+
+// Apply sends the text of a document. It may be sent again after a lost
+// answer: the reply is then Unchanged.
+func (c *Client) Apply(ctx context.Context, src []byte) (ApplyReply, error) {
+	var reply ApplyReply
+	err := c.call(ctx, http.MethodPost, PathDocuments, src, &reply)
+	return reply, err
+}
+
+// Status asks what the host knows of the system.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var reply Status
+	err := c.call(ctx, http.MethodGet, PathStatus, nil, &reply)
+	return reply, err
+}
+
+// Explain asks what the host would do with a request now.
+func (c *Client) Explain(ctx context.Context, q ExplainQuery) (Explanation, error) {
+	values := url.Values{"service": {q.Service}}
+	if q.Class != "" {
+		values.Set("class", q.Class)
+	}
+	if q.Key != "" {
+		values.Set("key", q.Key)
+	}
+	var reply Explanation
+	err := c.call(ctx, http.MethodGet, PathExplain+"?"+values.Encode(), nil, &reply)
+	return reply, err
+}
+
+// call sends one request and decodes its reply. The error is a *RemoteError
+// when the host answered one, and an *UnreachableError when no whole answer
+// came.
+func (c *Client) call(ctx context.Context, method, path string, body []byte, reply any) error {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.host+path, bytes.NewReader(body))
+	if err != nil {
+		return &UnreachableError{Host: c.host, Cause: err}
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return &UnreachableError{Host: c.host, Cause: err}
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err != nil {
+		return &UnreachableError{Host: c.host, Cause: err}
+	}
+	if resp.StatusCode != http.StatusOK {
+		return remoteError(resp.StatusCode, answer)
+	}
+	if err := json.Unmarshal(answer, reply); err != nil {
+		return &UnreachableError{Host: c.host, Cause: fmt.Errorf("the answer cannot be read: %w", err)}
+	}
+	return nil
+}
+
+// remoteError reads the error that a host answered.
+func remoteError(status int, answer []byte) error {
+	var reply ErrorReply
+	if err := json.Unmarshal(answer, &reply); err != nil || reply.Error.Kind == "" {
+		reply.Error = ErrorBody{Kind: "internal", Message: fmt.Sprintf("%.200q", answer), Effect: "unknown"}
+	}
+	return &RemoteError{Status: status, Body: reply.Error}
+}
--- /dev/null
+++ b/internal/api/handler.go
@@ -0,0 +1,220 @@
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+	"time"
+
+	"github.com/amaranthweir/amaranthweir/internal/config"
+	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/platform"
+)
+
+// Limits of one request.
+const (
+	// MaxAnnouncementBytes bounds the body of an announcement.
+	MaxAnnouncementBytes = 4 << 10
+	// AnnounceTimeout bounds the handling of an announcement.
+	AnnounceTimeout = 2 * time.Second
+	// ApplyTimeout bounds the handling of a document, agreement included.
+	ApplyTimeout = 10 * time.Second
+	// QueryTimeout bounds the handling of a status or an explanation.
+	QueryTimeout = 5 * time.Second
+)
+
+// Limits of the HTTP server.
+const (
+	readHeaderTimeout = 2 * time.Second
+	readTimeout       = 5 * time.Second
+	writeTimeout      = 20 * time.Second
+	idleTimeout       = 60 * time.Second
+	maxHeaderBytes    = 16 << 10
+)
+
+// Backend is what the handler asks of its host. Errors carry an errkind;
+// others are answered as internal. The methods are called concurrently and
+// return when the context ends.
+type Backend interface {
+	platform.Announcer
+	// Apply hands a checked document, with its text, to agreement. A conflict
+	// is a *ConflictError.
+	Apply(ctx context.Context, doc *config.Document, src []byte) (ApplyReply, error)
+	// Status returns what the host knows of the system.
+	Status(ctx context.Context) (Status, error)
+	// Explain returns what the host would do with a request now.
+	Explain(ctx context.Context, q ExplainQuery) (Explanation, error)
+	// Ready returns nil when the balancer may send callers here, and
+	// otherwise why not.
+	Ready(ctx context.Context) error
+}
+
+// NewServer returns a server for h with limits on the time and size of
+// requests. The caller sets the listener.
+func NewServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// NewHandler returns the handler of the interface. It serves metrics at
+// PathMetrics.
+func NewHandler(b Backend, metrics http.Handler) http.Handler {
+	h := &handler{backend: b}
+	mux := http.NewServeMux()
+	mux.Handle("POST "+PathAnnounce, endpoint(AnnounceTimeout, h.announce))
+	mux.Handle("POST "+PathDocuments, endpoint(ApplyTimeout, h.apply))
+	mux.Handle("GET "+PathStatus, endpoint(QueryTimeout, h.status))
+	mux.Handle("GET "+PathExplain, endpoint(QueryTimeout, h.explain))
+	mux.Handle("GET "+PathHealth, endpoint(QueryTimeout, h.health))
+	mux.HandleFunc("GET "+PathReady, h.ready)
+	mux.Handle("GET "+PathMetrics, metrics)
+	mux.HandleFunc("/", notFound)
+	return mux
+}
+
+type handler struct {
+	backend Backend
+}
+
+// endpoint turns a function that returns a reply or an error into a handler
+// whose context ends after the timeout.
+func endpoint(timeout time.Duration, serve func(w http.ResponseWriter, r *http.Request) (any, error)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), timeout)
+		defer cancel()
+		reply, err := serve(w, r.WithContext(ctx))
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		writeJSON(w, http.StatusOK, reply)
+	})
+}
+
+func (h *handler) announce(w http.ResponseWriter, r *http.Request) (any, error) {
+	body, err := readBody(w, r, MaxAnnouncementBytes)
+	if err != nil {
+		return nil, err
+	}
+	a, err := DecodeAnnouncement(body)
+	if err != nil {
+		return nil, err
+	}
+	return h.backend.Announce(r.Context(), a)
+}
+
+func (h *handler) apply(w http.ResponseWriter, r *http.Request) (any, error) {
+	body, err := readBody(w, r, config.MaxFileBytes)
+	if err != nil {
+		return nil, err
+	}
+	doc, err := config.ParseDocument("document", body)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.ConfigInvalid, "%v", firstLine(err))
+	}
+	return h.backend.Apply(r.Context(), doc, body)
+}
+
+func (h *handler) status(_ http.ResponseWriter, r *http.Request) (any, error) {
+	return h.backend.Status(r.Context())
+}
+
+func (h *handler) explain(_ http.ResponseWriter, r *http.Request) (any, error) {
+	q, err := parseExplainQuery(r.URL.RawQuery)
+	if err != nil {
+		return nil, err
+	}
+	return h.backend.Explain(r.Context(), q)
+}
+
+func (h *handler) health(http.ResponseWriter, *http.Request) (any, error) {
+	return Health{OK: true}, nil
+}
+
+// ready answers 503 to the balancer for every reason not to be ready.
+func (h *handler) ready(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), QueryTimeout)
+	defer cancel()
+	if err := h.backend.Ready(ctx); err != nil {
+		_, body := describe(err)
+		writeJSON(w, http.StatusServiceUnavailable, ErrorReply{Error: body})
+		return
+	}
+	writeJSON(w, http.StatusOK, Health{OK: true})
+}
+
+// parseExplainQuery reads the parameters of an explain request.
+func parseExplainQuery(raw string) (ExplainQuery, error) {
+	var q ExplainQuery
+	values, err := url.ParseQuery(raw)
+	if err != nil {
+		return q, errkind.Wrap(err, errkind.BadRequest, "query: %v", err)
+	}
+	for name, given := range values {
+		if !slices.Contains([]string{"service", "class", "key"}, name) {
+			return q, errkind.New(errkind.BadRequest, "query: unknown parameter %.80q, expected service, class, key", name)
+		}
+		if len(given) != 1 {
+			return q, errkind.New(errkind.BadRequest, "query: the parameter %s stands twice", name)
+		}
+	}
+	q = ExplainQuery{Service: values.Get("service"), Class: values.Get("class"), Key: values.Get("key")}
+	if q.Service == "" {
+		return q, errkind.New(errkind.BadRequest, "query: the parameter service is missing")
+	}
+	return q, nil
+}
+
+// readBody reads the whole body of a request.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, errkind.Wrap(err, errkind.TooLarge, "the body may have %d bytes", limit)
+	}
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.BadRequest, "reading the body: %v", err)
+	}
+	return body, nil
+}
+
+// firstLine returns the first problem of a document and how many follow; the
+// answer lists all of them.
+func firstLine(err error) string {
+	var p *config.Problems
+	if !errors.As(err, &p) || len(p.Items) == 0 {
+		return err.Error()
+	}
+	if len(p.Items) == 1 {
+		return p.Items[0].String()
+	}
+	return fmt.Sprintf("%s (and %d more)", p.Items[0], len(p.Items)-1)
+}
+
+func notFound(w http.ResponseWriter, r *http.Request) {
+	_, body := describe(errkind.New(errkind.BadRequest, "no such path or method: %s %.80s", r.Method, r.URL.Path))
+	writeJSON(w, http.StatusNotFound, ErrorReply{Error: body})
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	status, body := describe(err)
+	writeJSON(w, status, ErrorReply{Error: body})
+}
+
+// writeJSON writes a reply. A failure to write means that the peer is gone.
+func writeJSON(w http.ResponseWriter, status int, reply any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(reply)
+}
--- a/internal/config/scalar.go
+++ b/internal/config/scalar.go
@@ -14,7 +14,12 @@
 // called. It fits a PostgreSQL database name and a metric label.
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9_-]{0,61}[a-z0-9])?$`)
 
-const nameExpected = "1 to 63 lower-case letters, digits, '-' or '_'"
+// NameExpected describes a valid name in messages.
+const NameExpected = "1 to 63 lower-case letters, digits, '-' or '_'"
+
+// ValidName reports whether s may name a service, group, class, host,
+// instance or failure domain.
+func ValidName(s string) bool { return namePattern.MatchString(s) }
 
 // literal returns the value as a literal of one kind.
 func (n node) literal(kind hujson.Kind, expected string) (hujson.Literal, bool) {
@@ -37,12 +42,12 @@
 
 // name reads a name.
 func (n node) name() (string, bool) {
-	s, ok := n.str(nameExpected)
+	s, ok := n.str(NameExpected)
 	if !ok {
 		return "", false
 	}
-	if !namePattern.MatchString(s) {
-		n.problem("found %s, expected %s", n.text(), nameExpected)
+	if !ValidName(s) {
+		n.problem("found %s, expected %s", n.text(), NameExpected)
 		return "", false
 	}
 	return s, true
