Add the commands serve, check, apply, status, explain and version

Operators and scripts need one binary with exit codes they can rely on. The codes keep apart what a script does next: mend the file (3), fetch what is in force (4), try another host (5). apply checks the document here before it sends anything. A document and settings are told apart by their content, so that check takes one argument.

cli.Run takes the function that serves a host; until the host is wired, serve ends with an error that says so.

--- a/cmd/amaranthweir/main.go
+++ b/cmd/amaranthweir/main.go
@@ -2,11 +2,30 @@
 package main
 
 import (
+	"context"
+	"errors"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/amaranthweir/amaranthweir/internal/cli"
+	"github.com/amaranthweir/amaranthweir/internal/config"
 )
 
 func main() {
-	os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(run())
+}
+
+// run ends the context at the first SIGINT or SIGTERM; a second one ends the
+// process.
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	context.AfterFunc(ctx, stop)
+	return cli.Run(ctx, os.Args[1:], os.Stdout, os.Stderr, serve)
+}
+
+// serve runs a host.
+func serve(context.Context, *config.Settings) error {
+	return errors.New("serve: this build has no host")
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -1,16 +1,115 @@
-// Package cli is the command line of amaranthweir.
+// Package cli is the command line of amaranthweir: it serves a host, checks
+// files, and talks to the HTTP interface of a host.
 package cli
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"io"
+	"net/http"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/amaranthweir/amaranthweir/internal/api"
+	"github.com/amaranthweir/amaranthweir/internal/config"
 )
 
 // Version is the version of this build.
 const Version = "0.1.0"
 
-// Run executes one command line and returns the exit code.
-func Run(_ []string, out, _ io.Writer) int {
-	fmt.Fprintln(out, "amaranthweir", Version)
-	return 0
+// The exit codes, which scripts may rely on.
+const (
+	ExitOK          = 0
+	ExitFailed      = 1 // the command failed for a reason not listed below
+	ExitUsage       = 2 // the command line cannot be read
+	ExitInvalid     = 3 // the settings or the document are not valid
+	ExitConflict    = 4 // another document with this version is in force
+	ExitUnreachable = 5 // the host gave no answer
+)
+
+// ServeFunc runs a host until the context ends and returns once it has shut
+// down.
+type ServeFunc func(ctx context.Context, s *config.Settings) error
+
+// commands is the grammar of the command line.
+type commands struct {
+	Serve   serveCommand   `cmd:"" help:"Run a host. Its settings make it an entry host, and a control host too if they say so."`
+	Check   checkCommand   `cmd:"" help:"Check a settings file or a service document and print every problem with its place."`
+	Apply   applyCommand   `cmd:"" help:"Hand a service document to the system. Sending the same document again is safe."`
+	Status  statusCommand  `cmd:"" help:"Print what a host knows of the system: documents, hosts, groups, instances."`
+	Explain explainCommand `cmd:"" help:"Print what a host would do with a request now, and why."`
+	Version versionCommand `cmd:"" help:"Print the version of this build."`
+}
+
+const description = `A PostgreSQL proxy with session consistency.
+
+Exit codes: 0 done, 1 failed, 2 the command line cannot be read, 3 the file is not valid, 4 another document with this version is in force, 5 the host gave no answer.`
+
+// environment is what a command runs in.
+type environment struct {
+	ctx    context.Context
+	out    io.Writer
+	errOut io.Writer
+	serve  ServeFunc
+}
+
+// Run executes one command line and returns the exit code. The context ends
+// the command; for serve that means a graceful shutdown.
+func Run(ctx context.Context, args []string, out, errOut io.Writer, serve ServeFunc) int {
+	exited, exitCode := false, ExitOK
+	parser, err := kong.New(
+		&commands{},
+		kong.Name("amaranthweir"),
+		kong.Description(description),
+		kong.Writers(out, errOut),
+		kong.Exit(func(code int) { exited, exitCode = true, code }),
+	)
+	if err != nil {
+		fmt.Fprintln(errOut, "amaranthweir:", err)
+		return ExitFailed
+	}
+	command, err := parser.Parse(args)
+	if exited {
+		return exitCode
+	}
+	if err != nil {
+		fmt.Fprintf(errOut, "amaranthweir: %v\nSee amaranthweir --help.\n", err)
+		return ExitUsage
+	}
+	env := &environment{ctx: ctx, out: out, errOut: errOut, serve: serve}
+	if err := command.Run(env); err != nil {
+		report(errOut, err)
+		return exitCodeOf(err)
+	}
+	return ExitOK
+}
+
+// report prints an error. The problems of a file stand on lines of their own
+// that begin with their place.
+func report(errOut io.Writer, err error) {
+	if problems, ok := err.(*config.Problems); ok {
+		fmt.Fprintln(errOut, problems)
+		return
+	}
+	fmt.Fprintln(errOut, "amaranthweir:", err)
+}
+
+// exitCodeOf returns the exit code for an error of a command.
+func exitCodeOf(err error) int {
+	var problems *config.Problems
+	var remote *api.RemoteError
+	var unreachable *api.UnreachableError
+	switch {
+	case errors.As(err, &problems):
+		return ExitInvalid
+	case errors.As(err, &unreachable):
+		return ExitUnreachable
+	case errors.As(err, &remote) && remote.Status == http.StatusConflict:
+		return ExitConflict
+	case errors.As(err, &remote) && remote.Status == http.StatusUnprocessableEntity:
+		return ExitInvalid
+	default:
+		return ExitFailed
+	}
 }
--- /dev/null
+++ b/internal/cli/files.go
@@ -0,0 +1,154 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/amaranthweir/amaranthweir/internal/api"
+	"github.com/amaranthweir/amaranthweir/internal/config"
+)
+
+// serveCommand runs a host.
+type serveCommand struct {
+	Settings string `required:"" placeholder:"FILE" help:"The settings of the host, JSON with comments."`
+}
+
+// Run reads the settings and serves until the context ends.
+func (c *serveCommand) Run(env *environment) error {
+	src, err := os.ReadFile(c.Settings)
+	if err != nil {
+		return err
+	}
+	s, err := config.ParseSettings(c.Settings, src)
+	if err != nil {
+		return err
+	}
+	if s.DevelopmentKeys {
+		fmt.Fprintln(env.errOut, "amaranthweir: warning: no session_keys given, using the public development key")
+	}
+	return env.serve(env.ctx, s)
+}
+
+// checkCommand checks a file.
+type checkCommand struct {
+	File string `arg:"" help:"A settings file or a service document; told apart by content."`
+	outputFlag
+}
+
+// checkReply is the data that check prints.
+type checkReply struct {
+	File     string           `json:"file"`
+	Kind     string           `json:"kind"` // "document", "settings" or "unknown"
+	Valid    bool             `json:"valid"`
+	Service  string           `json:"service,omitempty"`
+	Version  uint64           `json:"version,omitempty"`
+	Digest   string           `json:"digest,omitempty"`
+	Host     string           `json:"host,omitempty"`
+	Problems []config.Problem `json:"problems"`
+}
+
+// Run checks the file and prints the result.
+func (c *checkCommand) Run(env *environment) error {
+	src, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	reply, err := check(c.File, src)
+	if c.Output == outputJSON {
+		if printErr := printJSON(env.out, reply); printErr != nil {
+			return printErr
+		}
+		return err
+	}
+	if err != nil {
+		return err
+	}
+	if reply.Kind == "document" {
+		fmt.Fprintf(env.out, "%s: valid document of service %s, version %d, digest %s\n",
+			c.File, reply.Service, reply.Version, reply.Digest)
+		return nil
+	}
+	fmt.Fprintf(env.out, "%s: valid settings of host %s\n", c.File, reply.Host)
+	return nil
+}
+
+// check parses the file by its content.
+func check(file string, src []byte) (checkReply, error) {
+	reply := checkReply{File: file, Problems: []config.Problem{}}
+	var err error
+	switch config.KindOf(src) {
+	case config.FileDocument:
+		reply.Kind = "document"
+		var doc *config.Document
+		if doc, err = config.ParseDocument(file, src); err == nil {
+			reply.Service, reply.Version, reply.Digest = doc.Service, doc.Version, config.DocumentDigest(src)
+		}
+	case config.FileSettings:
+		reply.Kind = "settings"
+		var s *config.Settings
+		if s, err = config.ParseSettings(file, src); err == nil {
+			reply.Host = string(s.Host)
+		}
+	default:
+		reply.Kind = "unknown"
+		err = config.UnknownKind(file, src)
+	}
+	var problems *config.Problems
+	if errors.As(err, &problems) {
+		reply.Problems = problems.Items
+	}
+	reply.Valid = err == nil
+	return reply, err
+}
+
+// applyCommand applies a document.
+type applyCommand struct {
+	File string `arg:"" help:"The service document, JSON with comments."`
+	hostFlags
+	outputFlag
+}
+
+// Run checks the document here, then sends it to the host.
+func (c *applyCommand) Run(env *environment) error {
+	src, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	if _, err := config.ParseDocument(c.File, src); err != nil {
+		return err
+	}
+	reply, err := c.client().Apply(env.ctx, src)
+	if err != nil {
+		return c.failed(env, err)
+	}
+	return c.print(env.out, reply, func() {
+		fmt.Fprintf(env.out, "%s: version %d %s, digest %s\n", reply.Service, reply.Version, reply.Result, reply.Digest)
+	})
+}
+
+// failed prints what the host answered as JSON where that was asked for.
+func (f outputFlag) failed(env *environment, err error) error {
+	var remote *api.RemoteError
+	if f.Output == outputJSON && errors.As(err, &remote) {
+		if printErr := printJSON(env.out, api.ErrorReply{Error: remote.Body}); printErr != nil {
+			return printErr
+		}
+	}
+	return explainRemote(err)
+}
+
+// explainRemote adds to an error what the operator needs to go on.
+func explainRemote(err error) error {
+	var remote *api.RemoteError
+	if !errors.As(err, &remote) {
+		return err
+	}
+	if v := remote.Body.InForce; v != nil {
+		return fmt.Errorf("%w; in force is version %d, digest %s", err, v.Version, v.Digest)
+	}
+	if len(remote.Body.Problems) > 0 {
+		return fmt.Errorf("%w\n%w", err, &config.Problems{Items: remote.Body.Problems})
+	}
+	return err
+}
--- /dev/null
+++ b/internal/cli/queries.go
@@ -0,0 +1,161 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/amaranthweir/amaranthweir/internal/api"
+)
+
+// statusCommand prints the status of a host.
+type statusCommand struct {
+	hostFlags
+	outputFlag
+}
+
+// Run asks the host and prints its answer.
+func (c *statusCommand) Run(env *environment) error {
+	s, err := c.client().Status(env.ctx)
+	if err != nil {
+		return c.failed(env, err)
+	}
+	return c.print(env.out, s, func() { printStatus(env.out, s) })
+}
+
+// printStatus prints a status as tables.
+func printStatus(out io.Writer, s api.Status) {
+	fmt.Fprintf(out, "host %s in %s, ready %t, control leader %s, control revision %d\n",
+		s.Host, s.Domain, s.Ready, dash(s.Leader), s.ControlRevision)
+	t := newTable(out, "SERVICE", "VERSION", "DIGEST", "IN FORCE")
+	for _, d := range s.Documents {
+		t.row(d.Service, d.Version, shortDigest(d.Digest), inForce(d))
+	}
+	t.end()
+	t = newTable(out, "HOST", "FAILURE DOMAIN", "PEER ADDRESS", "STATE", "CONTROL", "DRAINING")
+	for _, h := range s.Hosts {
+		t.row(h.Host, h.Domain, h.PeerAddress, h.State, h.Control, h.Draining)
+	}
+	t.end()
+	t = newTable(out, "GROUP", "TERM", "PHASE", "PRIMARY", "WAITS FOR")
+	for _, g := range s.Groups {
+		t.row(g.Group, g.Term, g.Phase, dash(g.Primary), dash(g.WaitsFor))
+	}
+	t.end()
+	t = newTable(out, "INSTANCE", "GROUP", "FAILURE DOMAIN", "ROLE", "TERM", "POSITION", "OWNER", "EPOCH", "LEAVING", "AGE")
+	for _, i := range s.Instances {
+		age := time.Duration(i.AgeMillis) * time.Millisecond
+		t.row(i.Instance, i.Group, i.Domain, i.Role, i.Term, i.Position, dash(i.Owner), i.Epoch, i.Leaving, age)
+	}
+	t.end()
+}
+
+// inForce counts the hosts that have the agreed version and names the others.
+func inForce(d api.DocumentStatus) string {
+	var behind []string
+	for _, h := range d.InForce {
+		if h.Version != d.Version {
+			behind = append(behind, fmt.Sprintf("%s has %d", h.Host, h.Version))
+		}
+	}
+	text := fmt.Sprintf("%d of %d hosts", len(d.InForce)-len(behind), len(d.InForce))
+	if len(behind) > 0 {
+		text += "; " + strings.Join(behind, ", ")
+	}
+	return text
+}
+
+// explainCommand prints a decision.
+type explainCommand struct {
+	Service string `required:"" help:"The service, as callers name it."`
+	Class   string `help:"The class; without it, the default class of the document."`
+	Key     string `help:"The key that selects the group, where the class has more than one."`
+	hostFlags
+	outputFlag
+}
+
+// Run asks the host and prints its answer.
+func (c *explainCommand) Run(env *environment) error {
+	q := api.ExplainQuery{Service: c.Service, Class: c.Class, Key: c.Key}
+	e, err := c.client().Explain(env.ctx, q)
+	if err != nil {
+		return c.failed(env, err)
+	}
+	return c.print(env.out, e, func() { printExplanation(env.out, e) })
+}
+
+// printExplanation prints a decision and the candidates considered.
+func printExplanation(out io.Writer, e api.Explanation) {
+	fmt.Fprintf(out, "service %s, class %s (%s %s), key %s, group %s\n",
+		e.Service, e.Class, e.Rank, e.Access, dash(e.Key), dash(e.Group))
+	if e.Chosen == "" {
+		fmt.Fprintf(out, "refused with %s: %s\n", dash(e.Refusal), e.Reason)
+	} else {
+		fmt.Fprintf(out, "goes to %s, owned by %s: %s\n", e.Chosen, dash(e.Owner), e.Reason)
+	}
+	t := newTable(out, "CANDIDATE", "OWNER", "ROLE", "TERM", "POSITION", "PROVEN AGE", "USABLE", "REASON")
+	for _, c := range e.Candidates {
+		age := "-"
+		if c.ProvenAgeMillis != nil {
+			age = (time.Duration(*c.ProvenAgeMillis) * time.Millisecond).String()
+		}
+		t.row(c.Instance, dash(c.Owner), c.Role, c.Term, c.Position, age, c.Usable, c.Reason)
+	}
+	t.end()
+}
+
+// versionCommand prints the version.
+type versionCommand struct {
+	outputFlag
+}
+
+// versionReply is the data that version prints.
+type versionReply struct {
+	Version string `json:"version"`
+	Go      string `json:"go"`
+}
+
+// Run prints the version of this build.
+func (c *versionCommand) Run(env *environment) error {
+	v := versionReply{Version: Version, Go: runtime.Version()}
+	return c.print(env.out, v, func() { fmt.Fprintln(env.out, "amaranthweir", v.Version, v.Go) })
+}
+
+// textTable prints rows in columns.
+type textTable struct{ w *tabwriter.Writer }
+
+// newTable starts a table after an empty line.
+func newTable(out io.Writer, heads ...string) textTable {
+	const padding = 2
+	t := textTable{w: tabwriter.NewWriter(out, 0, 0, padding, ' ', 0)}
+	fmt.Fprintln(t.w)
+	fmt.Fprintln(t.w, strings.Join(heads, "\t"))
+	return t
+}
+
+func (t textTable) row(cells ...any) {
+	texts := make([]string, len(cells))
+	for i, c := range cells {
+		texts[i] = fmt.Sprint(c)
+	}
+	fmt.Fprintln(t.w, strings.Join(texts, "\t"))
+}
+
+func (t textTable) end() { _ = t.w.Flush() }
+
+// dash stands for an empty cell.
+func dash[T ~string](s T) string {
+	if s == "" {
+		return "-"
+	}
+	return string(s)
+}
+
+// shortDigest returns the first digits of a digest.
+func shortDigest(s string) string {
+	const shown = 12
+	return s[:min(shown, len(s))]
+}
--- a/internal/config/kind.go
+++ b/internal/config/kind.go
@@ -34,3 +34,13 @@
 	}
 	return FileUnknown
 }
+
+// UnknownKind returns the problem of a file that is neither a document nor
+// settings: its syntax error, or that it names no service and no host.
+func UnknownKind(name string, src []byte) error {
+	r := &reader{name: name, src: src}
+	if root, ok := r.parseRoot(); ok {
+		root.problem("found neither \"service\" (a service document) nor \"host\" (settings)")
+	}
+	return r.err()
+}
