--- /dev/null
+++ b/internal/system/failover/promote.go
@@ -0,0 +1,214 @@
+package failover
+
+import (
+	"time"
+
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
+
+// promote decides on a group whose term has begun and whose candidate is not
+// known to be promoted. Every step rests on the agreed state and on reports,
+// so that a new leader continues where the old one stopped.
+func (s *System) promote(now time.Duration, g *group) WaitReason {
+	c := g.member(g.agreed.Candidate)
+	if start, ok := g.promotedAt(c); ok {
+		s.proposePrimary(now, g, start)
+		return WaitCommit
+	}
+	if !s.ownerFenced(now, g) {
+		return WaitOwnerRelease
+	}
+	s.readPositions(now, g)
+	if !s.findFloor(now, g, c) {
+		return WaitPositions
+	}
+	if g.safe(c) && c.failedIn != g.agreed.Term {
+		return s.orderPromotion(now, g, c)
+	}
+	return s.replace(now, g, c)
+}
+
+// promotedAt returns the position at which the term began if the candidate is
+// already promoted in it.
+func (g *group) promotedAt(c *member) (table.Position, bool) {
+	if g.promotion.done && g.promotion.term == g.agreed.Term {
+		return g.promotion.start, true
+	}
+	r := c.report
+	if c.reachable() && r.Role == table.RolePrimary && r.Mark.Term == g.agreed.Term {
+		return r.TermStart, true
+	}
+	return 0, false
+}
+
+// ownerFenced reports whether the owner of the old primary can acknowledge no
+// further write: it has seen the term, its lease ran out, or there is none.
+func (s *System) ownerFenced(now time.Duration, g *group) bool {
+	if g.fenced {
+		return true
+	}
+	p := g.primary()
+	if p != nil && p.owner != "" {
+		released := p.reported && p.report.SeenTerm >= g.agreed.Term
+		if !released && !s.leases.Expired(now, p.owner) {
+			s.tell(now, p.owner, Order{
+				Kind: OrderTerm, Group: g.name(), Instance: p.inst.ID,
+				Address: p.inst.Address, Term: g.agreed.Term,
+			})
+			return false
+		}
+		g.ackedKnown = released && p.report.AckedKnown
+		g.acked = p.report.Acked
+	}
+	g.fenced = true
+	g.fencedAt = now
+	return true
+}
+
+// readPositions asks for the positions that were not read after the fence.
+func (s *System) readPositions(now time.Duration, g *group) {
+	for _, id := range g.order {
+		if m := g.members[id]; !m.readSince(g.fencedAt) {
+			s.tellProbe(now, m)
+		}
+	}
+}
+
+// findFloor looks for a position at or above every acknowledged write. A write
+// is acknowledged once the primary and one replica hold it, so it is held by
+// one of any size-1 instances read after the fence. Fewer are enough where the
+// released owner stated its highest acknowledged position.
+func (s *System) findFloor(now time.Duration, g *group, c *member) bool {
+	if g.floorKnown {
+		return true
+	}
+	if g.plannedSafe(c) {
+		g.setFloor(g.planned.mark)
+		return true
+	}
+	read := 0
+	var top table.Mark
+	for _, id := range g.order {
+		m := g.members[id]
+		if !m.readSince(g.fencedAt) {
+			continue
+		}
+		read++
+		if top.Less(m.readMark) {
+			top = m.readMark
+		}
+	}
+	switch {
+	case read >= max(1, g.size()-1):
+		g.setFloor(top)
+	case g.ackedKnown && now >= g.fencedAt+s.cfg.ReadBound:
+		g.setFloor(g.acked)
+	}
+	return g.floorKnown
+}
+
+func (g *group) setFloor(m table.Mark) {
+	g.floorKnown = true
+	g.floor = m
+}
+
+// safe reports whether the instance holds every acknowledged write.
+func (g *group) safe(m *member) bool {
+	if !m.reachable() || m.report.Mark.Less(g.floor) {
+		return false
+	}
+	return m.readSince(g.fencedAt) || g.plannedSafe(m)
+}
+
+// orderPromotion has the candidate promoted and gives it up when that takes
+// too long.
+func (s *System) orderPromotion(now time.Duration, g *group, c *member) WaitReason {
+	pr := &g.promotion
+	if pr.term != g.agreed.Term {
+		*pr = promotion{term: g.agreed.Term, firstAt: now}
+	}
+	if now >= pr.firstAt+s.cfg.PromoteBound {
+		c.failedIn = g.agreed.Term
+		return s.replace(now, g, c)
+	}
+	if pr.sent && now < pr.lastAt+s.cfg.PromoteRetry {
+		return WaitPromotion
+	}
+	pr.sent, pr.lastAt = true, now
+	s.act(Promote{
+		Group: g.name(), Instance: c.inst.ID, Address: c.inst.Address, Term: g.agreed.Term, Owner: c.owner,
+	})
+	return WaitPromotion
+}
+
+// replace agrees on a further term with another candidate, because c is out of
+// reach, lacks acknowledged writes or could not be promoted.
+func (s *System) replace(now time.Duration, g *group, c *member) WaitReason {
+	if !c.readSince(g.fencedAt) && c.failedIn != g.agreed.Term && now < g.fencedAt+s.cfg.ReadBound {
+		return WaitPositions
+	}
+	other := g.best(func(m *member) bool {
+		return m != c && g.safe(m) && !s.leases.Late(now, m.owner)
+	})
+	if other == nil && g.safe(c) {
+		return s.retry(now, g, c)
+	}
+	if other == nil {
+		g.lowerFloor()
+		return WaitSafeReplica
+	}
+	s.proposeTerm(now, g, g.nextTerm(), other.inst.ID)
+	return WaitCommit
+}
+
+// retry goes on with the only safe candidate: in a further term if it knows a
+// higher one, or else in the same.
+func (s *System) retry(now time.Duration, g *group, c *member) WaitReason {
+	if g.minTerm > g.agreed.Term {
+		s.proposeTerm(now, g, g.nextTerm(), c.inst.ID)
+		return WaitCommit
+	}
+	c.failedIn = 0
+	g.promotion = promotion{}
+	return WaitPromotion
+}
+
+// lowerFloor accepts what the released owner stated where no instance within
+// reach holds the most advanced position that was read.
+func (g *group) lowerFloor() {
+	if g.ackedKnown && g.acked.Less(g.floor) {
+		g.floor = g.acked
+	}
+}
+
+// fenceOld fences instances that still serve as primary of an older term, and
+// reports whether one of them has not answered.
+func (s *System) fenceOld(now time.Duration, g *group) bool {
+	pending := false
+	for _, id := range g.order {
+		m := g.members[id]
+		if !s.needsFence(now, g, m) {
+			continue
+		}
+		pending = true
+		if m.fenceSent && now < m.fenceAt+s.cfg.FenceRetry {
+			continue
+		}
+		m.fenceSent, m.fenceAt = true, now
+		s.act(Fence{
+			Group: g.name(), Instance: id, Address: m.inst.Address,
+			Term: g.agreed.Term, Epoch: m.epoch, Owner: m.owner,
+		})
+	}
+	return pending
+}
+
+func (s *System) needsFence(now time.Duration, g *group, m *member) bool {
+	id := m.inst.ID
+	current := id == g.agreed.Candidate || g.agreed.Phase == table.PhaseStable && id == g.agreed.Primary
+	if !g.known || current || m.role() != table.RolePrimary || m.mark().Term >= g.agreed.Term {
+		return false
+	}
+	alive := m.reachable() || m.announced && now < m.inst.SeenAt+s.cfg.AnnounceSilence
+	return alive && m.fencedTerm < g.agreed.Term
+}
--- a/internal/system/lease/lease_test.go
+++ b/internal/system/lease/lease_test.go
@@ -91,104 +91,107 @@
 	}
 }
 
-func TestNeverValidAndExpired(t *testing.T) {
-	type row struct {
-		name      string
-		events    [][]event
-		validAt   []time.Duration // true moments at which the lease must be usable
-		expiredAt []time.Duration // true moments at which it must count as expired
-	}
-	rows := []row{
-		{
-			"prompt answers",
-			[][]event{beat(1, false, 0, ms, 2*ms), beat(2, false, 150*ms, 151*ms, 152*ms)},
-			[]time.Duration{5 * ms, 900 * ms},
-			[]time.Duration{1250 * ms},
-		},
-		{
-			"answer delayed",
-			[][]event{beat(1, false, 0, ms, 900*ms)},
-			[]time.Duration{920 * ms},
-			[]time.Duration{1100 * ms},
-		},
-		{"answer later than the lease", [][]event{beat(1, false, 0, ms, 1500*ms)}, nil, []time.Duration{1500 * ms}},
-		{
-			"answer duplicated",
-			[][]event{beat(1, false, 0, ms, 2*ms, 600*ms, 1800*ms)},
-			[]time.Duration{900 * ms},
-			[]time.Duration{1100 * ms},
-		},
-		{
-			"answers reordered",
-			[][]event{beat(1, false, 0, ms, 800*ms), beat(2, false, 500*ms, 501*ms, 502*ms)},
-			[]time.Duration{1400 * ms},
-			[]time.Duration{1700 * ms},
-		},
-		{
-			"heartbeat delayed on its way",
-			[][]event{beat(1, false, 0, 950*ms, 951*ms)},
-			[]time.Duration{955 * ms},
-			[]time.Duration{2100 * ms},
-		},
-		{
-			"holder frozen past its lease",
-			[][]event{beat(1, false, 0, ms, 2*ms), beat(2, false, 150*ms, 151*ms, 3*time.Second)},
-			[]time.Duration{100 * ms},
-			[]time.Duration{1300 * ms, 3 * time.Second},
-		},
-		{
-			"leader changes",
-			[][]event{beat(1, false, 0, ms, 2*ms), lead(10 * ms)},
-			[]time.Duration{900 * ms},
-			[]time.Duration{1150 * ms},
-		},
-		{
-			"leader changes, renewed by the second",
-			[][]event{
-				beat(1, false, 0, ms, 2*ms), lead(10 * ms), beat(2, true, 500*ms, 510*ms, 520*ms),
-			},
-			[]time.Duration{1400 * ms},
-			[]time.Duration{1700 * ms},
-		},
-		{
-			"answer of the first leader after the change",
-			[][]event{beat(1, false, 0, 5*ms, 700*ms), lead(6 * ms)},
-			[]time.Duration{900 * ms},
-			[]time.Duration{1150 * ms},
-		},
-		{
-			"released",
-			[][]event{beat(1, false, 0, ms, 2*ms), release(2, 100*ms, 120*ms)},
-			[]time.Duration{50 * ms},
-			[]time.Duration{121 * ms},
+// schedule is a row of TestNeverValidAndExpired.
+type schedule struct {
+	name      string
+	events    [][]event
+	validAt   []time.Duration // true moments at which the lease must be usable
+	expiredAt []time.Duration // true moments at which it must count as expired
+}
+
+var schedules = []schedule{
+	{
+		"prompt answers",
+		[][]event{beat(1, false, 0, ms, 2*ms), beat(2, false, 150*ms, 151*ms, 152*ms)},
+		[]time.Duration{5 * ms, 900 * ms},
+		[]time.Duration{1250 * ms},
+	},
+	{
+		"answer delayed",
+		[][]event{beat(1, false, 0, ms, 900*ms)},
+		[]time.Duration{920 * ms},
+		[]time.Duration{1100 * ms},
+	},
+	{"answer later than the lease", [][]event{beat(1, false, 0, ms, 1500*ms)}, nil, []time.Duration{1500 * ms}},
+	{
+		"answer duplicated",
+		[][]event{beat(1, false, 0, ms, 2*ms, 600*ms, 1800*ms)},
+		[]time.Duration{900 * ms},
+		[]time.Duration{1100 * ms},
+	},
+	{
+		"answers reordered",
+		[][]event{beat(1, false, 0, ms, 800*ms), beat(2, false, 500*ms, 501*ms, 502*ms)},
+		[]time.Duration{1400 * ms},
+		[]time.Duration{1700 * ms},
+	},
+	{
+		"heartbeat delayed on its way",
+		[][]event{beat(1, false, 0, 950*ms, 951*ms)},
+		[]time.Duration{955 * ms},
+		[]time.Duration{2100 * ms},
+	},
+	{
+		"holder frozen past its lease",
+		[][]event{beat(1, false, 0, ms, 2*ms), beat(2, false, 150*ms, 151*ms, 3*time.Second)},
+		[]time.Duration{100 * ms},
+		[]time.Duration{1300 * ms, 3 * time.Second},
+	},
+	{
+		"leader changes",
+		[][]event{beat(1, false, 0, ms, 2*ms), lead(10 * ms)},
+		[]time.Duration{900 * ms},
+		[]time.Duration{1150 * ms},
+	},
+	{
+		"leader changes, renewed by the second",
+		[][]event{
+			beat(1, false, 0, ms, 2*ms), lead(10 * ms), beat(2, true, 500*ms, 510*ms, 520*ms),
 		},
-		{
-			"answer of before the release arrives after it",
-			[][]event{
-				beat(1, false, 0, ms, 2*ms), beat(2, false, 90*ms, 95*ms, 140*ms), release(3, 100*ms, 120*ms),
-			},
-			[]time.Duration{50 * ms},
-			[]time.Duration{150 * ms},
+		[]time.Duration{1400 * ms},
+		[]time.Duration{1700 * ms},
+	},
+	{
+		"answer of the first leader after the change",
+		[][]event{beat(1, false, 0, 5*ms, 700*ms), lead(6 * ms)},
+		[]time.Duration{900 * ms},
+		[]time.Duration{1150 * ms},
+	},
+	{
+		"released",
+		[][]event{beat(1, false, 0, ms, 2*ms), release(2, 100*ms, 120*ms)},
+		[]time.Duration{50 * ms},
+		[]time.Duration{121 * ms},
+	},
+	{
+		"answer of before the release arrives after it",
+		[][]event{
+			beat(1, false, 0, ms, 2*ms), beat(2, false, 90*ms, 95*ms, 140*ms), release(3, 100*ms, 120*ms),
 		},
-		{
-			"release overtaken by a later heartbeat",
-			[][]event{
-				beat(1, false, 0, ms, 2*ms), release(2, 100*ms, 400*ms), beat(3, false, 200*ms, 210*ms, 220*ms),
-			},
-			[]time.Duration{500 * ms, 1100 * ms},
-			[]time.Duration{1500 * ms},
+		[]time.Duration{50 * ms},
+		[]time.Duration{150 * ms},
+	},
+	{
+		"release overtaken by a later heartbeat",
+		[][]event{
+			beat(1, false, 0, ms, 2*ms), release(2, 100*ms, 400*ms), beat(3, false, 200*ms, 210*ms, 220*ms),
 		},
-		{
-			"heartbeat of before the release arrives after it",
-			[][]event{
-				beat(1, false, 0, ms, 2*ms), release(3, 100*ms, 110*ms), beat(2, false, 90*ms, 300*ms, 310*ms),
-			},
-			nil,
-			[]time.Duration{320 * ms},
+		[]time.Duration{500 * ms, 1100 * ms},
+		[]time.Duration{1500 * ms},
+	},
+	{
+		"heartbeat of before the release arrives after it",
+		[][]event{
+			beat(1, false, 0, ms, 2*ms), release(3, 100*ms, 110*ms), beat(2, false, 90*ms, 300*ms, 310*ms),
 		},
-	}
+		nil,
+		[]time.Duration{320 * ms},
+	},
+}
+
+func TestNeverValidAndExpired(t *testing.T) {
 	rates := []float64{1, MaxClockRatio, 1 / MaxClockRatio}
-	for _, r := range rows {
+	for _, r := range schedules {
 		for _, ratio := range rates {
 			t.Run(fmt.Sprintf("%s at ratio %.3f", r.name, ratio), func(t *testing.T) {
 				p := newPair(1, ratio)
@@ -232,11 +235,11 @@
 }
 
 func TestRandomSchedules(t *testing.T) {
-	const seed, schedules = 4101, 400
+	const seed, runs = 4101, 400
 	t.Logf("seed %d", seed)
 	rng := rand.New(rand.NewPCG(seed, 1))
 	delay := func() time.Duration { return time.Duration(rng.IntN(600)) * ms }
-	for range schedules {
+	for range runs {
 		ratio := 1/MaxClockRatio + rng.Float64()*(MaxClockRatio-1/MaxClockRatio)
 		p := newPair(1, ratio)
 		change := time.Duration(rng.IntN(2500)) * ms
