--- /dev/null
+++ b/internal/gateway/explain.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"github.com/amaranthweir/amaranthweir/internal/config"
+	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/system/routing"
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
+
+// Explanation is what the gateway would do with a request of a new session.
+type Explanation struct {
+	Class      *config.Class
+	Group      table.GroupName
+	Decision   routing.Decision
+	Candidates []routing.Candidate
+}
+
+// Explain routes a request without running it.
+func (g *Gateway) Explain(service, class, key string) (*Explanation, error) {
+	doc := g.cfg.Directory.Document(service)
+	if doc == nil {
+		return nil, errkind.New(errkind.UnknownClass, "no document for the service %q is in force", service)
+	}
+	c, err := findClass(doc, class)
+	if err != nil {
+		return nil, err
+	}
+	group, err := chooseGroup(c, key)
+	if err != nil {
+		return nil, err
+	}
+	view := g.cfg.Directory.Groups().Lookup(group)
+	now := g.cfg.Clock()
+	x := &Explanation{Class: c, Group: group}
+	x.Decision = routing.Choose(now, &routing.Query{
+		Access:    c.Access,
+		Staleness: c.Staleness,
+		Deadline:  now + c.Deadline,
+		Rank:      c.Rank,
+		Home:      g.cfg.Domain,
+	}, view)
+	if view != nil {
+		x.Candidates = view.Candidates
+	}
+	return x, nil
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/amaranthweir/amaranthweir/internal/config"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/request"
+	"github.com/amaranthweir/amaranthweir/internal/session"
 	"github.com/amaranthweir/amaranthweir/internal/system/routing"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
@@ -56,7 +57,8 @@
 	Domain      table.Domain
 	Directory   Directory
 	Observer    Observer
-	Tokens      Tokens
+	// Keys sign and read session tokens.
+	Keys *session.Keyring
 	Log         logrus.FieldLogger
 	// Clock returns the moment on the clock of the decision systems.
 	Clock func() time.Duration
@@ -89,7 +91,7 @@
 			Incarnation: g.cfg.Incarnation,
 			Number:      g.sessions.Add(1),
 		},
-		token: g.cfg.Tokens.New(service),
+		token: session.NewToken(service),
 	}, nil
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -97,7 +97,7 @@
 func (r *run) findFloor(ctx context.Context, q *request.Request) error {
 	s := r.session
 	if group, ok := s.gateway.cfg.Directory.History(q.Group); ok {
-		if err := s.gateway.cfg.Tokens.CheckLost(s.token, group); err != nil {
+		if err := s.token.CheckLost(q.Group, &group); err != nil {
 			return err
 		}
 	}
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -6,6 +6,7 @@
 	"github.com/amaranthweir/amaranthweir/internal/config"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/request"
+	"github.com/amaranthweir/amaranthweir/internal/session"
 	"github.com/amaranthweir/amaranthweir/internal/statement"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
@@ -13,25 +14,6 @@
 // maxSettings bounds the SET statements that are kept for one session.
 const maxSettings = 50
 
-// Token remembers how far a session has seen the history of each group.
-type Token interface {
-	// Floor returns the mark that the session must not read behind.
-	Floor(group table.GroupName) (table.Mark, bool)
-	// Raise moves the floor of a group up to m.
-	Raise(group table.GroupName, m table.Mark)
-	// Encode returns the token for the caller.
-	Encode() string
-}
-
-// Tokens makes and reads session tokens.
-type Tokens interface {
-	New(service string) Token
-	Decode(service, text string) (Token, error)
-	// CheckLost returns an error when the token holds writes of the group
-	// that were lost with an old term.
-	CheckLost(t Token, group table.Group) error
-}
-
 // Session is one caller connection. It is used by one goroutine at a time.
 type Session struct {
 	gateway *Gateway
@@ -39,7 +21,7 @@
 	service string
 	caller  string
 	class   string
-	token   Token
+	token   *session.Token
 	given   bool // the token came from the caller, or the floor of a group was asked for
 	// Key selects the group of requests that name none.
 	Key string
@@ -76,7 +58,7 @@
 	if s.tx != nil {
 		return errkind.New(errkind.NotSupported, "a session token inside a transaction")
 	}
-	t, err := s.gateway.cfg.Tokens.Decode(s.service, text)
+	t, err := s.gateway.cfg.Keys.Decode(s.service, text)
 	if err != nil {
 		return err
 	}
@@ -98,7 +80,7 @@
 }
 
 // Token returns the session's token in its present state.
-func (s *Session) Token() string { return s.token.Encode() }
+func (s *Session) Token() string { return s.gateway.cfg.Keys.Encode(s.token) }
 
 // ResetSettings forgets the settings that a RESET or DISCARD statement names.
 func (s *Session) ResetSettings(sql string) {
--- /dev/null
+++ b/internal/host/act.go
@@ -0,0 +1,193 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/amaranthweir/amaranthweir/internal/control"
+	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/peer"
+	"github.com/amaranthweir/amaranthweir/internal/platform"
+	"github.com/amaranthweir/amaranthweir/internal/system/failover"
+	"github.com/amaranthweir/amaranthweir/internal/system/ownership"
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
+
+// nudgeTimeout bounds the call that makes a host send a heartbeat at once.
+const nudgeTimeout = 200 * time.Millisecond
+
+// announced takes an announcement that reached the leader.
+func (l *leader) announced(now time.Duration, a platform.Announcement) {
+	in := instanceOf(a)
+	in.SeenAt = now
+	l.failover.Announced(in)
+	l.ownership.Announced(in)
+	old, known := l.instances[in.ID]
+	if !known {
+		if o, owned := l.fed.Owners[in.ID]; owned {
+			l.failover.SetOwner(in.Group, o)
+		}
+	}
+	l.instances[in.ID] = in
+	// What changes with each announcement does not go out to all hosts.
+	old.Mark, old.SeenAt = in.Mark, in.SeenAt
+	if !known || old != in {
+		l.log.WithFields(logrus.Fields{
+			"instance": in.ID, "group": in.Group, "role": in.Role.String(), "term": in.Mark.Term,
+			"address": in.Address, "leaving": in.Leaving,
+		}).Info("instance announced")
+		l.changed()
+	}
+}
+
+func instanceOf(a platform.Announcement) table.Instance {
+	in := table.Instance{
+		ID:          a.Instance,
+		Group:       a.Group,
+		Address:     a.Address,
+		Domain:      a.Domain,
+		Mark:        table.Mark{Term: a.Term, Position: a.Position},
+		Slots:       a.Slots,
+		Connections: a.Connections,
+		Leaving:     a.Leaving,
+	}
+	if a.Role == table.RolePrimary.String() {
+		in.Role = table.RolePrimary
+	}
+	return in
+}
+
+// actFailover carries out one decision on a primary.
+func (l *leader) actFailover(now time.Duration, action failover.Action) {
+	switch a := action.(type) {
+	case failover.Propose:
+		l.propose(a.Command)
+	case failover.Promote:
+		l.log.WithFields(logrus.Fields{"group": a.Group, "instance": a.Instance, "term": a.Term}).Info("promote")
+		go l.promote(a)
+	case failover.Fence:
+		go l.fence(a)
+	case failover.TellOwner:
+		go l.nudge(a.Host)
+	case failover.MoveOwner:
+		l.log.WithFields(logrus.Fields{"instance": a.Instance, "from": a.From, "to": a.To}).Info("move owner")
+		l.ownership.Move(now, a.Instance, a.From, a.To)
+	case failover.Wait:
+		l.log.WithFields(logrus.Fields{"group": a.Group, "waits_for": a.Reason.String()}).Info("change of primary")
+		l.waits[a.Group] = a.Reason.String()
+		if a.Reason == failover.WaitNothing {
+			delete(l.waits, a.Group)
+		}
+	}
+}
+
+// actOwnership carries out one decision on owners.
+func (l *leader) actOwnership(action ownership.Action) {
+	switch a := action.(type) {
+	case ownership.Propose:
+		if a.Command.AssignOwners != nil {
+			for _, o := range a.Command.AssignOwners.Ownerships {
+				l.log.WithFields(logrus.Fields{"instance": o.Instance, "owner": o.Host, "epoch": o.Epoch}).Info("place")
+			}
+		}
+		l.propose(a.Command)
+	case ownership.HandOver:
+		go l.nudge(a.Host)
+	case ownership.DomainCut:
+		l.log.WithFields(logrus.Fields{"failure_domain": a.Domain, "cut": a.Lost}).Warn("failure domain")
+	}
+}
+
+// propose hands a command to the replicated log. Its effect comes back through
+// the view; a command that got lost is proposed again by its system.
+func (l *leader) propose(c control.Command) {
+	parent := l.ctx
+	go func() {
+		ctx, stop := context.WithTimeout(parent, proposeTimeout)
+		defer stop()
+		res, err := l.server.Propose(ctx, c)
+		if err == nil {
+			err = res.Err()
+		}
+		if err != nil {
+			l.log.WithError(err).Info("command refused")
+		}
+		l.soon()
+	}()
+}
+
+func (l *leader) promote(a failover.Promote) {
+	ctx, stop := context.WithTimeout(l.ctx, l.host.timing.PromoteBound)
+	defer stop()
+	st, err := l.host.platform.Promote(ctx, a.Address, a.Term)
+	if err != nil {
+		l.log.WithError(err).WithField("instance", a.Instance).Warn("promotion failed")
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.host.clock()
+	l.failover.Promoted(now, failover.PromoteResult{
+		Group: a.Group, Instance: a.Instance, Term: a.Term, OK: err == nil, Status: st,
+	})
+	l.step(now)
+}
+
+func (l *leader) fence(a failover.Fence) {
+	ctx, stop := context.WithTimeout(l.ctx, l.host.timing.FenceRetry)
+	defer stop()
+	if err := l.host.platform.Fence(ctx, a.Address, a.Term, a.Epoch); err != nil {
+		return // ordered again until it succeeds
+	}
+	l.log.WithFields(logrus.Fields{"instance": a.Instance, "term": a.Term}).Info("fenced")
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failover.Fenced(a.Instance, a.Term)
+}
+
+// nudge makes a host send a heartbeat at once, so that it hears of its orders.
+func (l *leader) nudge(id table.HostID) {
+	l.mu.Lock()
+	h, ok := l.hosts[id]
+	l.mu.Unlock()
+	if !ok {
+		return
+	}
+	ctx, stop := context.WithTimeout(l.ctx, nudgeTimeout)
+	defer stop()
+	_ = peer.Call(ctx, h.PeerAddress, methodNudge, struct{}{}, &struct{}{})
+}
+
+// apply hands a document to the replicated log.
+func (l *leader) apply(ctx context.Context, in *applyRequest) (applyReply, error) {
+	res, err := l.server.Propose(ctx, control.Command{PutDocument: &control.PutDocument{
+		Service: in.Service,
+		Version: in.Version,
+		Digest:  in.Digest,
+		Body:    in.Body,
+	}})
+	if err != nil {
+		return applyReply{}, err
+	}
+	if res.Document == nil {
+		return applyReply{}, errors.Join(res.Err(), errkind.New(errkind.Internal, "no document in the answer"))
+	}
+	return applyReply{
+		Accepted: res.Refusal == control.Accepted,
+		Revision: res.Revision,
+		Version:  res.Document.Version,
+		Digest:   res.Document.Digest,
+	}, nil
+}
+
+// switchOver begins a planned change of primary.
+func (l *leader) switchOver(group table.GroupName, to table.InstanceID) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.leading {
+		return errkind.New(errkind.NotLeader, "")
+	}
+	return l.failover.SwitchOver(group, to)
+}
--- /dev/null
+++ b/internal/host/backend.go
@@ -0,0 +1,236 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/amaranthweir/amaranthweir/internal/api"
+	"github.com/amaranthweir/amaranthweir/internal/config"
+	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/gateway"
+	"github.com/amaranthweir/amaranthweir/internal/peer"
+	"github.com/amaranthweir/amaranthweir/internal/platform"
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
+
+// backend implements api.Backend on a host.
+type backend struct {
+	host *Host
+}
+
+// Announce implements api.Backend.
+func (b *backend) Announce(_ context.Context, a platform.Announcement) (platform.AnnounceReply, error) {
+	reply := platform.AnnounceReply{IntervalMillis: platform.AnnounceInterval.Milliseconds()}
+	err := b.checkAnnouncement(a)
+	b.host.metrics.Announced(err)
+	if err != nil {
+		b.host.log.WithError(err).WithField("instance", a.Instance).Warn("announcement refused")
+		return platform.AnnounceReply{}, err
+	}
+	b.host.beats.announce(a)
+	return reply, nil
+}
+
+// checkAnnouncement refuses what contradicts the agreed state. An old primary
+// is passed on all the same, for the leader fences it.
+func (b *backend) checkAnnouncement(a platform.Announcement) error {
+	if !b.host.dir.groupInForce(a.Group) {
+		return errkind.New(errkind.BadRequest, "no document in force has the group %s", a.Group)
+	}
+	for _, in := range b.host.dir.currentTables().Instances {
+		if in.ID == a.Instance && in.Group != a.Group {
+			return errkind.New(errkind.BadRequest, "instance %s belongs to the group %s", a.Instance, in.Group)
+		}
+	}
+	g, ok := b.host.dir.History(a.Group)
+	if ok && a.Role == table.RolePrimary.String() && a.Term < g.Term {
+		b.host.beats.announce(a)
+		return errkind.New(errkind.BadRequest, "term %d of %s is over, %d is agreed", a.Term, a.Group, g.Term)
+	}
+	return nil
+}
+
+// groupInForce reports whether a document in force names the group.
+func (d *directory) groupInForce(group table.GroupName) bool {
+	for _, doc := range *d.documents.Load() {
+		for _, g := range doc.Groups {
+			if g.Name == group {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Apply implements api.Backend. Any host takes a document; the leader puts it
+// into the replicated log.
+func (b *backend) Apply(ctx context.Context, doc *config.Document, src []byte) (api.ApplyReply, error) {
+	digest, err := config.DocumentDigest(src)
+	if err != nil {
+		return api.ApplyReply{}, err
+	}
+	before := b.host.dir.view.Load().Documents[doc.Service].Version
+	in := applyRequest{Service: doc.Service, Version: doc.Version, Digest: digest, Body: src}
+	var out applyReply
+	if err := b.host.askLeader(ctx, methodApply, in, &out); err != nil {
+		return api.ApplyReply{}, err
+	}
+	inForce := api.DocumentVersion{Version: out.Version, Digest: out.Digest}
+	b.host.log.WithFields(logrus.Fields{
+		"service": doc.Service, "version": doc.Version, "digest": digest, "accepted": out.Accepted,
+	}).Info("audit: apply")
+	if !out.Accepted {
+		return api.ApplyReply{}, api.NewConflict(doc.Service, inForce)
+	}
+	result := api.Accepted
+	if before >= doc.Version {
+		result = api.Unchanged
+	}
+	return api.ApplyReply{Service: doc.Service, DocumentVersion: inForce, Result: result}, nil
+}
+
+// askLeader does a control call at the leader. It tries until ctx ends while
+// no leader is known; a call whose answer got lost is sent again, so only
+// calls that may be repeated go this way.
+func (h *Host) askLeader(ctx context.Context, method string, in, out any) error {
+	var err error
+	for {
+		err = errkind.New(errkind.NotLeader, "no leader is known")
+		if address := h.beats.target(); address != "" {
+			err = peer.Call(ctx, address, method, in, out)
+		}
+		if err == nil || !errkind.Of(err).Kind.Answer().Repeat {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(leaderPause):
+		}
+	}
+}
+
+// leaderPause is the pause before the leader is asked again.
+const leaderPause = 50 * time.Millisecond
+
+// takeApply answers methodApply.
+func (h *Host) takeApply(ctx context.Context, body []byte) (any, error) {
+	var in applyRequest
+	if err := json.Unmarshal(body, &in); err != nil {
+		return nil, badMessage(err)
+	}
+	if h.leader == nil {
+		return nil, errkind.New(errkind.NotLeader, "not a control host")
+	}
+	return h.leader.apply(ctx, &in)
+}
+
+// takeNudge answers methodNudge.
+func (h *Host) takeNudge(context.Context, []byte) (any, error) {
+	h.beats.soon()
+	return struct{}{}, nil
+}
+
+// Status implements api.Backend.
+func (b *backend) Status(ctx context.Context) (api.Status, error) {
+	h := b.host
+	view := h.dir.view.Load()
+	st := api.Status{
+		Host:            h.settings.Host,
+		Domain:          h.settings.Domain,
+		Ready:           b.Ready(),
+		ControlRevision: view.Revision,
+	}
+	var report leaderReport
+	ctx, stop := context.WithTimeout(ctx, time.Second)
+	defer stop()
+	if err := h.askLeader(ctx, methodStatus, struct{}{}, &report); err != nil {
+		h.log.WithError(err).Info("status without the leader")
+	}
+	st.Leader = report.Leader
+	t := h.dir.currentTables()
+	for _, in := range t.Hosts {
+		st.Hosts = append(st.Hosts, api.HostStatus{
+			Host: in.ID, Domain: in.Domain, PeerAddress: in.PeerAddress,
+			State: api.StateName(in.State), Control: in.Control, Draining: in.Draining,
+		})
+	}
+	slices.SortFunc(st.Hosts, func(a, b api.HostStatus) int { return strings.Compare(string(a.Host), string(b.Host)) })
+	st.Documents = documentStatus(view.Documents, report.Versions)
+	for _, g := range view.Groups {
+		st.Groups = append(st.Groups, api.GroupStatus{
+			Group: g.Name, Term: g.Term, Phase: api.PhaseName(g.Phase), Primary: g.Primary,
+			Candidate: g.Candidate, WaitsFor: report.Waits[g.Name],
+		})
+	}
+	slices.SortFunc(st.Groups, func(a, b api.GroupStatus) int { return strings.Compare(string(a.Group), string(b.Group)) })
+	for _, in := range t.Instances {
+		o := view.Owners[in.ID]
+		st.Instances = append(st.Instances, api.InstanceStatus{
+			Instance: in.ID, Group: in.Group, Domain: in.Domain, Address: in.Address, Role: in.Role.String(),
+			Term: in.Mark.Term, Position: in.Mark.Position, Slots: in.Slots, Connections: in.Connections,
+			Leaving: in.Leaving, Owner: o.Host, Epoch: o.Epoch, AgeMillis: report.Ages[in.ID].Milliseconds(),
+		})
+	}
+	slices.SortFunc(st.Instances, func(a, b api.InstanceStatus) int { return strings.Compare(string(a.Instance), string(b.Instance)) })
+	return st, nil
+}
+
+// Explain implements api.Backend.
+func (b *backend) Explain(_ context.Context, q api.ExplainQuery) (api.Explanation, error) {
+	x, err := b.host.gateway.Explain(q.Service, q.Class, q.Key)
+	if err != nil {
+		return api.Explanation{}, err
+	}
+	return explanation(q, x), nil
+}
+
+func explanation(q api.ExplainQuery, x *gateway.Explanation) api.Explanation {
+	access := "read"
+	if x.Class.Access == config.AccessWrite {
+		access = "write"
+	}
+	out := api.Explanation{
+		Service: q.Service,
+		Class:   x.Class.Name,
+		Key:     q.Key,
+		Rank:    x.Class.Rank.String(),
+		Access:  access,
+		Group:   x.Group,
+		Chosen:  x.Decision.Instance,
+		Owner:   x.Decision.Owner,
+		Reason:  x.Decision.Reason.String(),
+	}
+	if x.Decision.Refused() {
+		out.Refusal = x.Decision.Refuse.String()
+	}
+	for _, c := range x.Candidates {
+		candidate := api.Candidate{
+			Instance: c.Instance, Owner: c.Owner, Role: c.Role.String(),
+			Term: c.Hint.Mark.Term, Position: c.Hint.Mark.Position,
+			Usable: c.Owner != "" && !c.Leaving, Reason: "",
+		}
+		if c.Hint.AgeKnown {
+			age := c.Hint.Age.Milliseconds()
+			candidate.ProvenAgeMillis = &age
+		}
+		out.Candidates = append(out.Candidates, candidate)
+	}
+	return out
+}
+
+// Ready implements api.Backend: the balancer may send callers once this host
+// has caught up with the control state, and until it shuts down.
+func (b *backend) Ready() bool {
+	select {
+	case <-b.host.stopping:
+		return false
+	default:
+	}
+	return b.host.beats.caughtUp()
+}
--- /dev/null
+++ b/internal/host/directory.go
@@ -0,0 +1,259 @@
+package host
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/amaranthweir/amaranthweir/internal/config"
+	"github.com/amaranthweir/amaranthweir/internal/control"
+	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/peer"
+	"github.com/amaranthweir/amaranthweir/internal/request"
+	"github.com/amaranthweir/amaranthweir/internal/system/lease"
+	"github.com/amaranthweir/amaranthweir/internal/system/routing"
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
+
+// directory is what a host knows of the deployment: the agreed control state,
+// the tables that the leader hands out, and its own lease. Readers on the
+// statement path take no lock for documents and groups.
+type directory struct {
+	self  table.HostID
+	clock func() time.Duration
+	log   logrus.FieldLogger
+	peers peer.Timing
+
+	groups    routing.Table
+	view      atomic.Pointer[control.View]
+	documents atomic.Pointer[map[string]*config.Document]
+	local     request.Executor
+
+	mu      sync.Mutex // guards what follows, and each change of the above
+	holder  lease.Holder
+	tables  tables
+	remotes map[table.HostID]*remote
+	changed chan struct{}
+}
+
+// remote is the way to another host.
+type remote struct {
+	address  string
+	executor *peer.Remote
+}
+
+func newDirectory(self table.HostID, clock func() time.Duration, log logrus.FieldLogger) *directory {
+	d := &directory{
+		self:    self,
+		clock:   clock,
+		log:     log,
+		peers:   peer.DefaultTiming(),
+		remotes: map[table.HostID]*remote{},
+		changed: make(chan struct{}),
+	}
+	d.view.Store(control.NewView())
+	d.documents.Store(&map[string]*config.Document{})
+	return d
+}
+
+// Document implements gateway.Directory.
+func (d *directory) Document(service string) *config.Document {
+	return (*d.documents.Load())[service]
+}
+
+// Groups implements gateway.Directory.
+func (d *directory) Groups() *routing.Table { return &d.groups }
+
+// History implements gateway.Directory.
+func (d *directory) History(group table.GroupName) (table.Group, bool) {
+	g, ok := d.view.Load().Groups[group]
+	return g, ok
+}
+
+// Executor implements gateway.Directory.
+func (d *directory) Executor(host table.HostID) (request.Executor, bool) {
+	if host == d.self {
+		return d.local, true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r, ok := d.remotes[host]
+	if !ok {
+		return nil, false
+	}
+	return r.executor, true
+}
+
+// Changed implements gateway.Directory.
+func (d *directory) Changed() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.changed
+}
+
+// Term implements owner.Authority.
+func (d *directory) Term(group table.GroupName, instance table.InstanceID) (table.Term, bool) {
+	g, ok := d.view.Load().Groups[group]
+	if !ok {
+		return 0, false
+	}
+	return g.Term, g.Phase == table.PhaseStable && g.Primary == instance
+}
+
+// MayAcknowledge implements owner.Authority: the lease of this host is valid,
+// this host owns the instance, and the instance is the primary of term.
+func (d *directory) MayAcknowledge(group table.GroupName, instance table.InstanceID, term table.Term) error {
+	agreed, primary := d.Term(group, instance)
+	if !primary || agreed != term {
+		return errkind.New(errkind.NoPrimary, "term %d of %s is over or not yet served, %d is agreed", term, group, agreed)
+	}
+	if o := d.view.Load().Owners[instance]; o.Host != d.self {
+		return errkind.New(errkind.NoOwner, "%s is owned by %s", instance, o.Host)
+	}
+	if !d.leaseValid() {
+		return errkind.New(errkind.NoPrimary, "the lease of this host ran out")
+	}
+	return nil
+}
+
+func (d *directory) leaseValid() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.holder.Valid(d.clock())
+}
+
+// renewed takes a lease that was asked for at sentAt. The control state that
+// came with it has been applied.
+func (d *directory) renewed(sentAt, duration time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.holder.Renewed(sentAt, duration)
+}
+
+// releaseLease gives the lease up: nothing is acknowledged from now on.
+func (d *directory) releaseLease() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.holder.Release(d.clock())
+}
+
+// setView takes a later control state. An older one is ignored.
+func (d *directory) setView(v *control.View) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.view.Load()
+	if v.Revision <= old.Revision {
+		return
+	}
+	d.documents.Store(parseDocuments(d.log, *d.documents.Load(), old, v))
+	d.view.Store(v)
+	d.rebuild()
+}
+
+// parseDocuments reads the documents that changed. They were checked before
+// they were agreed; one that cannot be read keeps its last version.
+func parseDocuments(log logrus.FieldLogger, known map[string]*config.Document, old, next *control.View) *map[string]*config.Document {
+	parsed := make(map[string]*config.Document, len(next.Documents))
+	for service, doc := range next.Documents {
+		parsed[service] = known[service]
+		if old.Documents[service].Version == doc.Version && parsed[service] != nil {
+			continue
+		}
+		d, err := config.ParseDocument(service, doc.Body)
+		if err != nil {
+			log.WithError(err).WithField("service", service).Error("a document in force cannot be read")
+			continue
+		}
+		parsed[service] = d
+		log.WithFields(logrus.Fields{"service": service, "version": doc.Version, "digest": doc.Digest}).Info("document in force")
+	}
+	return &parsed
+}
+
+// setTables takes the tables of the leader.
+func (d *directory) setTables(t tables) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.tables = t
+	d.dialNew()
+	d.rebuild()
+}
+
+func (d *directory) currentTables() tables {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.tables
+}
+
+// dialNew keeps a way to each host in the tables.
+func (d *directory) dialNew() {
+	seen := map[table.HostID]bool{}
+	for _, h := range d.tables.Hosts {
+		if h.ID == d.self {
+			continue
+		}
+		seen[h.ID] = true
+		r := d.remotes[h.ID]
+		if r != nil && r.address == h.PeerAddress {
+			continue
+		}
+		if r != nil {
+			r.executor.Close()
+		}
+		d.remotes[h.ID] = &remote{address: h.PeerAddress, executor: peer.NewRemote(h.PeerAddress, d.peers)}
+	}
+	for id, r := range d.remotes {
+		if !seen[id] {
+			r.executor.Close()
+			delete(d.remotes, id)
+		}
+	}
+}
+
+// rebuild publishes the group views that routing reads, and wakes who waits
+// for a change.
+func (d *directory) rebuild() {
+	view := d.view.Load()
+	states := make(map[table.HostID]table.HostState, len(d.tables.Hosts))
+	for _, h := range d.tables.Hosts {
+		states[h.ID] = h.State
+	}
+	members := map[table.GroupName][]table.Instance{}
+	for _, in := range d.tables.Instances {
+		members[in.Group] = append(members[in.Group], in)
+	}
+	for name, instances := range members {
+		next := groupView(view, states, name, instances)
+		d.groups.Update(name, func(old *routing.GroupView) *routing.GroupView {
+			return old.Rebuild(next)
+		})
+	}
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+func groupView(view *control.View, states map[table.HostID]table.HostState, name table.GroupName, instances []table.Instance) *routing.GroupView {
+	agreed := view.Groups[name]
+	v := &routing.GroupView{Name: name, Term: agreed.Term}
+	if agreed.Phase == table.PhaseStable {
+		v.Primary = agreed.Primary
+	}
+	for _, in := range instances {
+		role := table.RoleReplica
+		if in.ID == v.Primary {
+			role = table.RolePrimary
+		}
+		owner := view.Owners[in.ID].Host
+		v.Candidates = append(v.Candidates, routing.Candidate{
+			Instance:   in.ID,
+			Owner:      owner,
+			Domain:     in.Domain,
+			Role:       role,
+			Leaving:    in.Leaving,
+			OwnerState: states[owner],
+		})
+	}
+	return v
+}
--- /dev/null
+++ b/internal/host/host.go
@@ -0,0 +1,246 @@
+// Package host puts the parts of one host together: listeners, the owner of
+// instances, links to other hosts, heartbeats, and on a control host the
+// agreement and the decisions of the leader.
+package host
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/amaranthweir/amaranthweir/internal/api"
+	"github.com/amaranthweir/amaranthweir/internal/config"
+	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/gateway"
+	"github.com/amaranthweir/amaranthweir/internal/metrics"
+	"github.com/amaranthweir/amaranthweir/internal/owner"
+	"github.com/amaranthweir/amaranthweir/internal/peer"
+	"github.com/amaranthweir/amaranthweir/internal/pg"
+	"github.com/amaranthweir/amaranthweir/internal/platform/pgplatform"
+	"github.com/amaranthweir/amaranthweir/internal/session"
+	"github.com/amaranthweir/amaranthweir/internal/system/failover"
+)
+
+// Host is one running host.
+type Host struct {
+	settings    *config.Settings
+	timing      failover.Config
+	incarnation uint64
+	started     time.Time
+	log         *logrus.Logger
+	metrics     *metrics.Metrics
+	dir         *directory
+	platform    *pgplatform.Platform
+	owner       *owner.Owner
+	gateway     *gateway.Gateway
+	callers     *pg.Listener
+	beats       *beats
+	leader      *leader // nil on a host that is no control host
+	stopping    chan struct{}
+	reconciling sync.Mutex
+
+	callerSocket net.Listener
+	peerSocket   net.Listener
+	httpSocket   net.Listener
+}
+
+// New makes a host and binds its addresses. Run serves them.
+func New(s *config.Settings) (*Host, error) {
+	log, err := newLog(s)
+	if err != nil {
+		return nil, err
+	}
+	h := &Host{
+		settings:    s,
+		timing:      failover.DefaultConfig(),
+		incarnation: uint64(time.Now().UnixNano()),
+		started:     time.Now(),
+		log:         log,
+		metrics:     metrics.New(),
+		stopping:    make(chan struct{}),
+	}
+	if err := h.timing.Validate(); err != nil {
+		return nil, err
+	}
+	if h.platform, err = pgplatform.New(pgplatform.DefaultConfig()); err != nil {
+		return nil, eris.Wrap(err, "platform")
+	}
+	h.dir = newDirectory(s.Host, h.clock, log)
+	if err := h.build(); err != nil {
+		return nil, err
+	}
+	return h, h.bind()
+}
+
+// clock is the monotonic clock of this process.
+func (h *Host) clock() time.Duration { return time.Since(h.started) }
+
+// build makes the parts that serve requests.
+func (h *Host) build() error {
+	secrets, err := session.ParseKeys(h.settings.SessionKeys)
+	if err != nil {
+		return eris.Wrap(err, "session keys")
+	}
+	keys, err := session.NewKeyring(secrets)
+	if err != nil {
+		return eris.Wrap(err, "session keys")
+	}
+	h.gateway = gateway.New(gateway.Config{
+		Host:        h.settings.Host,
+		Incarnation: h.incarnation,
+		Domain:      h.settings.Domain,
+		Directory:   h.dir,
+		Observer:    h.metrics,
+		Keys:        keys,
+		Log:         h.log,
+		Clock:       h.clock,
+	})
+	h.owner = owner.New(owner.Config{
+		Authority: h.dir,
+		Peers:     h.gateway,
+		Prober:    h.platform,
+		Fencer:    h.platform,
+		Stamp:     func() failover.Stamp { return h.beats.latestStamp() },
+		Changed:   func() { h.beats.soon() },
+		Log:       h.log,
+		User:      "amaranthweir",
+		Database:  "postgres",
+		Timing:    owner.DefaultTiming(),
+	})
+	h.dir.local = h.owner
+	tlsConfig, err := loadTLS(h.settings)
+	if err != nil {
+		return err
+	}
+	h.callers = pg.NewListener(pg.Config{
+		Gateway:         h.gateway,
+		TLS:             tlsConfig,
+		Log:             h.log,
+		MaxCallers:      h.settings.MaxCallers,
+		MaxMessageBytes: h.settings.MaxMessageBytes,
+		Counters:        h.metrics,
+	})
+	h.beats = newBeats(h)
+	if h.settings.Control != nil {
+		if h.leader, err = newLeader(h); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func loadTLS(s *config.Settings) (*tls.Config, error) {
+	if s.TLSCertificate == "" {
+		return nil, nil
+	}
+	pair, err := tls.LoadX509KeyPair(s.TLSCertificate, s.TLSKey)
+	if err != nil {
+		return nil, eris.Wrap(err, "certificate for callers")
+	}
+	return &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12}, nil
+}
+
+// bind opens the sockets, so that an address in use is known at once.
+func (h *Host) bind() error {
+	var err error
+	if h.peerSocket, err = net.Listen("tcp", h.settings.PeerAddress); err != nil {
+		return eris.Wrap(err, "peer address")
+	}
+	if h.httpSocket, err = net.Listen("tcp", h.settings.HTTPAddress); err != nil {
+		return eris.Wrap(err, "HTTP address")
+	}
+	if h.callerSocket, err = net.Listen("tcp", h.settings.CallerAddress); err != nil {
+		return eris.Wrap(err, "caller address")
+	}
+	return nil
+}
+
+// Run serves until ctx ends, then shuts down gracefully.
+func (h *Host) Run(ctx context.Context) error {
+	h.log.WithFields(logrus.Fields{
+		"host": h.settings.Host, "failure_domain": h.settings.Domain, "control": h.leader != nil,
+		"callers": h.settings.CallerAddress, "tls": h.settings.TLSCertificate != "",
+	}).Info("host started")
+	// The parts outlive ctx: they are needed until the shutdown is over.
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, inner := errgroup.WithContext(inner)
+	group.Go(func() error { return h.servePeers(inner) })
+	group.Go(func() error { return h.serveHTTP(inner) })
+	group.Go(func() error { return h.callers.Serve(inner, h.callerSocket) })
+	group.Go(func() error { return h.beats.run(inner) })
+	if h.leader != nil {
+		group.Go(func() error { return h.leader.run(inner) })
+	}
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			h.shutdown(inner)
+			stop()
+			return nil
+		case <-inner.Done():
+			return nil
+		}
+	})
+	err := group.Wait()
+	h.platform.Close()
+	h.log.WithError(err).Info("host stopped")
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func (h *Host) servePeers(ctx context.Context) error {
+	s := &peer.Server{Owner: h.owner, Log: h.log, Methods: map[string]peer.Method{}}
+	s.Methods[methodHeartbeat] = h.takeHeartbeat
+	s.Methods[methodApply] = h.takeApply
+	s.Methods[methodNudge] = h.takeNudge
+	s.Methods[methodStatus] = h.takeStatus
+	if h.leader != nil {
+		s.Deliver = h.leader.server.Receive
+	}
+	if err := s.Serve(ctx, h.peerSocket); err != nil && ctx.Err() == nil {
+		return fmt.Errorf("peers: %w", err)
+	}
+	return nil
+}
+
+func (h *Host) serveHTTP(ctx context.Context) error {
+	handler := api.NewHandler(&backend{host: h}, promhttp.HandlerFor(h.metrics.Registry(), promhttp.HandlerOpts{}))
+	srv := api.NewServer(handler)
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	if err := srv.Serve(h.httpSocket); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("http: %w", err)
+	}
+	return nil
+}
+
+func badMessage(err error) error {
+	return errkind.Wrap(err, errkind.BadRequest, "%v", err)
+}
+
+func newLog(s *config.Settings) (*logrus.Logger, error) {
+	level, err := logrus.ParseLevel(s.LogLevel)
+	if err != nil {
+		return nil, eris.Wrap(err, "log level")
+	}
+	log := logrus.New()
+	log.SetOutput(os.Stderr)
+	log.SetLevel(level)
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	return log, nil
+}
+
--- /dev/null
+++ b/internal/host/leader.go
@@ -0,0 +1,352 @@
+package host
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/amaranthweir/amaranthweir/internal/control"
+	"github.com/amaranthweir/amaranthweir/internal/peer"
+	"github.com/amaranthweir/amaranthweir/internal/system/failover"
+	"github.com/amaranthweir/amaranthweir/internal/system/lease"
+	"github.com/amaranthweir/amaranthweir/internal/system/ownership"
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
+
+// proposeTimeout bounds one command of the leader's systems.
+const proposeTimeout = 2 * time.Second
+
+// leader is the control part of a control host: the agreement, and while this
+// host leads, the systems that decide on owners and primaries. One lock guards
+// the systems; what takes time runs outside of it and comes back as an input.
+type leader struct {
+	host      *Host
+	log       logrus.FieldLogger
+	server    *control.Server
+	sender    *lateTransport
+	addresses map[table.HostID]string
+	wake      chan struct{}
+
+	mu        sync.Mutex
+	leading   bool
+	grantor   *lease.Grantor
+	failover  *failover.System
+	ownership *ownership.System
+	fed       *control.View // the control state that the systems have
+	hosts     map[table.HostID]table.Host
+	instances map[table.InstanceID]table.Instance
+	versions  map[table.HostID]map[string]uint64
+	waits     map[table.GroupName]string
+	version   tablesVersion
+	ctx       context.Context
+}
+
+// lateTransport is a transport that is set once the host runs.
+type lateTransport struct {
+	mu     sync.Mutex
+	sender *peer.Sender
+}
+
+// Send implements control.Transport.
+func (t *lateTransport) Send(to table.HostID, msg []byte) {
+	t.mu.Lock()
+	s := t.sender
+	t.mu.Unlock()
+	if s != nil {
+		s.Send(to, msg)
+	}
+}
+
+func newLeader(h *Host) (*leader, error) {
+	l := &leader{
+		host:      h,
+		log:       h.log,
+		sender:    &lateTransport{},
+		addresses: map[table.HostID]string{},
+		wake:      make(chan struct{}, 1),
+		grantor:   lease.NewGrantor(h.timing.Lease),
+		ownership: ownership.New(ownership.DefaultConfig()),
+		fed:       control.NewView(),
+		hosts:     map[table.HostID]table.Host{},
+		instances: map[table.InstanceID]table.Instance{},
+		versions:  map[table.HostID]map[string]uint64{},
+		waits:     map[table.GroupName]string{},
+	}
+	l.failover = failover.New(h.timing, l.grantor)
+	var voters []table.HostID
+	for _, v := range h.settings.Control.Voters {
+		voters = append(voters, v.Host)
+		l.addresses[v.Host] = v.PeerAddress
+	}
+	server, err := control.NewServer(control.ServerConfig{
+		Host:       h.settings.Host,
+		DataFolder: h.settings.Control.DataFolder,
+		Voters:     voters,
+		Transport:  l.sender,
+		Log:        h.log,
+	})
+	l.server = server
+	return l, err
+}
+
+// address returns the peer address of a control host.
+func (l *leader) address(id table.HostID) string { return l.addresses[id] }
+
+// run takes part in the agreement and decides while this host leads.
+func (l *leader) run(ctx context.Context) error {
+	others := maps.Clone(l.addresses)
+	delete(others, l.host.settings.Host)
+	l.mu.Lock()
+	l.ctx = ctx
+	l.mu.Unlock()
+	l.sender.mu.Lock()
+	l.sender.sender = peer.NewSender(ctx, others, l.host.dir.peers)
+	l.sender.mu.Unlock()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return l.server.Run(ctx) })
+	group.Go(func() error { return l.host.followControl(ctx, l.server) })
+	group.Go(func() error { return l.decide(ctx) })
+	return group.Wait()
+}
+
+// decide runs the systems at intervals and after each change.
+func (l *leader) decide(ctx context.Context) error {
+	tick := time.NewTicker(l.host.timing.HurryInterval)
+	defer tick.Stop()
+	for {
+		changed := l.server.Changed()
+		l.mu.Lock()
+		l.step(l.host.clock())
+		l.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		case <-changed:
+		case <-l.wake:
+		}
+	}
+}
+
+// soon asks for a step at once.
+func (l *leader) soon() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// step brings the systems up to date and carries out what they decide.
+func (l *leader) step(now time.Duration) {
+	if !l.refresh(now) {
+		return
+	}
+	for _, c := range l.grantor.Sweep(now) {
+		l.leaseChanged(now, c)
+	}
+	for _, a := range l.failover.Step(now) {
+		l.actFailover(now, a)
+	}
+	for _, a := range l.ownership.Step(now) {
+		l.actOwnership(a)
+	}
+}
+
+// refresh notes whether this host leads at now and feeds the systems with the
+// agreed state. It reports whether it leads.
+func (l *leader) refresh(now time.Duration) bool {
+	_, self, valid := l.server.Leader()
+	if !self || !valid || !l.server.CaughtUp() {
+		if l.leading && !self {
+			l.stepDown()
+		}
+		return false
+	}
+	until := now + 1 // the lease was valid just now; nothing later is claimed
+	if !l.leading {
+		l.lead(now, until)
+	}
+	l.grantor.Extend(until)
+	l.feed(now, l.server.View())
+	return true
+}
+
+func (l *leader) stepDown() {
+	l.leading = false
+	l.grantor.StepDown()
+	l.failover.StepDown()
+	l.ownership.StepDown()
+	l.log.Info("leadership ended")
+}
+
+// lead begins a time in office. The tables start from what this host knew as a
+// follower, so that no host loses sight of the others.
+func (l *leader) lead(now, until time.Duration) {
+	l.leading = true
+	number := uint64(time.Now().UnixNano())
+	l.version = tablesVersion{Leadership: number}
+	t := l.host.dir.currentTables()
+	l.hosts = map[table.HostID]table.Host{}
+	for _, h := range t.Hosts {
+		l.hosts[h.ID] = h
+	}
+	l.instances = map[table.InstanceID]table.Instance{}
+	for _, in := range t.Instances {
+		l.instances[in.ID] = in
+	}
+	view := l.server.View()
+	owners := map[table.HostID]struct{}{}
+	for _, o := range view.Owners {
+		owners[o.Host] = struct{}{}
+	}
+	l.feed(now, view)
+	l.grantor.Lead(now, until, slices.Collect(maps.Keys(owners)))
+	l.failover.Lead(now, number)
+	l.ownership.Lead(now)
+	l.changed()
+	l.log.WithField("revision", view.Revision).Info("leadership begins")
+}
+
+// feed gives the systems what changed in the agreed state.
+func (l *leader) feed(now time.Duration, view *control.View) {
+	if view == l.fed {
+		return
+	}
+	old := l.fed
+	l.fed = view
+	for _, g := range view.Groups {
+		if old.Groups[g.Name] != g {
+			l.failover.SetGroup(g)
+		}
+	}
+	for id, o := range view.Owners {
+		if old.Owners[id] == o {
+			continue
+		}
+		l.ownership.Assigned(now, o)
+		if in, ok := l.instances[id]; ok {
+			l.failover.SetOwner(in.Group, o)
+		}
+	}
+	for service, doc := range view.Documents {
+		if old.Documents[service].Version != doc.Version {
+			l.expect(service)
+		}
+	}
+}
+
+// expect tells how large the groups of a service are when whole.
+func (l *leader) expect(service string) {
+	docs := parseDocuments(l.log, nil, control.NewView(), l.fed)
+	doc := (*docs)[service]
+	if doc == nil {
+		return
+	}
+	for _, g := range doc.Groups {
+		l.failover.Expect(g.Name, g.Instances)
+	}
+}
+
+// leaseChanged takes a host that became late or lost its lease.
+func (l *leader) leaseChanged(now time.Duration, c lease.Change) {
+	l.log.WithFields(logrus.Fields{"host": c.Host, "expired": c.State == lease.Expired}).Warn("heartbeats are missing")
+	l.ownership.LeaseChanged(now, c.Host, c.State)
+	l.failover.LeaseChanged(c.Host)
+	h, ok := l.hosts[c.Host]
+	if !ok {
+		return
+	}
+	h.State = table.HostSuspect
+	if c.State == lease.Expired {
+		h.State = table.HostDead
+		l.failover.RemoveHost(c.Host)
+	}
+	l.hosts[c.Host] = h
+	l.changed()
+}
+
+// changed makes the tables go out with the next answers to heartbeats.
+func (l *leader) changed() { l.version.Number++ }
+
+// heartbeat takes the heartbeat of a host and answers it.
+func (l *leader) heartbeat(hb *heartbeat) heartbeatReply {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.host.clock()
+	if !l.refresh(now) {
+		id, _, _ := l.server.Leader()
+		return heartbeatReply{Leader: l.address(id)}
+	}
+	var reply heartbeatReply
+	beat := lease.Beat{Incarnation: hb.Incarnation, Sequence: hb.Sequence}
+	if hb.Release {
+		l.grantor.Release(hb.Host, beat)
+	} else if !l.ownership.Barred(hb.Host) {
+		if d, ok := l.grantor.Grant(now, hb.Host, beat); ok {
+			reply.Lease = d
+			l.hostSeen(now, hb)
+		}
+	}
+	for _, a := range hb.Announcements {
+		l.announced(now, a)
+	}
+	l.failover.Reported(now, hb.Host, hb.Reports)
+	for _, r := range hb.Released {
+		l.ownership.Released(hb.Host, r.Instance, r.Epoch)
+	}
+	l.step(now)
+	l.answer(now, hb, &reply)
+	return reply
+}
+
+// answer fills in what the host does not have yet.
+func (l *leader) answer(now time.Duration, hb *heartbeat, reply *heartbeatReply) {
+	reply.Stamp = l.failover.Stamp(now)
+	reply.Orders = l.failover.Orders(hb.Host)
+	reply.HandOvers = l.ownership.HandOvers(hb.Host)
+	l.versions[hb.Host] = hb.Documents
+	if hb.Revision < l.fed.Revision {
+		delta, err := l.fed.EncodeDelta(hb.Revision)
+		if err != nil {
+			l.log.WithError(err).Error("encoding the control state")
+			reply.Lease = 0
+			return
+		}
+		reply.Control = delta
+	}
+	if hb.Tables != l.version {
+		reply.Tables = l.tables()
+	}
+}
+
+func (l *leader) tables() *tables {
+	return &tables{
+		Version:   l.version,
+		Hosts:     slices.Collect(maps.Values(l.hosts)),
+		Instances: slices.Collect(maps.Values(l.instances)),
+	}
+}
+
+func (l *leader) hostSeen(now time.Duration, hb *heartbeat) {
+	next := table.Host{
+		ID:          hb.Host,
+		Domain:      hb.Domain,
+		PeerAddress: hb.PeerAddress,
+		Incarnation: hb.Incarnation,
+		State:       table.HostAlive,
+		Control:     hb.Control,
+		Draining:    hb.Draining,
+	}
+	l.ownership.HostSeen(now, next)
+	l.failover.AddHost(hb.Host)
+	if old, known := l.hosts[hb.Host]; known && old == next {
+		return
+	}
+	l.hosts[hb.Host] = next
+	l.changed()
+}
--- /dev/null
+++ b/internal/host/reconcile.go
@@ -0,0 +1,92 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
+
+const (
+	// drainBound is how long a graceful shutdown may take.
+	drainBound = 30 * time.Second
+	// notReadyPause gives the balancer time to see that this host is not
+	// ready before it refuses callers.
+	notReadyPause = 500 * time.Millisecond
+	// drainPoll is how often a shutdown looks whether the work has ended.
+	drainPoll = 20 * time.Millisecond
+)
+
+// reconcile makes the owned instances match the agreed state.
+func (h *Host) reconcile(ctx context.Context) {
+	h.reconciling.Lock()
+	defer h.reconciling.Unlock()
+	view := h.dir.view.Load()
+	for id, epoch := range h.owner.Owned() {
+		o := view.Owners[id]
+		if o.Host != h.settings.Host || o.Epoch != epoch {
+			h.log.WithFields(logrus.Fields{"instance": id, "epoch": epoch, "owner": o.Host}).Info("instance released")
+			h.owner.Release(id)
+		}
+	}
+	for _, in := range h.dir.currentTables().Instances {
+		o := view.Owners[in.ID]
+		if o.Host != h.settings.Host || h.owner.HandedOver(o) {
+			continue
+		}
+		if err := h.owner.Acquire(context.WithoutCancel(ctx), in, o.Epoch); err != nil {
+			h.log.WithError(err).WithField("instance", in.ID).Error("instance cannot be served")
+		}
+	}
+}
+
+// shutdown ends the work of this host without cutting a request: it is not
+// ready for new callers first, hands its instances over while requests finish,
+// and names what is left when the bound is reached.
+func (h *Host) shutdown(ctx context.Context) {
+	close(h.stopping)
+	h.log.Info("shutting down: not ready")
+	ctx, stop := context.WithTimeout(ctx, drainBound)
+	defer stop()
+	h.beats.drain()
+	select {
+	case <-ctx.Done():
+	case <-time.After(notReadyPause):
+	}
+	for _, left := range h.callers.Drain(ctx) {
+		h.log.WithField("left", left).Warn("shutting down: not finished")
+	}
+	h.awaitHandOver(ctx)
+	h.dir.releaseLease()
+	h.beats.beat(context.WithoutCancel(ctx), true)
+	h.log.Info("shutting down: done")
+}
+
+// awaitHandOver waits until other hosts own what this one owned. While no
+// other host can take an instance, it is kept until the bound.
+func (h *Host) awaitHandOver(ctx context.Context) {
+	tick := time.NewTicker(drainPoll)
+	defer tick.Stop()
+	for len(h.owner.Owned()) > 0 && h.othersAlive() {
+		select {
+		case <-ctx.Done():
+			for id := range h.owner.Owned() {
+				h.log.WithField("instance", id).Warn("shutting down: not handed over")
+			}
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// othersAlive reports whether a host that does not drain could take over.
+func (h *Host) othersAlive() bool {
+	for _, other := range h.dir.currentTables().Hosts {
+		if other.ID != h.settings.Host && other.State == table.HostAlive && !other.Draining {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/host/status.go
@@ -0,0 +1,77 @@
+package host
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/amaranthweir/amaranthweir/internal/api"
+	"github.com/amaranthweir/amaranthweir/internal/control"
+	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
+
+const methodStatus = "status"
+
+// leaderReport is what only the leader knows.
+type leaderReport struct {
+	Leader table.HostID
+	// Versions is the version of each service's document that each host has in
+	// force.
+	Versions map[table.HostID]map[string]uint64
+	// Waits is what groups wait for, in words.
+	Waits map[table.GroupName]string
+	// Ages is the time since the latest announcement of each instance.
+	Ages map[table.InstanceID]time.Duration
+}
+
+// takeStatus answers methodStatus.
+func (h *Host) takeStatus(context.Context, []byte) (any, error) {
+	if h.leader == nil {
+		return nil, errkind.New(errkind.NotLeader, "not a control host")
+	}
+	return h.leader.report()
+}
+
+func (l *leader) report() (*leaderReport, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.host.clock()
+	if !l.refresh(now) {
+		return nil, errkind.New(errkind.NotLeader, "")
+	}
+	r := &leaderReport{
+		Leader:   l.host.settings.Host,
+		Versions: map[table.HostID]map[string]uint64{},
+		Waits:    map[table.GroupName]string{},
+		Ages:     map[table.InstanceID]time.Duration{},
+	}
+	for id, versions := range l.versions {
+		r.Versions[id] = versions
+	}
+	for group, wait := range l.waits {
+		r.Waits[group] = wait
+	}
+	for id, in := range l.instances {
+		r.Ages[id] = now - in.SeenAt
+	}
+	return r, nil
+}
+
+func documentStatus(documents map[string]control.Document, versions map[table.HostID]map[string]uint64) []api.DocumentStatus {
+	var out []api.DocumentStatus
+	for service, doc := range documents {
+		st := api.DocumentStatus{
+			Service:         service,
+			DocumentVersion: api.DocumentVersion{Version: doc.Version, Digest: doc.Digest},
+		}
+		for id, inForce := range versions {
+			st.InForce = append(st.InForce, api.HostVersion{Host: id, Version: inForce[service]})
+		}
+		slices.SortFunc(st.InForce, func(a, b api.HostVersion) int { return strings.Compare(string(a.Host), string(b.Host)) })
+		out = append(out, st)
+	}
+	slices.SortFunc(out, func(a, b api.DocumentStatus) int { return strings.Compare(a.Service, b.Service) })
+	return out
+}
--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -41,9 +41,15 @@
 
 // mayRun checks what must hold before a byte goes to the upstream.
 func (in *instance) mayRun(r *request.Request) error {
+	if !in.serving.Load() {
+		return errkind.New(errkind.NoOwner, "%s is being taken over", in.id)
+	}
 	if r.Continues {
 		return nil // the transaction was checked when it began
 	}
+	if in.ending.Load() {
+		return errkind.New(errkind.NoOwner, "%s is being handed over", in.id)
+	}
 	if r.Access == config.AccessRead && r.Staleness > 0 {
 		return in.mayRead(r)
 	}
@@ -94,14 +100,23 @@
 	if r.Continues {
 		return nil, errkind.New(errkind.UpstreamLost, "the transaction was rolled back").WithEffect(errkind.NotRun)
 	}
+	writes := r.Access == config.AccessWrite
+	if writes {
+		if err := in.gate.enter(ctx, func() error { return in.mayRun(r) }); err != nil {
+			return nil, err
+		}
+	}
 	conn, err := in.pool.Get(ctx)
 	if err != nil {
+		if writes {
+			in.gate.leave()
+		}
 		return nil, err
 	}
 	in.mu.Lock()
 	in.active++
 	in.mu.Unlock()
-	return &transaction{conn: conn, inUse: true}, nil
+	return &transaction{conn: conn, writes: writes, inUse: true}, nil
 }
 
 // execution is one request on its connection.
@@ -182,7 +197,6 @@
 	in.active--
 	tx := e.tx
 	tx.inUse = false
-	tx.wrote = tx.wrote || e.r.Access == config.AccessWrite
 	open := err == nil && !tx.doomed && out.TxStatus != request.TxIdle
 	if open {
 		in.held[e.r.Session] = tx
@@ -190,6 +204,9 @@
 		delete(in.held, e.r.Session)
 	}
 	in.mu.Unlock()
+	if tx.writes && !open {
+		in.gate.leave()
+	}
 	switch {
 	case open:
 	case err != nil || tx.doomed:
@@ -212,6 +229,7 @@
 	if !out.HasMark {
 		return errkind.New(errkind.OutcomeUnknown, "the upstream reported no position")
 	}
+	in.raiseAcked(out.Mark)
 	if e.r.AckReplicas > 0 {
 		if err := in.cfg.Peers.AwaitAnyReplica(ctx, in.group, out.Mark); err != nil {
 			return errkind.Wrap(err, errkind.OutcomeUnknown, "no replica confirmed the write")
--- a/internal/owner/instance.go
+++ b/internal/owner/instance.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -18,18 +19,6 @@
 // a later owner.
 const reservedConnections = 2
 
-// Report is what the owner of an instance knows from its probes.
-type Report struct {
-	Instance  table.InstanceID
-	Epoch     table.Epoch
-	Reachable bool
-	// Since is for how long it has been reachable or not.
-	Since     time.Duration
-	Role      table.Role
-	Mark      table.Mark
-	TermStart table.Position
-}
-
 // instance is one owned upstream instance.
 type instance struct {
 	cfg     Config
@@ -43,20 +32,23 @@
 	stop    context.CancelFunc
 	log     logrus.FieldLogger
 
-	mu      sync.Mutex
-	held    map[request.SessionID]*transaction
-	active  int
-	changed time.Time // when reachable last changed
-	reached bool
-	status  platform.Status
-	age     ageProof
+	gate     writeGate
+	probeNow chan struct{}
+	ending   atomic.Bool // set once no new work may begin
+	serving  atomic.Bool // set once connections of earlier owners are closed
+
+	mu     sync.Mutex
+	held   map[request.SessionID]*transaction
+	active int
+	health health
+	age    ageProof
 }
 
 // transaction is a connection that belongs to one session until the end of
 // its transaction.
 type transaction struct {
 	conn   *pool.Conn
-	wrote  bool
+	writes bool // it entered the write gate
 	inUse  bool
 	doomed bool // the session ended while a statement ran
 }
@@ -82,17 +74,17 @@
 	}
 	ctx, stop := context.WithCancel(ctx)
 	in := &instance{
-		cfg:     cfg,
-		id:      desc.ID,
-		group:   desc.Group,
-		address: desc.Address,
-		epoch:   epoch,
-		pool:    p,
-		slots:   slots,
-		stop:    stop,
-		log:     cfg.Log.WithFields(logrus.Fields{"instance": desc.ID, "group": desc.Group, "epoch": epoch}),
-		held:    map[request.SessionID]*transaction{},
-		changed: time.Now(),
+		cfg:      cfg,
+		id:       desc.ID,
+		group:    desc.Group,
+		address:  desc.Address,
+		epoch:    epoch,
+		pool:     p,
+		slots:    slots,
+		stop:     stop,
+		log:      cfg.Log.WithFields(logrus.Fields{"instance": desc.ID, "group": desc.Group, "epoch": epoch}),
+		probeNow: make(chan struct{}, 1),
+		held:     map[request.SessionID]*transaction{},
 	}
 	in.probe = newSampler(func(ctx context.Context) (platform.Status, error) {
 		ctx, stop := context.WithTimeout(ctx, cfg.Timing.ProbeTimeout)
@@ -114,18 +106,19 @@
 	in.pool.Close()
 }
 
-// watch probes the instance and keeps its pool warm until ctx ends.
+// watch closes what earlier owners left open, then probes the instance and
+// keeps its pool warm until ctx ends.
 func (in *instance) watch(ctx context.Context) {
 	tick := time.NewTicker(in.cfg.Timing.Probe)
 	defer tick.Stop()
 	for {
-		asked := time.Now()
-		st, err := in.probe.sample(ctx)
+		if in.probeOnce(ctx) {
+			in.cfg.Changed()
+		}
 		if ctx.Err() != nil {
 			return
 		}
-		in.observe(asked, st, err)
-		if err == nil {
+		if in.takeOver(ctx) {
 			in.pool.Maintain(ctx, time.Now())
 		}
 		in.refreshAge(ctx)
@@ -133,39 +126,27 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+		case <-in.probeNow:
 		}
 	}
 }
 
-// observe notes the outcome of a probe that was sent at asked.
-func (in *instance) observe(asked time.Time, st platform.Status, err error) {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	now := time.Now()
-	if reached := err == nil; reached != in.reached {
-		in.reached = reached
-		in.changed = now
-		in.log.WithField("reachable", reached).WithError(err).Info("probe")
+// takeOver closes the connections of earlier owners, once, so that the
+// instance never has more than it announced. It reports whether that is done.
+func (in *instance) takeOver(ctx context.Context) bool {
+	if in.serving.Load() {
+		return true
 	}
-	if err != nil {
-		return
-	}
-	in.status = st
-	in.age.observeReplica(asked, st)
-}
-
-func (in *instance) report(now time.Time) Report {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	return Report{
-		Instance:  in.id,
-		Epoch:     in.epoch,
-		Reachable: in.reached,
-		Since:     now.Sub(in.changed),
-		Role:      in.status.Role,
-		Mark:      in.status.Mark,
-		TermStart: in.status.TermStart,
+	term, _ := in.cfg.Authority.Term(in.group, in.id)
+	ctx, stop := context.WithTimeout(ctx, in.cfg.Timing.ProbeTimeout)
+	defer stop()
+	if err := in.cfg.Fencer.Fence(ctx, in.address, term, in.epoch); err != nil {
+		in.log.WithError(err).Debug("take-over")
+		return false
 	}
+	in.serving.Store(true)
+	in.log.Info("instance taken over")
+	return true
 }
 
 func (in *instance) running() int {
@@ -192,7 +173,9 @@
 		asked := time.Now()
 		st, err := in.probe.sample(ctx)
 		if err == nil {
-			in.observe(asked, st, nil)
+			in.mu.Lock()
+			in.age.observeReplica(asked, st)
+			in.mu.Unlock()
 			if st.Mark.Term == m.Term && st.Mark.Position >= m.Position {
 				return nil
 			}
@@ -221,7 +204,11 @@
 		delete(in.held, s)
 	}
 	in.mu.Unlock()
-	if tx != nil {
-		in.pool.Discard(tx.conn)
+	if tx == nil {
+		return
+	}
+	if tx.writes {
+		in.gate.leave()
 	}
+	in.pool.Discard(tx.conn)
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -13,6 +13,7 @@
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/platform"
 	"github.com/amaranthweir/amaranthweir/internal/request"
+	"github.com/amaranthweir/amaranthweir/internal/system/failover"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
@@ -40,7 +41,12 @@
 	Authority Authority
 	Peers     Peers
 	Prober    platform.Prober
-	Log       logrus.FieldLogger
+	Fencer    platform.Fencer
+	// Stamp returns the latest stamp of the control leader.
+	Stamp func() failover.Stamp
+	// Changed is called when the reachability of an instance changed.
+	Changed func()
+	Log     logrus.FieldLogger
 	// User, Password are what upstream connections log in with.
 	User     string
 	Password string
@@ -81,11 +87,16 @@
 
 	mu        sync.RWMutex
 	instances map[table.InstanceID]*instance
+	released  map[table.InstanceID]table.Epoch // handed over under that epoch
 }
 
 // New returns an Owner of no instances.
 func New(cfg Config) *Owner {
-	return &Owner{cfg: cfg, instances: map[table.InstanceID]*instance{}}
+	return &Owner{
+		cfg:       cfg,
+		instances: map[table.InstanceID]*instance{},
+		released:  map[table.InstanceID]table.Epoch{},
+	}
 }
 
 // Acquire begins to serve an instance under an ownership epoch. A second call
@@ -108,8 +119,8 @@
 	return nil
 }
 
-// Release stops serving an instance. It returns at once; Quiet tells when the
-// last transaction has ended.
+// Release stops serving an instance. It returns at once; Running tells when
+// the last transaction has ended.
 func (o *Owner) Release(id table.InstanceID) {
 	o.mu.Lock()
 	in := o.instances[id]
@@ -131,17 +142,6 @@
 	return owned
 }
 
-// Reports returns the latest probe of each owned instance.
-func (o *Owner) Reports(now time.Time) []Report {
-	o.mu.RLock()
-	defer o.mu.RUnlock()
-	reports := make([]Report, 0, len(o.instances))
-	for _, in := range o.instances {
-		reports = append(reports, in.report(now))
-	}
-	return reports
-}
-
 // Running returns how many transactions and statements are still going on.
 func (o *Owner) Running() int {
 	o.mu.RLock()
--- /dev/null
+++ b/internal/owner/report.go
@@ -0,0 +1,133 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/amaranthweir/amaranthweir/internal/platform"
+	"github.com/amaranthweir/amaranthweir/internal/system/failover"
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
+
+// health is what the probes of an instance showed.
+type health struct {
+	probed    bool
+	reachable bool
+	downSince time.Time // of the first probe that failed
+	status    platform.Status
+	after     failover.Stamp
+	quiesced  bool
+	acked     table.Mark
+	ackedSet  bool
+}
+
+// Reports returns the latest probe of each owned instance.
+func (o *Owner) Reports(now time.Time) []failover.Report {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	reports := make([]failover.Report, 0, len(o.instances))
+	for _, in := range o.instances {
+		if r, ok := in.report(now); ok {
+			reports = append(reports, r)
+		}
+	}
+	return reports
+}
+
+// report returns false until the first probe has ended. The term that this
+// host acts on is read before the acknowledged position: what is acknowledged
+// later is refused under that term or lies within the position.
+func (in *instance) report(now time.Time) (failover.Report, bool) {
+	seen, _ := in.cfg.Authority.Term(in.group, in.id)
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	h := &in.health
+	if !h.probed {
+		return failover.Report{}, false
+	}
+	r := failover.Report{
+		Group:      in.group,
+		Instance:   in.id,
+		Reachable:  h.reachable,
+		Role:       h.status.Role,
+		Mark:       h.status.Mark,
+		TermStart:  h.status.TermStart,
+		After:      h.after,
+		SeenTerm:   seen,
+		Acked:      h.acked,
+		AckedKnown: h.ackedSet,
+		Quiesced:   h.quiesced,
+	}
+	if !h.reachable {
+		r.UnreachableFor = now.Sub(h.downSince)
+	}
+	return r, true
+}
+
+// Obey carries out an order of the control leader about an owned instance.
+func (o *Owner) Obey(order failover.Order) {
+	in, err := o.instance(order.Instance)
+	if err != nil {
+		return
+	}
+	switch order.Kind {
+	case failover.OrderQuiesce:
+		in.gate.hold(order.Bound)
+	case failover.OrderResume:
+		in.gate.resume()
+	}
+	in.hurry()
+}
+
+// hurry makes the next probe begin at once.
+func (in *instance) hurry() {
+	select {
+	case in.probeNow <- struct{}{}:
+	default:
+	}
+}
+
+// probeOnce probes the instance and notes the outcome. It reports whether
+// reachability changed.
+func (in *instance) probeOnce(ctx context.Context) (changed bool) {
+	stamp := in.cfg.Stamp()
+	quiet := in.gate.quiet()
+	asked := time.Now()
+	st, err := in.probe.sample(ctx)
+	if ctx.Err() != nil {
+		return false
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	h := &in.health
+	changed = !h.probed || h.reachable != (err == nil)
+	if err != nil {
+		if !h.probed || h.reachable {
+			h.downSince = asked
+		}
+		h.probed, h.reachable = true, false
+		if changed {
+			in.log.WithError(err).Warn("probe failed")
+		}
+		return changed
+	}
+	h.probed, h.reachable = true, true
+	h.status, h.after, h.quiesced = st, stamp, quiet && in.gate.quiet()
+	in.age.observeReplica(asked, st)
+	if st.Role == table.RolePrimary && (!h.ackedSet || h.acked.Term < st.Mark.Term) {
+		h.acked, h.ackedSet = st.Mark, true // covers what earlier owners acknowledged
+	}
+	if changed {
+		in.log.WithField("role", st.Role.String()).Info("probe succeeded")
+	}
+	return changed
+}
+
+// raiseAcked notes that writes up to m are about to be acknowledged.
+func (in *instance) raiseAcked(m table.Mark) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if !in.health.ackedSet || in.health.acked.Less(m) {
+		in.health.acked, in.health.ackedSet = m, true
+	}
+}
--- a/internal/peer/remote.go
+++ b/internal/peer/remote.go
@@ -2,14 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"net"
 	"sync"
 	"time"
 
-	"storj.io/drpc/drpcconn"
-
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/peer/peerpb"
 	"github.com/amaranthweir/amaranthweir/internal/request"
@@ -201,29 +197,9 @@
 	}
 }
 
-// Call does one rare control call on a connection of its own: in goes out and
-// out comes back as JSON.
+// Call does one control call on a connection of its own; see Caller.
 func Call(ctx context.Context, address, method string, in, out any) error {
-	body, err := json.Marshal(in)
-	if err != nil {
-		return err
-	}
-	var d net.Dialer
-	nc, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return errkind.Wrap(err, errkind.NoOwner, "%s: %v", address, err)
-	}
-	conn := drpcconn.NewWithOptions(nc, drpcconn.Options{Manager: managerOptions()})
-	defer conn.Close()
-	reply, err := peerpb.NewDRPCPeerClient(conn).Call(ctx, &peerpb.CallRequest{Method: method, Body: body})
-	if err != nil {
-		return errkind.Wrap(err, errkind.NoQuorum, "%s %s: %v", address, method, err)
-	}
-	if reply.GetFailure() != nil {
-		return decodeFailure(reply.GetFailure())
-	}
-	if out == nil {
-		return nil
-	}
-	return json.Unmarshal(reply.GetBody(), out)
+	var c Caller
+	defer c.Close()
+	return c.Call(ctx, address, method, in, out)
 }
