Give out an instance's slots by rank, floor and fair share

Urgent work within its declared rate goes first, a rank behind its floor next, then the rest by rank. Classes of a rank and callers of a class take turns by start-time fair queueing, work beyond a declared rate yields within its rank, and work whose deadline cannot be met is refused before any byte of it is sent: at its offer by the work ahead in a fair service, later by the latest start that meets the deadline.

--- /dev/null
+++ b/internal/system/admission/admission_test.go
@@ -0,0 +1,339 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/amaranthweir/amaranthweir/internal/config"
+	"github.com/amaranthweir/amaranthweir/internal/errkind"
+)
+
+const ms = time.Millisecond
+
+func usual() Config {
+	return Config{
+		Slots: 1, Floors: [config.RankCount]int{0, 30, 10}, MaxQueued: 100,
+		Classes: []Class{
+			{Name: "rush", Rank: config.RankUrgent, RatePerSecond: 20},
+			{Name: "order", Rank: config.RankNormal},
+			{Name: "proof", Rank: config.RankBackground},
+		},
+	}
+}
+
+func newQueue(t testing.TB, cfg Config) *Queue {
+	t.Helper()
+	q, err := New(cfg)
+	assert.NilError(t, err)
+	return q
+}
+
+func request(class, caller string, deadline time.Duration) *Request {
+	rank := map[string]config.Rank{"rush": config.RankUrgent, "flood": config.RankUrgent, "proof": config.RankBackground}
+	r := &Request{Class: class, Caller: caller, Deadline: deadline, Rank: config.RankNormal}
+	if k, ok := rank[class]; ok {
+		r.Rank = k
+	}
+	return r
+}
+
+// started runs everything in q with a constant service time and returns the
+// requests in the order of their starts.
+func started(q *Queue, now, service time.Duration) []*Request {
+	var order []*Request
+	running := []*Request{}
+	for {
+		for _, o := range q.Ready(nil) {
+			if o.Verdict == Start {
+				order = append(order, o.Request)
+				running = append(running, o.Request)
+			}
+		}
+		if len(running) == 0 {
+			return order
+		}
+		now += service
+		q.Finish(now, running[0], service)
+		running = running[1:]
+	}
+}
+
+// describe names the requests by class and caller.
+func describe(rs []*Request) string {
+	s := ""
+	for _, r := range rs {
+		s += " " + r.Class + "/" + r.Caller
+	}
+	return s
+}
+
+func TestOrder(t *testing.T) {
+	const far = time.Hour
+	cont := func(class, caller string) *Request {
+		r := request(class, caller, far)
+		r.Continuation = true
+		return r
+	}
+	one := func(class, caller string) *Request { return request(class, caller, far) }
+	tests := map[string]struct {
+		offers []*Request
+		want   string
+	}{
+		"by rank": {
+			[]*Request{one("order", "1"), one("proof", "2"), one("order", "3"), one("rush", "4")},
+			" order/1 rush/4 order/3 proof/2",
+		},
+		"running transactions first within the rank": {
+			[]*Request{one("order", "1"), one("order", "2"), cont("order", "3"), one("rush", "4")},
+			" order/1 rush/4 order/3 order/2",
+		},
+		"callers of a class take turns": {
+			[]*Request{one("order", "1"), one("order", "1"), one("order", "1"), one("order", "2"), one("order", "2")},
+			" order/1 order/2 order/1 order/2 order/1",
+		},
+		"classes of a rank take turns": {
+			[]*Request{one("order", "1"), one("order", "2"), one("order", "3"), one("stock", "4"), one("stock", "5")},
+			" order/1 stock/4 order/2 stock/5 order/3",
+		},
+		"beyond the declared rate yields": {
+			[]*Request{one("order", "1"), one("flood", "2"), one("flood", "3"), one("rush", "4")},
+			" order/1 rush/4 flood/2 flood/3",
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			q := newQueue(t, usual())
+			for _, r := range tt.offers {
+				q.Offer(0, r)
+			}
+			assert.Equal(t, describe(started(q, 0, ms)), tt.want)
+		})
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	tests := map[string]struct {
+		before int // requests of another caller that wait already
+		offer  *Request
+		later  time.Duration // a tick follows then
+		want   Reason
+		kind   errkind.Kind
+	}{
+		"too late at the offer":        {0, request("order", "1", 4*ms), 0, ReasonTooLate, errkind.DeadlineUnreachable},
+		"queue longer than deadline":   {40, request("proof", "a", 100*ms), 0, ReasonQueueTooLong, errkind.DeadlineUnreachable},
+		"deadline passes in the queue": {1, request("order", "1", 30*ms), 31 * ms, ReasonTooLate, errkind.DeadlineUnreachable},
+		"queue full":                   {100, request("proof", "a", time.Hour), 0, ReasonQueueFull, errkind.CallerLimit},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			q := newQueue(t, usual())
+			if tt.before > 0 {
+				for range tt.before + 1 {
+					q.Offer(0, request("proof", "a", time.Hour))
+				}
+			}
+			q.Ready(nil)
+			q.Offer(0, tt.offer)
+			q.Tick(tt.later)
+			out := q.Ready(nil)
+			assert.Equal(t, len(out), 1)
+			assert.Equal(t, out[0].Request, tt.offer)
+			assert.Equal(t, out[0].Verdict, Refuse)
+			assert.Equal(t, out[0].Reason.String(), tt.want.String())
+			assert.Equal(t, out[0].Kind, tt.kind)
+			assert.Equal(t, out[0].Kind.Answer().Effect, errkind.NotRun)
+		})
+	}
+}
+
+// TestLightCallerIsNotRefused offers work of a caller that has nothing queued
+// while another one has filled the queue.
+func TestLightCallerIsNotRefused(t *testing.T) {
+	q := newQueue(t, usual())
+	for range 200 {
+		q.Offer(0, request("proof", "heavy", time.Hour))
+	}
+	first := q.Ready(nil)[0].Request
+	light := request("proof", "light", 100*ms)
+	q.Offer(0, light)
+	assert.Equal(t, len(q.Ready(nil)), 0)
+	q.Finish(5*ms, first, 5*ms)
+	assert.Equal(t, q.Ready(nil)[0].Request, light)
+}
+
+func TestCancel(t *testing.T) {
+	q := newQueue(t, usual())
+	first, second := request("order", "1", time.Hour), request("order", "2", time.Hour)
+	q.Offer(0, first)
+	q.Offer(0, second)
+	assert.Assert(t, q.Cancel(ms, second))
+	assert.Assert(t, !q.Cancel(ms, first), "a started request keeps its slot")
+	assert.Equal(t, q.Running(), 1)
+	assert.Equal(t, q.Queued(config.RankNormal), 0)
+	q.Finish(2*ms, first, 2*ms)
+	q.Finish(2*ms, first, 2*ms)
+	assert.Equal(t, q.Running(), 0)
+	assert.Equal(t, len(q.Ready(nil)), 1)
+}
+
+func TestSetSlots(t *testing.T) {
+	cfg := usual()
+	cfg.Slots = 0
+	q := newQueue(t, cfg)
+	for range 3 {
+		q.Offer(0, request("order", "1", time.Hour))
+	}
+	assert.Equal(t, len(q.Ready(nil)), 0, "without slots work waits")
+	q.SetSlots(ms, 2)
+	out := q.Ready(nil)
+	assert.Equal(t, len(out), 2)
+	q.SetSlots(ms, 1)
+	q.Finish(2*ms, out[0].Request, ms)
+	assert.Equal(t, len(q.Ready(nil)), 0, "one too many ran")
+	q.Finish(2*ms, out[1].Request, ms)
+	assert.Equal(t, len(q.Ready(nil)), 1)
+}
+
+func TestValidate(t *testing.T) {
+	tests := map[string]func(*Config){
+		"slots":     func(c *Config) { c.Slots = -1 },
+		"maxQueued": func(c *Config) { c.MaxQueued = 0 },
+		"floor":     func(c *Config) { c.Floors[1] = -1 },
+		"floors":    func(c *Config) { c.Floors = [config.RankCount]int{40, 40, 40} },
+		"name":      func(c *Config) { c.Classes[0].Name = "" },
+		"rank":      func(c *Config) { c.Classes[0].Rank = config.RankCount },
+		"rate":      func(c *Config) { c.Classes[0].RatePerSecond = -1 },
+	}
+	for name, change := range tests {
+		cfg := usual()
+		change(&cfg)
+		_, err := New(cfg)
+		assert.Assert(t, err != nil, name)
+	}
+}
+
+// TestEveryRequestGetsOneOutcome drives a queue at random. rapid prints the
+// seed of a failing run.
+func TestEveryRequestGetsOneOutcome(t *testing.T) {
+	classes := []string{"rush", "flood", "order", "stock", "proof"}
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := usual()
+		cfg.Slots = rapid.IntRange(1, 3).Draw(t, "slots")
+		cfg.MaxQueued = rapid.IntRange(1, 20).Draw(t, "maxQueued")
+		q, err := New(cfg)
+		assert.NilError(t, err)
+		now, waiting, running := time.Duration(0), map[*Request]bool{}, []*Request{}
+		drain := func() {
+			for _, o := range q.Ready(nil) {
+				assert.Assert(t, waiting[o.Request], "a second outcome")
+				delete(waiting, o.Request)
+				if o.Verdict == Start {
+					assert.Assert(t, now < o.Request.Deadline, "started after its deadline")
+					running = append(running, o.Request)
+				}
+			}
+			assert.Assert(t, len(running) <= cfg.Slots)
+			assert.Equal(t, q.Running(), len(running))
+		}
+		finish := func() {
+			if len(running) > 0 {
+				i := rapid.IntRange(0, len(running)-1).Draw(t, "which")
+				r := running[i]
+				running = append(running[:i], running[i+1:]...)
+				q.Finish(now, r, now-r.startedAt)
+			}
+		}
+		var last *Request
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 8).Draw(t, "pass")) * ms
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0, 1, 2:
+				last = request(rapid.SampledFrom(classes).Draw(t, "class"), fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "caller")),
+					now+time.Duration(rapid.IntRange(1, 200).Draw(t, "deadline"))*ms)
+				last.Continuation = rapid.IntRange(0, 5).Draw(t, "continuation") == 0
+				waiting[last] = true
+				q.Offer(now, last)
+			case 3, 4:
+				finish()
+			case 5:
+				if last != nil && q.Cancel(now, last) {
+					assert.Assert(t, waiting[last])
+					delete(waiting, last)
+				}
+				q.Tick(now)
+			}
+			drain()
+		}
+		for len(running) > 0 {
+			now += ms
+			finish()
+			drain()
+		}
+		assert.Equal(t, len(waiting), 0, "requests without an outcome")
+		assert.Equal(t, len(q.limits), 0)
+	})
+}
+
+// maxDecisionTime bounds an offer together with its finish, without allocation.
+const maxDecisionTime = 2 * time.Microsecond
+
+// cycle keeps a queue of the given depth under way with a few hundred callers.
+func cycle(t testing.TB, depth int) func() {
+	cfg := usual()
+	cfg.Slots, cfg.MaxQueued = 3, 2*depth
+	q := newQueue(t, cfg)
+	classes := []string{"rush", "flood", "order", "stock", "proof"}
+	spare, running := []*Request{}, []*Request{}
+	out := make([]Outcome, 0, 16)
+	now := time.Duration(0)
+	for i := range depth + cfg.Slots {
+		r := request(classes[i%5], fmt.Sprint("caller", i%300), time.Hour)
+		r.Expected = ms
+		q.Offer(now, r)
+	}
+	return func() {
+		now += ms / 3
+		out = q.Ready(out[:0])
+		for _, o := range out {
+			running = append(running, o.Request)
+		}
+		if len(running) > 0 {
+			q.Finish(now, running[0], ms)
+			spare = append(spare, running[0])
+			running = append(running[:0], running[1:]...)
+		}
+		if len(spare) > 0 {
+			r := spare[len(spare)-1]
+			spare = spare[:len(spare)-1]
+			r.Deadline = now + time.Hour
+			q.Offer(now, r)
+		}
+	}
+}
+
+func BenchmarkDecision(b *testing.B) {
+	for _, depth := range []int{10, 1000} {
+		b.Run(fmt.Sprintf("queued=%d", depth), func(b *testing.B) {
+			step := cycle(b, depth)
+			b.ReportAllocs()
+			for b.Loop() {
+				step()
+			}
+			if per := b.Elapsed() / time.Duration(b.N); b.N > 10000 && per > maxDecisionTime {
+				b.Errorf("%v a decision, the bound is %v", per, maxDecisionTime)
+			}
+		})
+	}
+}
+
+func TestDecisionsDoNotAllocate(t *testing.T) {
+	step := cycle(t, 500)
+	for range 5000 {
+		step()
+	}
+	assert.Equal(t, testing.AllocsPerRun(5000, step), 0.0)
+}
