--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,7 +59,7 @@
 	Observer    Observer
 	// Keys sign and read session tokens.
 	Keys *session.Keyring
-	Log         logrus.FieldLogger
+	Log  logrus.FieldLogger
 	// Clock returns the moment on the clock of the decision systems.
 	Clock func() time.Duration
 }
--- a/internal/host/beats.go
+++ b/internal/host/beats.go
@@ -41,7 +41,7 @@
 	ordered  map[table.InstanceID]bool // a report is due although nothing changed
 	hurryTil time.Time
 	draining bool
-	answered bool // a leader has answered since the start
+	answered bool   // a leader has answered since the start
 	leader   string // peer address
 	next     int    // of the hosts to ask for the leader
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -243,4 +243,3 @@
 	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	return log, nil
 }
-
--- a/internal/owner/slots.go
+++ b/internal/owner/slots.go
@@ -2,47 +2,153 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
+	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"github.com/amaranthweir/amaranthweir/internal/config"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/request"
+	"github.com/amaranthweir/amaranthweir/internal/system/admission"
 )
 
-// slots gives out the slots of one instance.
+// maxQueued is how many requests of one rank may wait for a slot of an
+// instance.
+const maxQueued = 1000
+
+// Declaration is what the documents in force say about the work of a group.
+type Declaration struct {
+	Floors  [config.RankCount]int // percent
+	Classes []admission.Class
+}
+
+// slots gives out the slots of one instance by its admission queue.
 type slots struct {
-	free chan struct{}
+	log logrus.FieldLogger
+
+	mu       sync.Mutex
+	queue    *admission.Queue
+	outcomes []admission.Outcome // reused
+	size     int
+	work     Declaration
 }
 
-func newSlots(n int) (*slots, error) {
-	if n < 1 {
-		return nil, fmt.Errorf("an instance needs at least one slot, got %d", n)
+func newSlots(n int, work Declaration, log logrus.FieldLogger) (*slots, error) {
+	queue, err := admission.New(admission.Config{
+		Slots:     n,
+		Floors:    work.Floors,
+		Classes:   work.Classes,
+		MaxQueued: maxQueued,
+	})
+	if err != nil {
+		return nil, err
 	}
-	s := &slots{free: make(chan struct{}, n)}
-	for range n {
-		s.free <- struct{}{}
-	}
-	return s, nil
+	return &slots{log: log, queue: queue, size: n, work: work}, nil
 }
 
-func (s *slots) resize(int) error { return nil }
+// update takes another number of slots and another declaration.
+func (s *slots) update(n int, work Declaration) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := since(time.Now())
+	if n != s.size {
+		s.size = n
+		s.queue.SetSlots(now, n)
+	}
+	if err := s.queue.SetFloors(now, work.Floors); err != nil {
+		return err
+	}
+	err := s.queue.SetClasses(now, work.Classes)
+	s.settle()
+	return err
+}
 
-// ticket is the right to use one slot.
+// ticket is the right to use one slot, or the wait for it.
 type ticket struct {
-	once  sync.Once
-	slots *slots
+	slots   *slots
+	request admission.Request
+	decided chan admission.Outcome // takes one element
+	started time.Time
+	once    sync.Once
 }
 
-func (s *slots) acquire(ctx context.Context, _ *request.Request) (*ticket, error) {
+// acquire waits for a slot. Its errors have the effect NotRun.
+func (s *slots) acquire(ctx context.Context, r *request.Request) (*ticket, error) {
+	t := &ticket{slots: s, decided: make(chan admission.Outcome, 1)}
+	t.request = admission.Request{
+		Class:        r.Class,
+		Rank:         r.Rank,
+		Caller:       r.Caller,
+		Deadline:     since(r.Deadline),
+		Continuation: r.Continues,
+		User:         t,
+	}
+	s.mu.Lock()
+	s.queue.Offer(since(time.Now()), &t.request)
+	s.settle()
+	s.mu.Unlock()
 	select {
-	case <-s.free:
-		return &ticket{slots: s}, nil
+	case o := <-t.decided:
+		return s.started(t, r, o)
 	case <-ctx.Done():
-		return nil, errkind.Wrap(ctx.Err(), errkind.DeadlineUnreachable, "waited for a slot")
+	}
+	s.mu.Lock()
+	queued := s.queue.Cancel(since(time.Now()), &t.request)
+	s.settle()
+	s.mu.Unlock()
+	if !queued { // decided at the same moment
+		if o := <-t.decided; o.Verdict == admission.Start {
+			t.started = time.Now()
+			t.release()
+		}
+	}
+	return nil, errkind.Wrap(ctx.Err(), errkind.DeadlineUnreachable, "gave up waiting for a slot")
+}
+
+// started turns the decision of the queue into an answer, with its log line.
+func (s *slots) started(t *ticket, r *request.Request, o admission.Outcome) (*ticket, error) {
+	s.log.WithFields(logrus.Fields{
+		"request": r.ID, "class": r.Class, "rank": r.Rank.String(), "reason": o.Reason.String(),
+		"started": o.Verdict == admission.Start,
+	}).Debug("admit")
+	if o.Verdict != admission.Start {
+		return nil, errkind.New(o.Kind, "%s", o.Reason)
+	}
+	t.started = time.Now()
+	return t, nil
+}
+
+// settle hands the queue's decisions to those who wait. It runs under the
+// lock; the channels have room.
+func (s *slots) settle() {
+	s.outcomes = s.queue.Ready(s.outcomes[:0])
+	for _, o := range s.outcomes {
+		o.Request.User.(*ticket).decided <- o
 	}
 }
 
 // release gives the slot back; further calls do nothing.
 func (t *ticket) release() {
-	t.once.Do(func() { t.slots.free <- struct{}{} })
+	t.once.Do(func() {
+		t.slots.mu.Lock()
+		defer t.slots.mu.Unlock()
+		now := time.Now()
+		t.slots.queue.Finish(since(now), &t.request, now.Sub(t.started))
+		t.slots.settle()
+	})
+}
+
+// tick refuses what waits in vain, and returns how long work of each rank
+// would wait now.
+func (s *slots) tick() (waits [config.RankCount]time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := since(time.Now())
+	s.queue.Tick(now)
+	s.settle()
+	for rank := range waits {
+		waits[rank] = s.queue.WaitEstimate(now, config.Rank(rank))
+	}
+	return waits
 }
