Add the platform over the PostgreSQL protocol and its contract test

Probe, promote and fence call three SQL functions. One connection per instance is kept between calls, because opening one costs about 10 ms; a kept connection that does not answer in KeptTimeout is dropped and the call goes on over a new one, which is safe because all three calls are idempotent. Connections are hijacked from pgconn: with pgconn's own time-out each probe of a frozen instance would leave a goroutine that dials once more to cancel the query.

A fence of the term in which an instance is promoted next does not refuse that promotion: only terms below it are over. platform.ErrTermOver is new.

Shown failing first, with the mechanism taken out: - term check in commit: platformtest.go: <nil> (string) != 25006 (string): the running write - closing of old epochs: fence_closes_connections_of_lower_epochs timed out - idempotent promotion: error is not nil: promote: the term is over at the instance (SQLSTATE 55000) - refusal of a term followed: a replica in the term of its primary: <nil> - KeptTimeout: silent_kept_connection_is_replaced timed out - deadline from the context: frozen_instance_ends_with_the_context timed out - keeping the connection: 2 (in.Stats().MaxReserved int) != 1 (int)

--- /dev/null
+++ b/internal/platform/pgplatform/pgplatform.go
@@ -0,0 +1,181 @@
+// Package pgplatform probes, promotes and fences instances over the PostgreSQL
+// protocol. It calls the SQL functions of the schema amaranthweir, which
+// docs/ops/upstreams.md describes.
+package pgplatform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/amaranthweir/amaranthweir/internal/platform"
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
+
+// ApplicationName names the connections of this package to the instances.
+const ApplicationName = "amaranthweir-platform"
+
+// stateTermOver is the SQLSTATE with which an instance refuses a promotion.
+const stateTermOver = "55000"
+
+// Config says how instances are reached.
+type Config struct {
+	User     string
+	Password string
+	Database string
+	// KeptTimeout bounds a call over a connection kept from an earlier call;
+	// after it the call goes on over a new one. It finds connections that went
+	// silent while new ones work.
+	KeptTimeout time.Duration
+	// MaxKept bounds the connections kept in all, one per instance at most.
+	MaxKept int
+}
+
+// DefaultConfig returns the Config in ordinary use, without a password.
+func DefaultConfig() Config {
+	return Config{
+		User:        "amaranthweir",
+		Database:    "postgres",
+		KeptTimeout: 100 * time.Millisecond,
+		MaxKept:     1024,
+	}
+}
+
+func (c Config) validate() error {
+	if c.User == "" || c.Database == "" {
+		return errors.New("user and database must be named")
+	}
+	if c.KeptTimeout <= 0 || c.MaxKept < 0 {
+		return errors.New("kept timeout must be positive, the bound on kept connections not negative")
+	}
+	return nil
+}
+
+// Platform is a Prober, Promoter and Fencer. It is safe for concurrent use.
+type Platform struct {
+	cfg  Config
+	kept *keptConns
+}
+
+var (
+	_ platform.Prober   = (*Platform)(nil)
+	_ platform.Promoter = (*Platform)(nil)
+	_ platform.Fencer   = (*Platform)(nil)
+)
+
+// New returns a Platform. Close ends it.
+func New(cfg Config) (*Platform, error) {
+	if err := cfg.validate(); err != nil {
+		return nil, fmt.Errorf("platform: %w", err)
+	}
+	return &Platform{cfg: cfg, kept: newKeptConns(cfg.MaxKept)}, nil
+}
+
+// Close closes the kept connections.
+func (p *Platform) Close() { p.kept.close() }
+
+// Probe implements platform.Prober.
+func (p *Platform) Probe(ctx context.Context, address string) (platform.Status, error) {
+	rows, err := p.call(ctx, address, "SELECT * FROM amaranthweir.status()")
+	if err != nil {
+		return platform.Status{}, fmt.Errorf("probe %s: %w", address, err)
+	}
+	status, err := parseStatus(rows)
+	if err != nil {
+		return platform.Status{}, fmt.Errorf("probe %s: %w", address, err)
+	}
+	return status, nil
+}
+
+// Promote implements platform.Promoter.
+func (p *Platform) Promote(ctx context.Context, address string, term table.Term) (platform.Status, error) {
+	_, err := p.call(ctx, address, fmt.Sprintf("SELECT amaranthweir.promote(%d)", term))
+	var refused *pgconn.PgError
+	if errors.As(err, &refused) && refused.Code == stateTermOver {
+		err = fmt.Errorf("%w: %w", platform.ErrTermOver, err)
+	}
+	if err != nil {
+		return platform.Status{}, fmt.Errorf("promote %s: %w", address, err)
+	}
+	status, err := p.Probe(ctx, address)
+	if err != nil {
+		return platform.Status{}, err
+	}
+	if status.Role != table.RolePrimary || status.Mark.Term != term {
+		return status, fmt.Errorf("promote %s: it is %s of term %d by now: %w", address, status.Role, status.Mark.Term, platform.ErrTermOver)
+	}
+	return status, nil
+}
+
+// Fence implements platform.Fencer.
+func (p *Platform) Fence(ctx context.Context, address string, term table.Term, epoch table.Epoch) error {
+	if _, err := p.call(ctx, address, fmt.Sprintf("SELECT amaranthweir.fence(%d, %d)", term, epoch)); err != nil {
+		return fmt.Errorf("fence %s: %w", address, err)
+	}
+	return nil
+}
+
+// call runs one query, over the kept connection if that answers in time. Every
+// query of this package is idempotent, so that a repeat does no harm.
+func (p *Platform) call(ctx context.Context, address, query string) ([][]string, error) {
+	if c := p.kept.take(address); c != nil {
+		rows, err := p.callKept(ctx, c, query)
+		if err == nil || c.usable {
+			p.kept.give(address, c)
+			return rows, err
+		}
+		c.close()
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+	}
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	rows, err := c.query(ctx, query)
+	if c.usable {
+		p.kept.give(address, c)
+		return rows, err
+	}
+	c.close()
+	return rows, err
+}
+
+func (p *Platform) callKept(ctx context.Context, c *conn, query string) ([][]string, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.cfg.KeptTimeout)
+	defer cancel()
+	return c.query(ctx, query)
+}
+
+var errStatus = errors.New("the status is malformed")
+
+func parseStatus(rows [][]string) (platform.Status, error) {
+	if len(rows) != 1 || len(rows[0]) != 4 {
+		return platform.Status{}, errStatus
+	}
+	var status platform.Status
+	switch rows[0][0] {
+	case table.RolePrimary.String():
+		status.Role = table.RolePrimary
+	case table.RoleReplica.String():
+		status.Role = table.RoleReplica
+	default:
+		return platform.Status{}, errStatus
+	}
+	var numbers [3]uint64
+	for i := range numbers {
+		n, err := strconv.ParseUint(rows[0][i+1], 10, 64)
+		if err != nil {
+			return platform.Status{}, fmt.Errorf("%w: %w", errStatus, err)
+		}
+		numbers[i] = n
+	}
+	status.Mark = table.Mark{Term: table.Term(numbers[0]), Position: table.Position(numbers[1])}
+	status.TermStart = table.Position(numbers[2])
+	return status, nil
+}
--- /dev/null
+++ b/internal/platform/pgplatform/pgplatform_test.go
@@ -0,0 +1,68 @@
+package pgplatform_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/amaranthweir/amaranthweir/internal/platform/pgplatform"
+	"github.com/amaranthweir/amaranthweir/internal/platform/platformtest"
+	"github.com/amaranthweir/amaranthweir/internal/table"
+	"github.com/amaranthweir/amaranthweir/standin"
+)
+
+func TestContract(t *testing.T) {
+	platformtest.Run(t, func(t *testing.T) *platformtest.Fixture {
+		primary, replica := instance(t, "a", true), instance(t, "b", false)
+		primary.SetPeers(replica.ControlAddress())
+		replica.SetPeers(primary.ControlAddress())
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if replica.Mark() == (table.Mark{Term: 1}) {
+				return poll.Success()
+			}
+			return poll.Continue("the replica follows")
+		}, poll.WithDelay(time.Millisecond))
+		byAddress := map[string]*standin.Instance{primary.Address(): primary, replica.Address(): replica}
+		return &platformtest.Fixture{
+			Platform: newPlatform(t, pgplatform.DefaultConfig()),
+			Primary:  primary.Address(),
+			Replica:  replica.Address(),
+			Term:     1,
+			Freeze:   func(address string) { byAddress[address].Freeze() },
+			Thaw:     func(address string) { byAddress[address].Thaw() },
+			Silence:  func(address string) { byAddress[address].SilenceOpen() },
+		}
+	})
+}
+
+func instance(t *testing.T, name table.InstanceID, primary bool) *standin.Instance {
+	t.Helper()
+	cfg := standin.DefaultConfig("g", name)
+	cfg.OpenCost, cfg.Primary = 0, primary
+	in, err := standin.Start(cfg)
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, in.Close()) })
+	return in
+}
+
+func newPlatform(t *testing.T, cfg pgplatform.Config) *pgplatform.Platform {
+	t.Helper()
+	p, err := pgplatform.New(cfg)
+	assert.NilError(t, err)
+	t.Cleanup(p.Close)
+	return p
+}
+
+func TestProbesKeepOneConnection(t *testing.T) {
+	cfg := pgplatform.DefaultConfig()
+	cfg.KeptTimeout = time.Hour // a slow machine must not look like a silent connection
+	in, p := instance(t, "a", true), newPlatform(t, cfg)
+	for range 10 {
+		_, err := p.Probe(t.Context(), in.Address())
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, in.Stats().MaxReserved, 1)
+	assert.Equal(t, in.Stats().MaxOpen, 0, "probes take no connection of callers")
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/amaranthweir/amaranthweir/internal/table"
@@ -50,9 +51,13 @@
 	Probe(ctx context.Context, address string) (Status, error)
 }
 
+// ErrTermOver is what a Promoter returns when the instance has seen a higher
+// term, or the same term under another primary.
+var ErrTermOver = errors.New("the term is over at the instance")
+
 // Promoter makes a replica the primary of its group in the given term. It is
 // idempotent: a second call with the same term succeeds. An instance that has
-// seen a higher term refuses.
+// seen a higher term refuses with ErrTermOver.
 type Promoter interface {
 	Promote(ctx context.Context, address string, term table.Term) (Status, error)
 }
--- /dev/null
+++ b/internal/platform/platformtest/platformtest.go
@@ -0,0 +1,193 @@
+// Package platformtest is the contract of the platform interfaces as a test.
+// Every implementation of Prober, Promoter and Fencer is put through it.
+package platformtest
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthweir/amaranthweir/internal/platform"
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
+
+// Platform is the implementation under test.
+type Platform interface {
+	platform.Prober
+	platform.Promoter
+	platform.Fencer
+}
+
+// Fixture is a group of two instances, fresh for each case.
+type Fixture struct {
+	Platform Platform
+	// Primary and Replica are the addresses of the instances. The replica has
+	// caught up.
+	Primary, Replica string
+	// Term is the term of the primary.
+	Term table.Term
+	// Freeze stops the instance at an address from answering; Thaw ends it.
+	Freeze, Thaw func(address string)
+	// Silence makes the open connections of an instance swallow everything.
+	Silence func(address string)
+}
+
+// Factory makes a fixture, and cleans it up with t.
+type Factory func(t *testing.T) *Fixture
+
+const (
+	// frozenTimeout is the deadline of calls that get no answer.
+	frozenTimeout = 20 * time.Millisecond
+	// ownerEpoch is the epoch of the owner in the cases.
+	ownerEpoch table.Epoch = 5
+)
+
+// Run runs the contract.
+func Run(t *testing.T, factory Factory) {
+	cases := map[string]func(*testing.T, *Fixture){
+		"probe of primary and replica":             probeRoles,
+		"frozen instance ends with the context":    frozenEnds,
+		"silent kept connection is replaced":       silentReplaced,
+		"promote is idempotent":                    promoteIdempotent,
+		"a term that is over is refused":           lowerTermRefused,
+		"a fenced candidate can be promoted":       fencedCandidate,
+		"fence stops a running write":              fenceStopsWrite,
+		"fence closes connections of lower epochs": fenceClosesEpochs,
+	}
+	for name, run := range cases {
+		t.Run(name, func(t *testing.T) { run(t, factory(t)) })
+	}
+}
+
+func probeRoles(t *testing.T, f *Fixture) {
+	for address, role := range map[string]table.Role{f.Primary: table.RolePrimary, f.Replica: table.RoleReplica} {
+		st, err := f.Platform.Probe(t.Context(), address)
+		assert.NilError(t, err)
+		assert.Equal(t, st.Role, role)
+		assert.Equal(t, st.Mark.Term, f.Term)
+		assert.Assert(t, st.TermStart <= st.Mark.Position)
+	}
+	before, err := f.Platform.Probe(t.Context(), f.Primary)
+	assert.NilError(t, err)
+	assert.NilError(t, insert(t, open(t, f.Primary, ownerEpoch), "probe"))
+	after, err := f.Platform.Probe(t.Context(), f.Primary)
+	assert.NilError(t, err)
+	assert.Assert(t, before.Mark.Less(after.Mark), "a commit moves the position")
+}
+
+func frozenEnds(t *testing.T, f *Fixture) {
+	_, err := f.Platform.Probe(t.Context(), f.Primary)
+	assert.NilError(t, err)
+	f.Freeze(f.Primary)
+	calls := map[string]func(context.Context) error{
+		"probe":   func(ctx context.Context) error { _, err := f.Platform.Probe(ctx, f.Primary); return err },
+		"promote": func(ctx context.Context) error { _, err := f.Platform.Promote(ctx, f.Primary, f.Term); return err },
+		"fence":   func(ctx context.Context) error { return f.Platform.Fence(ctx, f.Primary, f.Term, 0) },
+	}
+	for name, call := range calls {
+		ctx, cancel := context.WithTimeout(t.Context(), frozenTimeout)
+		err := call(ctx)
+		cancel()
+		assert.Assert(t, errors.Is(err, context.DeadlineExceeded), "%s: %v", name, err)
+	}
+	f.Thaw(f.Primary)
+	_, err = f.Platform.Probe(t.Context(), f.Primary)
+	assert.NilError(t, err)
+}
+
+func silentReplaced(t *testing.T, f *Fixture) {
+	_, err := f.Platform.Probe(t.Context(), f.Primary)
+	assert.NilError(t, err)
+	f.Silence(f.Primary)
+	_, err = f.Platform.Probe(t.Context(), f.Primary)
+	assert.NilError(t, err)
+}
+
+func promoteIdempotent(t *testing.T, f *Fixture) {
+	first, err := f.Platform.Promote(t.Context(), f.Replica, f.Term+1)
+	assert.NilError(t, err)
+	assert.Equal(t, first.Role, table.RolePrimary)
+	assert.Equal(t, first.Mark.Term, f.Term+1)
+	assert.NilError(t, insert(t, open(t, f.Replica, ownerEpoch), "after"))
+	second, err := f.Platform.Promote(t.Context(), f.Replica, f.Term+1)
+	assert.NilError(t, err)
+	assert.Equal(t, second.TermStart, first.TermStart, "the term keeps its start")
+	assert.Assert(t, first.Mark.Less(second.Mark))
+}
+
+func lowerTermRefused(t *testing.T, f *Fixture) {
+	_, err := f.Platform.Promote(t.Context(), f.Replica, f.Term)
+	assert.Assert(t, errors.Is(err, platform.ErrTermOver), "a replica in the term of its primary: %v", err)
+	_, err = f.Platform.Promote(t.Context(), f.Replica, f.Term+2)
+	assert.NilError(t, err)
+	_, err = f.Platform.Promote(t.Context(), f.Replica, f.Term+1)
+	assert.Assert(t, errors.Is(err, platform.ErrTermOver), "a primary of a later term: %v", err)
+	assert.NilError(t, f.Platform.Fence(t.Context(), f.Primary, f.Term+2, 0))
+	_, err = f.Platform.Promote(t.Context(), f.Primary, f.Term+1)
+	assert.Assert(t, errors.Is(err, platform.ErrTermOver), "an instance fenced against the term: %v", err)
+}
+
+func fencedCandidate(t *testing.T, f *Fixture) {
+	assert.NilError(t, f.Platform.Fence(t.Context(), f.Replica, f.Term+1, ownerEpoch))
+	st, err := f.Platform.Promote(t.Context(), f.Replica, f.Term+1)
+	assert.NilError(t, err)
+	assert.Equal(t, st.Role, table.RolePrimary)
+}
+
+func fenceStopsWrite(t *testing.T, f *Fixture) {
+	before, err := f.Platform.Probe(t.Context(), f.Primary)
+	assert.NilError(t, err)
+	conn := open(t, f.Primary, ownerEpoch)
+	_, err = conn.Exec(t.Context(), "BEGIN").ReadAll()
+	assert.NilError(t, err)
+	assert.NilError(t, insert(t, conn, "running"))
+	assert.NilError(t, f.Platform.Fence(t.Context(), f.Primary, f.Term+1, ownerEpoch))
+	_, err = conn.Exec(t.Context(), "COMMIT").ReadAll()
+	assert.Equal(t, stateOf(err), "25006", "the running write")
+	assert.Equal(t, stateOf(insert(t, open(t, f.Primary, ownerEpoch), "new")), "25006", "a new write")
+	after, err := f.Platform.Probe(t.Context(), f.Primary)
+	assert.NilError(t, err)
+	assert.Equal(t, after.Mark, before.Mark, "nothing was committed")
+	assert.Equal(t, after.Role, table.RoleReplica, "it accepts no write")
+}
+
+func fenceClosesEpochs(t *testing.T, f *Fixture) {
+	old := open(t, f.Primary, ownerEpoch-1)
+	_, err := old.Exec(t.Context(), "BEGIN").ReadAll()
+	assert.NilError(t, err)
+	assert.NilError(t, insert(t, old, "old"))
+	current := open(t, f.Primary, ownerEpoch)
+	assert.NilError(t, f.Platform.Fence(t.Context(), f.Primary, f.Term, ownerEpoch))
+	_, err = old.Exec(t.Context(), "COMMIT").ReadAll()
+	assert.Assert(t, err != nil, "the old epoch is over")
+	assert.NilError(t, insert(t, current, "old"), "the lock and the write of the old epoch are gone")
+}
+
+// open opens a connection as the owner of an epoch does.
+func open(t *testing.T, address string, epoch table.Epoch) *pgconn.PgConn {
+	t.Helper()
+	url := fmt.Sprintf("postgres://owner@%s/contract?sslmode=disable&application_name=amaranthweir/%d", address, epoch)
+	conn, err := pgconn.Connect(t.Context(), url)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close(context.Background()) }) // it may be closed by now
+	return conn
+}
+
+func insert(t *testing.T, conn *pgconn.PgConn, key string) error {
+	t.Helper()
+	_, err := conn.Exec(t.Context(), "INSERT INTO contract (key, value) VALUES ('"+key+"', '1')").ReadAll()
+	return err
+}
+
+func stateOf(err error) string {
+	var e *pgconn.PgError
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return fmt.Sprint(err)
+}
