--- a/cmd/amaranthweir/main.go
+++ b/cmd/amaranthweir/main.go
@@ -3,13 +3,13 @@
 
 import (
 	"context"
-	"errors"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/amaranthweir/amaranthweir/internal/cli"
 	"github.com/amaranthweir/amaranthweir/internal/config"
+	"github.com/amaranthweir/amaranthweir/internal/host"
 )
 
 func main() {
@@ -26,6 +26,10 @@
 }
 
 // serve runs a host.
-func serve(context.Context, *config.Settings) error {
-	return errors.New("serve: this build has no host")
+func serve(ctx context.Context, s *config.Settings) error {
+	h, err := host.New(s)
+	if err != nil {
+		return err
+	}
+	return h.Run(ctx)
 }
--- a/internal/api/errors.go
+++ b/internal/api/errors.go
@@ -85,6 +85,7 @@
 	errkind.ConfigConflict:      http.StatusConflict,
 	errkind.NotLeader:           http.StatusServiceUnavailable,
 	errkind.NoQuorum:            http.StatusServiceUnavailable,
+	errkind.TxAborted:           http.StatusConflict,
 }
 
 // describe returns the HTTP status and the body for err.
--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -21,7 +21,7 @@
 type PutDocument struct {
 	Service  string `json:"service"`
 	Version  uint64 `json:"version"`
-	Digest   string `json:"digest"` // hexadecimal SHA-256 of Body
+	Digest   string `json:"digest"` // of the content of Body, see config.DocumentDigest
 	Body     []byte `json:"body"`   // the document as the operator wrote it
 	Operator string `json:"operator,omitempty"`
 }
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -121,7 +119,6 @@
 		}
 	}
 	refusal := Accepted
-	sum := sha256.Sum256(p.Body)
 	switch {
 	case p.Version == now.Version && p.Version != 0:
 		refusal = RefusedConflict
@@ -129,7 +126,7 @@
 		refusal = RefusedOld
 	case p.Version > now.Version+1:
 		refusal = RefusedGap
-	case p.Service == "" || p.Digest != hex.EncodeToString(sum[:]):
+	case p.Service == "" || p.Digest == "":
 		refusal = RefusedInvalid
 	}
 	if refusal != Accepted {
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -35,6 +35,7 @@
 	ConfigConflict
 	NotLeader
 	NoQuorum
+	TxAborted
 	kindCount
 )
 
@@ -95,6 +96,7 @@
 	ConfigConflict:      {"config_conflict", "40001", "another document with this version is in force", NotRun, false},
 	NotLeader:           {"not_leader", "57P05", "this host does not lead the control hosts", NotRun, true},
 	NoQuorum:            {"no_quorum", "57P06", "no majority of the control hosts answers", Unknown, true},
+	TxAborted:           {"transaction_aborted", "25P02", "the current transaction is aborted", NotRun, false},
 }
 
 // Answer returns the row of the table for k.
--- a/internal/gateway/do.go
+++ b/internal/gateway/do.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"time"
 
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/sirupsen/logrus"
 
 	"github.com/amaranthweir/amaranthweir/internal/config"
@@ -14,6 +16,9 @@
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
+// messageHeader is the length of a message's type and length, in bytes.
+const messageHeader = 5
+
 // plan is what is known of a unit before it is routed.
 type plan struct {
 	class     *config.Class
@@ -28,40 +33,72 @@
 // after it. Errors are *errkind.Error.
 func (s *Session) Do(ctx context.Context, w *Work, sink request.Sink) (byte, error) {
 	started := time.Now()
+	if s.aborted {
+		return s.doAborted(w, sink)
+	}
 	p, err := s.plan(w)
 	if err != nil {
-		return s.status(), err
+		return s.failed(), err
 	}
 	run := &run{session: s, work: w, plan: p, sink: countingSink{sink: sink}, started: started}
 	res, err := run.execute(ctx)
 	s.observe(run, err)
 	if err != nil {
-		return s.failed(err), err
+		return s.failed(), err
 	}
 	s.settle(run, res)
 	return res.TxStatus, nil
 }
 
-// status is the transaction state when a unit was refused before it ran.
-func (s *Session) status() byte {
-	if s.tx != nil {
-		return request.TxOpen
-	}
-	return request.TxIdle
-}
-
-// failed notes the state after an error: what is not known to be still there
-// is given up.
-func (s *Session) failed(err error) byte {
+// failed notes the state after an error: as in the database itself, an error
+// inside a transaction aborts it.
+func (s *Session) failed() byte {
 	if s.tx == nil {
 		return request.TxIdle
 	}
-	if errkind.Of(err).Effect == errkind.NotRun && errkind.Is(err, errkind.DeadlineUnreachable) {
-		return request.TxOpen // refused a slot: the transaction is untouched
-	}
 	s.Close()
 	s.pending = nil
-	return request.TxIdle
+	s.aborted = true
+	return request.TxFailed
+}
+
+// doAborted answers a unit inside an aborted transaction: its end is answered
+// with ROLLBACK, everything else is refused.
+func (s *Session) doAborted(w *Work, sink request.Sink) (byte, error) {
+	for _, t := range w.Texts {
+		for _, st := range t.Statements {
+			if st.Kind != statement.Commit && st.Kind != statement.Rollback {
+				continue
+			}
+			s.aborted = false
+			return request.TxIdle, sink.Answer(rollbackAnswer(w.Messages))
+		}
+	}
+	return request.TxFailed, errkind.New(errkind.TxAborted, "end it with ROLLBACK")
+}
+
+// rollbackAnswer answers the messages of a unit that ends an aborted
+// transaction.
+func rollbackAnswer(messages []byte) []byte {
+	var answer []byte
+	for rest := messages; len(rest) >= messageHeader; {
+		switch rest[0] {
+		case 'P':
+			answer, _ = (&pgproto3.ParseComplete{}).Encode(answer)
+		case 'B':
+			answer, _ = (&pgproto3.BindComplete{}).Encode(answer)
+		case 'D':
+			answer, _ = (&pgproto3.NoData{}).Encode(answer)
+		case 'Q', 'E':
+			answer, _ = (&pgproto3.CommandComplete{CommandTag: []byte("ROLLBACK")}).Encode(answer)
+		}
+		n := 1 + int(binary.BigEndian.Uint32(rest[1:]))
+		if n < messageHeader || n > len(rest) {
+			break
+		}
+		rest = rest[n:]
+	}
+	return answer
 }
 
 // settle notes the state after an answer.
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -31,6 +31,7 @@
 	settings []string
 	pending  []string // SET statements of the open transaction
 	tx       *transaction
+	aborted  bool // the transaction failed and waits for its end
 }
 
 // transaction is where the open transaction of a session runs.
--- a/internal/host/backend.go
+++ b/internal/host/backend.go
@@ -70,10 +70,7 @@
 // Apply implements api.Backend. Any host takes a document; the leader puts it
 // into the replicated log.
 func (b *backend) Apply(ctx context.Context, doc *config.Document, src []byte) (api.ApplyReply, error) {
-	digest, err := config.DocumentDigest(src)
-	if err != nil {
-		return api.ApplyReply{}, err
-	}
+	digest := config.DocumentDigest(src)
 	before := b.host.dir.view.Load().Documents[doc.Service].Version
 	in := applyRequest{Service: doc.Service, Version: doc.Version, Digest: digest, Body: src}
 	var out applyReply
@@ -143,7 +140,7 @@
 	st := api.Status{
 		Host:            h.settings.Host,
 		Domain:          h.settings.Domain,
-		Ready:           b.Ready(),
+		Ready:           b.Ready(ctx) == nil,
 		ControlRevision: view.Revision,
 	}
 	var report leaderReport
@@ -226,11 +223,14 @@
 
 // Ready implements api.Backend: the balancer may send callers once this host
 // has caught up with the control state, and until it shuts down.
-func (b *backend) Ready() bool {
+func (b *backend) Ready(context.Context) error {
 	select {
 	case <-b.host.stopping:
-		return false
+		return errkind.New(errkind.ShuttingDown, "")
 	default:
 	}
-	return b.host.beats.caughtUp()
+	if !b.host.beats.caughtUp() {
+		return errkind.New(errkind.NotLeader, "the control state was not heard of yet")
+	}
+	return nil
 }
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,8 +11,10 @@
 	"github.com/amaranthweir/amaranthweir/internal/config"
 	"github.com/amaranthweir/amaranthweir/internal/control"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/owner"
 	"github.com/amaranthweir/amaranthweir/internal/peer"
 	"github.com/amaranthweir/amaranthweir/internal/request"
+	"github.com/amaranthweir/amaranthweir/internal/system/admission"
 	"github.com/amaranthweir/amaranthweir/internal/system/lease"
 	"github.com/amaranthweir/amaranthweir/internal/system/routing"
 	"github.com/amaranthweir/amaranthweir/internal/table"
@@ -257,3 +260,37 @@
 	}
 	return v
 }
+
+// declaration gathers what the documents say about the work of a group. Where
+// services share a group, the lowest floors count. The declared rate of a
+// class is spread over its groups.
+func (d *directory) declaration(group table.GroupName) owner.Declaration {
+	var out owner.Declaration
+	first := true
+	for _, doc := range *d.documents.Load() {
+		named := false
+		for i := range doc.Classes {
+			c := &doc.Classes[i]
+			if !slices.Contains(c.Groups, group) {
+				continue
+			}
+			named = true
+			out.Classes = append(out.Classes, admission.Class{
+				Name:          c.Name,
+				Rank:          c.Rank,
+				RatePerSecond: c.RatePerSecond / float64(len(c.Groups)),
+				Weight:        c.Worth,
+			})
+		}
+		if !named {
+			continue
+		}
+		for rank, floor := range doc.RankFloors {
+			if first || floor < out.Floors[rank] {
+				out.Floors[rank] = floor
+			}
+		}
+		first = false
+	}
+	return out
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -111,6 +111,7 @@
 		Peers:     h.gateway,
 		Prober:    h.platform,
 		Fencer:    h.platform,
+		Declare:   h.dir.declaration,
 		Stamp:     func() failover.Stamp { return h.beats.latestStamp() },
 		Changed:   func() { h.beats.soon() },
 		Log:       h.log,
--- a/internal/owner/instance.go
+++ b/internal/owner/instance.go
@@ -54,7 +54,7 @@
 }
 
 func newInstance(ctx context.Context, cfg Config, desc table.Instance, epoch table.Epoch) (*instance, error) {
-	slots, err := newSlots(desc.Slots)
+	slots, err := newSlots(desc.Slots, cfg.Declare(desc.Group), cfg.Log.WithField("instance", desc.ID))
 	if err != nil {
 		return nil, err
 	}
@@ -95,9 +95,9 @@
 	return in, nil
 }
 
-// resize takes a new number of slots.
+// resize takes a new number of slots and what the documents say now.
 func (in *instance) resize(desc table.Instance) error {
-	return in.slots.resize(desc.Slots)
+	return in.slots.update(desc.Slots, in.cfg.Declare(in.group))
 }
 
 // shut ends probes and idle connections; transactions go on to their end.
@@ -122,6 +122,7 @@
 			in.pool.Maintain(ctx, time.Now())
 		}
 		in.refreshAge(ctx)
+		in.slots.tick()
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -42,6 +42,8 @@
 	Peers     Peers
 	Prober    platform.Prober
 	Fencer    platform.Fencer
+	// Declare returns what the documents in force say about a group.
+	Declare func(group table.GroupName) Declaration
 	// Stamp returns the latest stamp of the control leader.
 	Stamp func() failover.Stamp
 	// Changed is called when the reachability of an instance changed.
