Add the session token and the term history of a group

Read-your-writes has to hold on any host that the caller comes to next. The token names, for each group the session used, the highest term and position it has seen.

A group now keeps where its latest 16 terms began. The start of the current term alone cannot show that a position was lost two terms ago: with the history taken out, TestCheckLost fails ('kept by the next term') and so does the model test. A plain array keeps table.Group comparable; a slice was ruled out.

A floor keeps what was seen of an older term until a check has confirmed it, because a change of primary may come between the check and the write. With that taken out the model test fails: 'lost false, but the session saw {0 {1}} {0 {2}} {1 {3}} and the log is [{2} {3}]'. Mark.Holds compares term and position; with Mark.Less in its place the model test fails: 'replica {2 []} may serve floor {1 1}, but lacks some of {0 {1}}'. A replica may know of a term and still lag, so Less must not decide who may serve a session.

Shown failing first in the same way: the service in the MAC, the MAC check, strict base64url, the refusal of line breaks, both steps of the key rotation.

--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -121,6 +121,9 @@
 	// TermStart is the position at which the current term began: what an
 	// older term holds beyond it was lost.
 	TermStart Position
+	// History holds where the latest terms began, the current one included
+	// once its primary is promoted.
+	History TermHistory
 }
 
 // GroupPhase is the state of a change of primary.
