--- a/standin/control.go
+++ b/standin/control.go
@@ -49,7 +49,7 @@
 
 // serveFault sets switches. One request may set several:
 //
-//	kill=true            drop everything at once
+//	kill=true            answer, then drop everything at once
 //	freeze=true|false    stop everything, or go on
 //	cut=all|none|A,B     stop the traffic with the peers A and B
 //	silence=true         make the open connections silent
@@ -58,22 +58,27 @@
 //	leaving=true|false   announce that the instance leaves
 //	lag_ms=N             change the replication lag
 func (in *Instance) serveFault(w http.ResponseWriter, r *http.Request) {
-	for name := range r.URL.Query() {
+	query := r.URL.Query()
+	for name := range query {
 		set, ok := switches[name]
 		if !ok {
 			http.Error(w, "unknown switch "+strconv.Quote(name), http.StatusBadRequest)
 			return
 		}
-		if err := set(in, r.URL.Query().Get(name)); err != nil {
+		if err := set(in, query.Get(name)); err != nil {
 			http.Error(w, name+": "+err.Error(), http.StatusBadRequest)
 			return
 		}
 	}
 	w.WriteHeader(http.StatusNoContent)
+	if kill, _ := strconv.ParseBool(query.Get("kill")); kill {
+		_ = http.NewResponseController(w).Flush() // the caller may be gone
+		go in.Kill()                              // it waits for this handler
+	}
 }
 
 var switches = map[string]func(in *Instance, value string) error{
-	"kill":    boolSwitch(func(in *Instance, _ bool) { go in.Kill() }),
+	"kill":    boolSwitch(func(*Instance, bool) {}), // after the answer
 	"silence": boolSwitch(func(in *Instance, _ bool) { in.SilenceOpen() }),
 	"leaving": boolSwitch((*Instance).SetLeaving),
 	"freeze": boolSwitch(func(in *Instance, on bool) {
