--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -36,6 +36,7 @@
 	doc      *config.Document
 	query    ExplainQuery
 	block    bool
+	switched SwitchOver
 }
 
 func (f *fakeBackend) Announce(_ context.Context, a platform.Announcement) (platform.AnnounceReply, error) {
@@ -62,6 +63,11 @@
 	return Explanation{Service: q.Service, Class: q.Class, Key: q.Key, Chosen: "g1-a"}, f.err
 }
 
+func (f *fakeBackend) SwitchOver(_ context.Context, s SwitchOver) error {
+	f.switched = s
+	return f.err
+}
+
 func (f *fakeBackend) Ready(context.Context) error { return f.err }
 
 func serve(f *fakeBackend, method, path, body string) (int, string) {
@@ -99,6 +105,8 @@
 		{"ready", "GET", PathReady, "", nil, 200, "true"},
 		{"not ready", "GET", PathReady, "", errkind.New(errkind.ShuttingDown, "draining"), 503, "draining"},
 		{"not ready for a reason of the client", "GET", PathReady, "", errkind.New(errkind.UnknownClass, ""), 503, "unknown_class"},
+		{"switch-over", "POST", PathSwitchOver, `{"group":"g1"}`, nil, 200, "begun"},
+		{"switch-over without a group", "POST", PathSwitchOver, `{}`, nil, 400, "group: missing"},
 		{"metrics", "GET", PathMetrics, "", nil, 200, "metrics"},
 		{"unknown path", "GET", "/v2/x", "", nil, 404, "no such path"},
 		{"wrong method", "GET", PathDocuments, "", nil, 404, "no such path or method"},
--- a/internal/api/handler.go
+++ b/internal/api/handler.go
@@ -47,6 +47,8 @@
 	Apply(ctx context.Context, doc *config.Document, src []byte) (ApplyReply, error)
 	// Status returns what the host knows of the system.
 	Status(ctx context.Context) (Status, error)
+	// SwitchOver begins a planned change of primary.
+	SwitchOver(ctx context.Context, s SwitchOver) error
 	// Explain returns what the host would do with a request now.
 	Explain(ctx context.Context, q ExplainQuery) (Explanation, error)
 	// Ready returns nil when the balancer may send callers here, and
@@ -74,6 +76,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("POST "+PathAnnounce, endpoint(AnnounceTimeout, h.announce))
 	mux.Handle("POST "+PathDocuments, endpoint(ApplyTimeout, h.apply))
+	mux.Handle("POST "+PathSwitchOver, endpoint(ApplyTimeout, h.switchOver))
 	mux.Handle("GET "+PathStatus, endpoint(QueryTimeout, h.status))
 	mux.Handle("GET "+PathExplain, endpoint(QueryTimeout, h.explain))
 	mux.Handle("GET "+PathHealth, endpoint(QueryTimeout, h.health))
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -34,12 +34,13 @@
 
 // commands is the grammar of the command line.
 type commands struct {
-	Serve   serveCommand   `cmd:"" help:"Run a host. Its settings make it an entry host, and a control host too if they say so."`
-	Check   checkCommand   `cmd:"" help:"Check a settings file or a service document and print every problem with its place."`
-	Apply   applyCommand   `cmd:"" help:"Hand a service document to the system. Sending the same document again is safe."`
-	Status  statusCommand  `cmd:"" help:"Print what a host knows of the system: documents, hosts, groups, instances."`
-	Explain explainCommand `cmd:"" help:"Print what a host would do with a request now, and why."`
-	Version versionCommand `cmd:"" help:"Print the version of this build."`
+	Serve      serveCommand      `cmd:"" help:"Run a host. Its settings make it an entry host, and a control host too if they say so."`
+	Check      checkCommand      `cmd:"" help:"Check a settings file or a service document and print every problem with its place."`
+	Apply      applyCommand      `cmd:"" help:"Hand a service document to the system. Sending the same document again is safe."`
+	Status     statusCommand     `cmd:"" help:"Print what a host knows of the system: documents, hosts, groups, instances."`
+	Explain    explainCommand    `cmd:"" help:"Print what a host would do with a request now, and why."`
+	Switchover switchOverCommand `cmd:"" help:"Begin a planned change of the primary of a group."`
+	Version    versionCommand    `cmd:"" help:"Print the version of this build."`
 }
 
 const description = `A PostgreSQL proxy with session consistency.
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -58,6 +58,8 @@
 
 func (f *fakeHost) Ready(context.Context) error { return f.err }
 
+func (f *fakeHost) SwitchOver(context.Context, api.SwitchOver) error { return f.err }
+
 // run executes one command line against the fake host.
 func run(t *testing.T, f *fakeHost, serve ServeFunc, args ...string) (code int, out, errOut string) {
 	t.Helper()
--- a/internal/host/backend.go
+++ b/internal/host/backend.go
@@ -178,6 +178,24 @@
 	return st, nil
 }
 
+// SwitchOver implements api.Backend.
+func (b *backend) SwitchOver(ctx context.Context, s api.SwitchOver) error {
+	b.host.log.WithFields(logrus.Fields{"group": s.Group, "to": s.To}).Info("audit: switch-over")
+	return b.host.askLeader(ctx, methodSwitchOver, s, &struct{}{})
+}
+
+// takeSwitchOver answers methodSwitchOver.
+func (h *Host) takeSwitchOver(_ context.Context, body []byte) (any, error) {
+	var in api.SwitchOver
+	if err := json.Unmarshal(body, &in); err != nil {
+		return nil, badMessage(err)
+	}
+	if h.leader == nil {
+		return nil, errkind.New(errkind.NotLeader, "not a control host")
+	}
+	return struct{}{}, h.leader.switchOver(in.Group, in.To)
+}
+
 // Explain implements api.Backend.
 func (b *backend) Explain(_ context.Context, q api.ExplainQuery) (api.Explanation, error) {
 	x, err := b.host.gateway.Explain(q.Service, q.Class, q.Key)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -209,6 +209,7 @@
 	s.Methods[methodApply] = h.takeApply
 	s.Methods[methodNudge] = h.takeNudge
 	s.Methods[methodStatus] = h.takeStatus
+	s.Methods[methodSwitchOver] = h.takeSwitchOver
 	if h.leader != nil {
 		s.Deliver = h.leader.server.Receive
 	}
--- a/internal/host/wire.go
+++ b/internal/host/wire.go
@@ -11,9 +11,10 @@
 
 // The control calls between hosts.
 const (
-	methodHeartbeat = "heartbeat"
-	methodApply     = "apply"
-	methodNudge     = "nudge"
+	methodHeartbeat  = "heartbeat"
+	methodApply      = "apply"
+	methodNudge      = "nudge"
+	methodSwitchOver = "switchover"
 )
 
 // heartbeat is what each host sends to the control leader at intervals.
