Run requests with an id at most once; settle unknown outcomes

A claim of the id is written in the transaction that has the effect. A repeat finds it and gets the first outcome. After a lost answer the gateway does not send the request again: it claims the attempt as void at the current primary, which waits for, finds or shuts out the earlier one, and says which.

A write whose confirmation was overtaken by a change of primary is settled by the history of terms: kept means acknowledged, lost means not run.

Fixed on the way: a statement inside a transaction applied the session settings of its request again and would have sent RESET ALL in it.

--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -190,6 +190,7 @@
 	}
 	next := now
 	next.Phase, next.Primary, next.TermStart = table.PhaseStable, p.Primary, p.TermStart
+	next.History.Begin(p.Term, p.TermStart)
 	return s.putGroup(next)
 }
 
--- a/internal/gateway/do.go
+++ b/internal/gateway/do.go
@@ -2,30 +2,26 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"time"
 
-	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/sirupsen/logrus"
 
 	"github.com/amaranthweir/amaranthweir/internal/config"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/pg/synthetic"
 	"github.com/amaranthweir/amaranthweir/internal/request"
 	"github.com/amaranthweir/amaranthweir/internal/statement"
 	"github.com/amaranthweir/amaranthweir/internal/system/routing"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
-// messageHeader is the length of a message's type and length, in bytes.
-const messageHeader = 5
-
 // plan is what is known of a unit before it is routed.
 type plan struct {
 	class     *config.Class
 	group     table.GroupName
 	requestID string
 	begins    bool // a transaction is open after it
-	ends      bool // the open transaction ends with it
+	commits   bool // it has a COMMIT
 	sets      bool // it changes session settings
 }
 
@@ -71,36 +67,12 @@
 				continue
 			}
 			s.aborted = false
-			return request.TxIdle, sink.Answer(rollbackAnswer(w.Messages))
+			return request.TxIdle, sink.Answer(synthetic.Answer(w.Messages, "ROLLBACK"))
 		}
 	}
 	return request.TxFailed, errkind.New(errkind.TxAborted, "end it with ROLLBACK")
 }
 
-// rollbackAnswer answers the messages of a unit that ends an aborted
-// transaction.
-func rollbackAnswer(messages []byte) []byte {
-	var answer []byte
-	for rest := messages; len(rest) >= messageHeader; {
-		switch rest[0] {
-		case 'P':
-			answer, _ = (&pgproto3.ParseComplete{}).Encode(answer)
-		case 'B':
-			answer, _ = (&pgproto3.BindComplete{}).Encode(answer)
-		case 'D':
-			answer, _ = (&pgproto3.NoData{}).Encode(answer)
-		case 'Q', 'E':
-			answer, _ = (&pgproto3.CommandComplete{CommandTag: []byte("ROLLBACK")}).Encode(answer)
-		}
-		n := 1 + int(binary.BigEndian.Uint32(rest[1:]))
-		if n < messageHeader || n > len(rest) {
-			break
-		}
-		rest = rest[n:]
-	}
-	return answer
-}
-
 // settle notes the state after an answer.
 func (s *Session) settle(r *run, res request.Result) {
 	if res.HasMark {
@@ -122,6 +94,8 @@
 			owner:    r.owner,
 			executor: r.executor,
 			replica:  r.replica,
+
+			requestID: r.plan.requestID,
 		}
 	}
 }
@@ -158,6 +132,9 @@
 	}
 	if s.tx != nil {
 		p.class, p.group = s.tx.class, s.tx.group
+		if s.tx.requestID != "" {
+			p.requestID = s.tx.requestID
+		}
 		return p, checkAccess(p.class, w)
 	}
 	name := tags.Class
@@ -173,6 +150,9 @@
 		key = s.Key
 	}
 	p.class = class
+	if p.requestID != "" && p.commits {
+		return nil, errkind.New(errkind.NotSupported, "a request id with a whole transaction in one message")
+	}
 	if p.group, err = chooseGroup(class, key); err != nil {
 		return nil, err
 	}
@@ -196,9 +176,11 @@
 			case statement.Unsupported:
 				return errkind.New(errkind.NotSupported, "%s", st.Verb)
 			case statement.Begin:
-				p.begins, p.ends = true, false
-			case statement.Commit, statement.Rollback:
-				p.begins, p.ends = false, true
+				p.begins = true
+			case statement.Commit:
+				p.begins, p.commits = false, true
+			case statement.Rollback:
+				p.begins = false
 			case statement.Set:
 				p.sets = true
 			case statement.Reset:
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -45,7 +45,11 @@
 		r.attempts = 1
 		r.instance, r.owner, r.executor, r.replica = tx.instance, tx.owner, tx.executor, tx.replica
 		q.Instance = tx.instance
-		return tx.executor.Execute(ctx, q, &r.sink)
+		res, err := tx.executor.Execute(ctx, q, &r.sink)
+		if err != nil && r.maySettle(q, err) {
+			return r.settle(ctx, q, err)
+		}
+		return res, err
 	}
 	if err := r.findFloor(ctx, q); err != nil {
 		return request.Result{TxStatus: request.TxIdle}, err
@@ -54,6 +58,9 @@
 	for {
 		changed := r.session.gateway.cfg.Directory.Changed()
 		res, err := r.attempt(ctx, q)
+		if err != nil && r.maySettle(q, err) {
+			return r.settle(ctx, q, err)
+		}
 		if err == nil || !r.mayRetry(err) {
 			return res, err
 		}
@@ -84,11 +91,21 @@
 		AckReplicas:     c.AckReplicas,
 		RatePerSecond:   c.RatePerSecond,
 		Settings:        s.settings,
+		Digest:          r.digest(),
 		Prepares:        r.work.Prepares,
 		Messages:        r.work.Messages,
 		ChangesSettings: r.plan.sets,
-		MayCommit:       !r.work.OnlyPrepares && (r.plan.ends || !open && !r.plan.begins),
+		MayCommit:       !r.work.OnlyPrepares && (r.plan.commits || !open && !r.plan.begins),
+	}
+}
+
+// digest identifies the content of a request with an id. A transaction has
+// none: its statements ran one by one.
+func (r *run) digest() string {
+	if r.plan.requestID == "" || r.session.tx != nil {
+		return ""
 	}
+	return digest(r.work)
 }
 
 // findFloor sets what a read must not be older than. A session that brought no
@@ -183,7 +200,9 @@
 		return false
 	}
 	if e.Effect == errkind.NotRun {
-		return true
+		// What was lost with an old term has left this host: work that must
+		// not run twice is not sent again.
+		return e.Kind != errkind.LeaseLost || r.plan.class.Repeatable
 	}
 	return r.plan.class.Access == config.AccessRead && r.plan.class.Repeatable && r.session.gateway.budget.withdraw()
 }
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -42,6 +42,8 @@
 	owner    table.HostID
 	executor request.Executor
 	replica  bool
+	// requestID is the idempotency key of the whole transaction, or empty.
+	requestID string
 }
 
 // Work is one unit of a caller's messages.
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -121,6 +121,22 @@
 	return nil
 }
 
+// Fate implements owner.Authority.
+func (d *directory) Fate(group table.GroupName, m table.Mark) owner.Fate {
+	g, ok := d.view.Load().Groups[group]
+	if !ok || g.Phase != table.PhaseStable || g.Term <= m.Term {
+		return owner.FatePending
+	}
+	switch g.History.Survives(m) {
+	case table.SurvivedYes:
+		return owner.FateKept
+	case table.SurvivedNo:
+		return owner.FateLost
+	default:
+		return owner.FatePending
+	}
+}
+
 func (d *directory) leaseValid() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- /dev/null
+++ b/internal/owner/claim.go
@@ -0,0 +1,115 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/pool"
+	"github.com/amaranthweir/amaranthweir/internal/request"
+)
+
+// claimTable holds one row for each attempt at a request with an id. The row
+// is written in the transaction that has the effect, so both are kept or lost
+// together, also by a change of primary.
+const claimTable = "amaranthweir_requests"
+
+// uniqueViolation is the SQLSTATE of a duplicate key.
+const uniqueViolation = "23505"
+
+// maxVoids bounds the attempts of one id that were shut out.
+const maxVoids = 1000
+
+// void is the value of an attempt that was shut out: it has not run and never
+// will. The next attempt claims the next number.
+const void = "void"
+
+// claim is the right to run a request with an id.
+type claim struct {
+	conn *pool.Conn
+	id   string // service and id
+	// number is the attempt that the claim is for; those before it are void.
+	number int
+}
+
+func newClaim(conn *pool.Conn, r *request.Request) *claim {
+	return &claim{conn: conn, id: r.Service + "/" + r.RequestID}
+}
+
+// key is the row of the attempt, as an SQL literal.
+func (c *claim) key() string { return quote(c.id + "#" + strconv.Itoa(c.number)) }
+
+// quote returns text as an SQL literal.
+func quote(text string) string {
+	return "'" + strings.ReplaceAll(text, "'", "''") + "'"
+}
+
+// take claims the first attempt that is not void, with the given value, in an
+// open transaction. It returns the value that stands there when the request
+// has run already; then no transaction is open. While another attempt is
+// running, it waits for its end.
+func (c *claim) take(ctx context.Context, value string) (found string, err error) {
+	for c.number = 0; c.number < maxVoids; c.number++ {
+		insert := "INSERT INTO " + claimTable + " (key, value) VALUES (" + c.key() + ", " + quote(value) + ")"
+		err := c.conn.Exec(ctx, "BEGIN", insert)
+		if err == nil {
+			return "", nil
+		}
+		if !isDuplicate(err) {
+			return "", err
+		}
+		if err := c.conn.Exec(ctx, "ROLLBACK"); err != nil {
+			return "", err
+		}
+		found, err := c.conn.QueryText(ctx, "SELECT value FROM "+claimTable+" WHERE key = "+c.key())
+		if err != nil {
+			return "", err
+		}
+		if found != void {
+			return found, nil
+		}
+	}
+	return "", errkind.New(errkind.CallerLimit, "request id was shut out %d times", maxVoids)
+}
+
+func isDuplicate(err error) bool {
+	var pgErr *pgconn.PgError
+	return errors.As(err, &pgErr) && pgErr.Code == uniqueViolation
+}
+
+// outcome is the value of a claim: the digest of the request and its command
+// tag.
+func outcome(digest, tag string) string { return digest + "|" + tag }
+
+// firstOutcome reads the value of a claim. A request id that came with another
+// content before is an error.
+func firstOutcome(value, digest string) (tag string, err error) {
+	was, tag, _ := strings.Cut(value, "|")
+	if digest != "" && was != digest {
+		return "", errkind.New(errkind.BadRequest, "the request id was used for another request")
+	}
+	return tag, nil
+}
+
+// takeAtCommit claims the request in the caller's own transaction, right
+// before its COMMIT. When the request has run already, the transaction is
+// rolled back and the value that stands there is returned.
+func (c *claim) takeAtCommit(ctx context.Context, value string) (found string, err error) {
+	insert := "INSERT INTO " + claimTable + " (key, value) VALUES (" + c.key() + ", " + quote(value) + ")"
+	err = c.conn.Exec(ctx, insert)
+	if err == nil || !isDuplicate(err) {
+		return "", err
+	}
+	if err := c.conn.Exec(ctx, "ROLLBACK"); err != nil {
+		return "", err
+	}
+	found, err = c.conn.QueryText(ctx, "SELECT value FROM "+claimTable+" WHERE key = "+c.key())
+	if err == nil && found == void {
+		err = errkind.New(errkind.UpstreamLost, "an earlier attempt was shut out: run the transaction again under a new request id").WithEffect(errkind.NotRun)
+	}
+	return found, err
+}
--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -24,6 +24,9 @@
 	if err := in.mayRun(r); err != nil {
 		return idle, err
 	}
+	if r.Settle {
+		return in.settleRequest(ctx, r, s)
+	}
 	t, err := in.slots.acquire(ctx, r)
 	if err != nil {
 		return idle, err
@@ -36,7 +39,11 @@
 	if err != nil {
 		return idle, err
 	}
-	return in.run(ctx, &execution{r: r, sink: s, tx: tx, ticket: t})
+	e := &execution{r: r, sink: s, tx: tx, ticket: t}
+	if r.RequestID != "" && r.MayCommit && r.Access == config.AccessWrite {
+		return in.runClaimed(ctx, e)
+	}
+	return in.run(ctx, e)
 }
 
 // mayRun checks what must hold before a byte goes to the upstream.
@@ -134,6 +141,7 @@
 	confirm := e.r.Access == config.AccessWrite && e.r.MayCommit
 	x := &pool.Exchange{
 		Settings:        e.r.Settings,
+		KeepSettings:    e.r.Continues,
 		Prepares:        e.r.Prepares,
 		Messages:        e.r.Messages,
 		ChangesSettings: e.r.ChangesSettings,
@@ -142,9 +150,6 @@
 		HoldLimit:       heldAnswerLimit,
 		Pass:            in.passer(e, confirm),
 	}
-	if e.r.Continues {
-		x.Settings = nil // they were applied when the transaction began
-	}
 	out, err := in.exchange(ctx, e, x)
 	in.end(e, out, err)
 	e.ticket.release()
@@ -156,7 +161,17 @@
 	if !confirm {
 		return res, nil
 	}
-	return res, in.confirm(ctx, e, out)
+	if counts(out) {
+		if err := in.confirm(ctx, e.r, out); err != nil {
+			return res, err
+		}
+	}
+	return res, e.sink.Answer(e.answer)
+}
+
+// counts reports whether something was committed that the answer acknowledges.
+func counts(out pool.Outcome) bool {
+	return out.TxStatus == request.TxIdle && (!out.Failed || out.Tag != "")
 }
 
 // exchange runs x; when it fails while the caller went away or the deadline
@@ -215,28 +230,3 @@
 		in.pool.Put(tx.conn)
 	}
 }
-
-// confirm makes sure that a write counts before the caller hears of it: the
-// lease still holds in the term that took the write, and as many replicas as
-// the class wants have it.
-func (in *instance) confirm(ctx context.Context, e *execution, out pool.Outcome) error {
-	if out.Failed && out.Tag == "" {
-		return e.sink.Answer(e.answer) // nothing was written
-	}
-	if out.TxStatus != request.TxIdle {
-		return e.sink.Answer(e.answer) // not committed yet
-	}
-	if !out.HasMark {
-		return errkind.New(errkind.OutcomeUnknown, "the upstream reported no position")
-	}
-	in.raiseAcked(out.Mark)
-	if e.r.AckReplicas > 0 {
-		if err := in.cfg.Peers.AwaitAnyReplica(ctx, in.group, out.Mark); err != nil {
-			return errkind.Wrap(err, errkind.OutcomeUnknown, "no replica confirmed the write")
-		}
-	}
-	if err := in.mayAcknowledge(out.Mark.Term, errkind.Unknown); err != nil {
-		return err
-	}
-	return e.sink.Answer(e.answer)
-}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -26,7 +26,24 @@
 	// Term returns the agreed term of the group and whether instance is its
 	// promoted primary.
 	Term(group table.GroupName, instance table.InstanceID) (term table.Term, primary bool)
-}
+	// Fate tells what became of a write of an older term.
+	Fate(group table.GroupName, m table.Mark) Fate
+	// Changed returns a channel that is closed at the next change.
+	Changed() <-chan struct{}
+}
+
+// Fate is what became of a write that an old primary committed.
+type Fate uint8
+
+// The fates.
+const (
+	// FatePending means that no later term has a primary yet.
+	FatePending Fate = iota
+	// FateKept means that the history of the group has the write.
+	FateKept
+	// FateLost means that the history went on without the write.
+	FateLost
+)
 
 // Peers reaches the replicas of a group at their owners.
 type Peers interface {
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -70,6 +70,7 @@
 		ChangesSettings: r.ChangesSettings,
 		MayCommit:       r.MayCommit,
 		WaitNanos:       int64(r.Wait),
+		Settle:          r.Settle,
 	}
 	if r.HasFloor {
 		p.Floor = encodeMark(r.Floor)
@@ -109,6 +110,7 @@
 		ChangesSettings: p.GetChangesSettings(),
 		MayCommit:       p.GetMayCommit(),
 		Wait:            time.Duration(p.GetWaitNanos()),
+		Settle:          p.GetSettle(),
 	}
 	for _, s := range p.GetPrepares() {
 		r.Prepares = append(r.Prepares, request.Prepare{Name: s.GetName(), Parse: s.GetParse()})
--- a/internal/pg/session.go
+++ b/internal/pg/session.go
@@ -13,6 +13,7 @@
 
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/gateway"
+	"github.com/amaranthweir/amaranthweir/internal/pg/synthetic"
 	"github.com/amaranthweir/amaranthweir/internal/request"
 	"github.com/amaranthweir/amaranthweir/internal/statement"
 )
@@ -301,17 +302,9 @@
 
 // Answer implements request.Sink. The parts of an answer hold whole messages.
 func (w *watchErrors) Answer(p []byte) error {
-	const header = 5
-	for rest := p; len(rest) >= header; {
-		if rest[0] == 'E' {
-			w.failed = true
-		}
-		n := 1 + int(rest[1])<<24 + int(rest[2])<<16 + int(rest[3])<<8 + int(rest[4])
-		if n < header || n > len(rest) {
-			break
-		}
-		rest = rest[n:]
-	}
+	synthetic.Each(p, func(kind byte) {
+		w.failed = w.failed || kind == 'E'
+	})
 	return w.sink.Answer(p)
 }
 
--- a/internal/pool/run.go
+++ b/internal/pool/run.go
@@ -22,7 +22,10 @@
 
 // Exchange is one request on one connection.
 type Exchange struct {
+	// Settings are brought into force first, unless KeepSettings is set, as
+	// inside of a transaction.
 	Settings        []string
+	KeepSettings    bool
 	Prepares        []request.Prepare
 	Messages        []byte
 	ChangesSettings bool
@@ -62,8 +65,10 @@
 func (c *Conn) Run(ctx context.Context, deadline time.Time, x *Exchange) (Outcome, error) {
 	lift := c.guard(ctx, deadline)
 	defer lift()
-	if err := c.applySettings(x.Settings); err != nil {
-		return Outcome{}, settingsError(err)
+	if !x.KeepSettings {
+		if err := c.applySettings(x.Settings); err != nil {
+			return Outcome{}, settingsError(err)
+		}
 	}
 	if x.ChangesSettings {
 		c.settings = unknownSettings
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -54,6 +54,9 @@
 	RequestID string
 	// Digest identifies the content of the request for RequestID.
 	Digest string
+	// Settle asks for the outcome of an earlier attempt at RequestID. Where it
+	// has not run, it is shut out for good, and the error says so.
+	Settle bool
 	// AckReplicas is how many replicas must hold a write before it is
 	// acknowledged.
 	AckReplicas int
