--- a/internal/platform/pgplatform/pgplatform_test.go
+++ b/internal/platform/pgplatform/pgplatform_test.go
@@ -66,3 +66,24 @@
 	assert.Equal(t, in.Stats().MaxReserved, 1)
 	assert.Equal(t, in.Stats().MaxOpen, 0, "probes take no connection of callers")
 }
+
+func BenchmarkProbe(b *testing.B) {
+	cfg := standin.DefaultConfig("g", "a")
+	cfg.OpenCost = 0
+	in, err := standin.Start(cfg)
+	assert.NilError(b, err)
+	defer in.Close()
+	for name, maxKept := range map[string]int{"kept": 1, "dialed": 0} {
+		b.Run(name, func(b *testing.B) {
+			cfg := pgplatform.DefaultConfig()
+			cfg.MaxKept = maxKept
+			p, err := pgplatform.New(cfg)
+			assert.NilError(b, err)
+			defer p.Close()
+			for b.Loop() {
+				_, err := p.Probe(b.Context(), in.Address())
+				assert.NilError(b, err)
+			}
+		})
+	}
+}
