--- /dev/null
+++ b/internal/owner/instance.go
@@ -0,0 +1,215 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/platform"
+	"github.com/amaranthweir/amaranthweir/internal/pool"
+	"github.com/amaranthweir/amaranthweir/internal/request"
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
+
+// reservedConnections of an instance are left for probes and for the fence of
+// a later owner.
+const reservedConnections = 2
+
+// instance is one owned upstream instance.
+type instance struct {
+	cfg     Config
+	id      table.InstanceID
+	group   table.GroupName
+	address string
+	epoch   table.Epoch
+	pool    *pool.Pool
+	slots   *slots
+	probe   *sampler
+	stop    context.CancelFunc
+	log     logrus.FieldLogger
+
+	gate     writeGate
+	probeNow chan struct{}
+	ending   atomic.Bool // set once no new work may begin
+	serving  atomic.Bool // set once connections of earlier owners are closed
+
+	mu     sync.Mutex
+	held   map[request.SessionID]*transaction
+	active int
+	health health
+	age    ageProof
+}
+
+// transaction is a connection that belongs to one session until the end of
+// its transaction.
+type transaction struct {
+	conn   *pool.Conn
+	writes bool // it entered the write gate
+	inUse  bool
+	doomed bool // the session ended while a statement ran
+}
+
+func newInstance(ctx context.Context, cfg Config, desc table.Instance, epoch table.Epoch) (*instance, error) {
+	slots, err := newSlots(desc.Slots, cfg.Declare(desc.Group), cfg.Log.WithField("instance", desc.ID))
+	if err != nil {
+		return nil, err
+	}
+	p, err := pool.New(pool.Config{
+		Address:     desc.Address,
+		User:        cfg.User,
+		Password:    cfg.Password,
+		Database:    cfg.Database,
+		Epoch:       epoch,
+		Max:         max(1, desc.Connections-reservedConnections),
+		Warm:        min(desc.Slots, max(1, desc.Connections-reservedConnections)),
+		IdleTimeout: cfg.Timing.Idle,
+		DialTimeout: cfg.Timing.Dial,
+	})
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(ctx)
+	in := &instance{
+		cfg:      cfg,
+		id:       desc.ID,
+		group:    desc.Group,
+		address:  desc.Address,
+		epoch:    epoch,
+		pool:     p,
+		slots:    slots,
+		stop:     stop,
+		log:      cfg.Log.WithFields(logrus.Fields{"instance": desc.ID, "group": desc.Group, "epoch": epoch}),
+		probeNow: make(chan struct{}, 1),
+		held:     map[request.SessionID]*transaction{},
+	}
+	in.probe = newSampler(func(ctx context.Context) (platform.Status, error) {
+		ctx, stop := context.WithTimeout(ctx, cfg.Timing.ProbeTimeout)
+		defer stop()
+		return cfg.Prober.Probe(ctx, desc.Address)
+	})
+	go in.watch(ctx)
+	return in, nil
+}
+
+// resize takes a new number of slots and what the documents say now.
+func (in *instance) resize(desc table.Instance) error {
+	return in.slots.update(desc.Slots, in.cfg.Declare(in.group))
+}
+
+// shut ends probes and idle connections; transactions go on to their end.
+func (in *instance) shut() {
+	in.stop()
+	in.pool.Close()
+}
+
+// watch closes what earlier owners left open, then probes the instance and
+// keeps its pool warm until ctx ends.
+func (in *instance) watch(ctx context.Context) {
+	tick := time.NewTicker(in.cfg.Timing.Probe)
+	defer tick.Stop()
+	for {
+		if in.probeOnce(ctx) {
+			in.cfg.Changed()
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if in.takeOver(ctx) {
+			in.pool.Maintain(ctx, time.Now())
+		}
+		in.refreshAge(ctx)
+		in.slots.tick()
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-in.probeNow:
+		}
+	}
+}
+
+// takeOver closes the connections of earlier owners, once, so that the
+// instance never has more than it announced. It reports whether that is done.
+func (in *instance) takeOver(ctx context.Context) bool {
+	if in.serving.Load() {
+		return true
+	}
+	term, _ := in.cfg.Authority.Term(in.group, in.id)
+	ctx, stop := context.WithTimeout(ctx, in.cfg.Timing.ProbeTimeout)
+	defer stop()
+	if err := in.cfg.Fencer.Fence(ctx, in.address, term, in.epoch); err != nil {
+		in.log.WithError(err).Debug("take-over")
+		return false
+	}
+	in.serving.Store(true)
+	in.log.Info("instance taken over")
+	return true
+}
+
+func (in *instance) running() int {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.active + len(in.held)
+}
+
+// position samples the mark of a primary under a valid lease.
+func (in *instance) position(ctx context.Context) (request.PositionSample, error) {
+	st, err := in.probe.sample(ctx)
+	if err != nil {
+		return request.PositionSample{}, errkind.Wrap(err, errkind.NoPrimary, "%v", err)
+	}
+	if err := in.cfg.Authority.MayAcknowledge(in.group, in.id, st.Mark.Term); err != nil {
+		return request.PositionSample{}, errkind.Wrap(err, errkind.NoPrimary, "%v", err)
+	}
+	return request.PositionSample{Mark: st.Mark, TermStart: st.TermStart}, nil
+}
+
+// awaitMark returns once the replica holds m durably, in the term of m.
+func (in *instance) awaitMark(ctx context.Context, m table.Mark) error {
+	for {
+		asked := time.Now()
+		st, err := in.probe.sample(ctx)
+		if err == nil {
+			in.mu.Lock()
+			in.age.observeReplica(asked, st)
+			in.mu.Unlock()
+			if st.Mark.Term == m.Term && st.Mark.Position >= m.Position {
+				return nil
+			}
+			if st.Mark.Term > m.Term {
+				return errkind.New(errkind.LeaseLost, "replica %s is in term %d", in.id, st.Mark.Term)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return errkind.Wrap(ctx.Err(), errkind.OutcomeUnknown, "replica %s did not confirm in time", in.id)
+		case <-time.After(in.cfg.Timing.ReplicaPoll):
+		}
+	}
+}
+
+// endSession closes the connection that the session's transaction holds; the
+// upstream rolls it back.
+func (in *instance) endSession(s request.SessionID) {
+	in.mu.Lock()
+	tx := in.held[s]
+	if tx != nil && tx.inUse {
+		tx.doomed = true
+		tx = nil
+	}
+	if tx != nil {
+		delete(in.held, s)
+	}
+	in.mu.Unlock()
+	if tx == nil {
+		return
+	}
+	if tx.writes {
+		in.gate.leave()
+	}
+	in.pool.Discard(tx.conn)
+}
