--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -7,12 +7,12 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 
 	"github.com/alecthomas/kong"
 
 	"github.com/amaranthweir/amaranthweir/internal/api"
 	"github.com/amaranthweir/amaranthweir/internal/config"
+	"github.com/amaranthweir/amaranthweir/internal/errkind"
 )
 
 // Version is the version of this build.
@@ -105,9 +105,9 @@
 		return ExitInvalid
 	case errors.As(err, &unreachable):
 		return ExitUnreachable
-	case errors.As(err, &remote) && remote.Status == http.StatusConflict:
+	case errors.As(err, &remote) && remote.Body.Kind == errkind.ConfigConflict.String():
 		return ExitConflict
-	case errors.As(err, &remote) && remote.Status == http.StatusUnprocessableEntity:
+	case errors.As(err, &remote) && remote.Body.Kind == errkind.ConfigInvalid.String():
 		return ExitInvalid
 	default:
 		return ExitFailed
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -200,6 +201,36 @@
 	assert.Equal(t, KindOf([]byte("[")), FileUnknown)
 }
 
+// TestPagesListEveryField compares the operators' pages with the fields that
+// the parsers know.
+func TestPagesListEveryField(t *testing.T) {
+	known := regexp.MustCompile(`expected one of (.*)`)
+	for _, c := range []struct {
+		page, src string
+		parse     func(src []byte) error
+	}{
+		{
+			"service-document.md", `{"x": 1, "groups": [{"x": 1}], "classes": [{"x": 1}], "rank_floors": {"x": 1}}`,
+			func(src []byte) error { _, err := ParseDocument("f", src); return err },
+		},
+		{
+			"settings.md", `{"x": 1, "control": {"x": 1, "voters": [{"x": 1}]}}`,
+			func(src []byte) error { _, err := ParseSettings("f", src); return err },
+		},
+	} {
+		page, err := os.ReadFile("../../docs/ops/" + c.page)
+		assert.NilError(t, err)
+		lists := known.FindAllStringSubmatch(c.parse([]byte(c.src)).Error(), -1)
+		assert.Equal(t, len(lists), strings.Count(c.src, `"x"`))
+		for _, list := range lists {
+			for _, name := range strings.Split(list[1], ", ") {
+				inRow := regexp.MustCompile("`" + name + "`|{[^}]*\\b" + name + "\\b")
+				assert.Assert(t, inRow.Match(page), "%s does not list %s", c.page, name)
+			}
+		}
+	}
+}
+
 func FuzzParseDocument(f *testing.F) {
 	f.Add([]byte(goodDocument))
 	f.Add([]byte(goodSettings))
