Mend what tests with killed, frozen and leaving hosts and instances showed

- A lost answer to a mere Parse was told to the caller; nothing was to run, so it is sent again.
- A shutdown ended while writes waited for their confirmation; they count as running until their answer is passed on, those of other hosts too.
- A mark of another term than the one a transaction began in says nothing.
- A position counts as acknowledged only once a replica holds it; before, a write in flight at a frozen primary raised the floor for the next one.
- A write refused as read-only by a demoted primary has not run and says so.
- status showed the term and position of an instance as they were when its role last changed.

--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -81,17 +82,20 @@
 	group []*standin.Instance
 }
 
-// freePorts returns n loopback addresses that were free a moment ago.
+// nextPort counts through ports below those that the system hands out itself.
+var nextPort atomic.Uint32
+
+// freePorts returns n loopback addresses that nothing listens on.
 func freePorts(t *testing.T, n int) []string {
-	var held []net.Listener
+	const first, last = 20000, 32000
 	var addresses []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		held = append(held, l)
+	for len(addresses) < n {
+		port := first + (uint32(os.Getpid())*97+nextPort.Add(1))%(last-first)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
 		addresses = append(addresses, l.Addr().String())
-	}
-	for _, l := range held {
 		assert.NilError(t, l.Close())
 	}
 	return addresses
@@ -129,11 +133,24 @@
 	t.Cleanup(func() { _ = standin.CloseGroup(group) })
 	c.apply(document)
 	c.wait("served", func(s api.Status) bool {
-		return len(s.Groups) == 1 && s.Groups[0].Phase == "stable" && len(s.Instances) == 3 && allOwned(s)
+		return len(s.Groups) == 1 && s.Groups[0].Phase == "stable" && len(s.Instances) == 3 && allOwned(s) && inForce(s) == hosts
 	})
 	return c
 }
 
+// inForce counts the hosts that have the latest document.
+func inForce(s api.Status) int {
+	n := 0
+	for _, d := range s.Documents {
+		for _, h := range d.InForce {
+			if h.Version == d.Version {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 func allOwned(s api.Status) bool {
 	for _, in := range s.Instances {
 		if in.Owner == "" {
@@ -198,7 +215,7 @@
 		_ = out.Close()
 		if c.t.Failed() {
 			tail, _ := os.ReadFile(p.log)
-			c.t.Logf("%s:\n%s", p.name, tail[max(0, len(tail)-4000):])
+			c.t.Logf("%s:\n%s", p.name, tail[max(0, len(tail)-20000):])
 		}
 	})
 }
--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"database/sql"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -124,3 +125,9 @@
 	_, err := c.connect(c.hosts[0]).Exec(ctx, "SET amaranthweir.session = 'forged'")
 	assert.Equal(t, state(err), "22023")
 }
+
+// notRun reports whether an answer says that the statement has not run.
+func notRun(err error) bool {
+	var pgErr *pgconn.PgError
+	return errors.As(err, &pgErr) && strings.HasSuffix(pgErr.Detail, "effect: not run")
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -91,7 +91,8 @@
 			Incarnation: g.cfg.Incarnation,
 			Number:      g.sessions.Add(1),
 		},
-		token: session.NewToken(service),
+		token:   session.NewToken(service),
+		assumed: map[table.GroupName]table.Mark{},
 	}, nil
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -28,6 +28,7 @@
 	started  time.Time
 	deadline time.Time
 	attempts int
+	decided  routing.Decision // of the latest attempt
 
 	// Where the latest attempt went.
 	instance table.InstanceID
@@ -113,10 +114,8 @@
 // caller has seen elsewhere is not known.
 func (r *run) findFloor(ctx context.Context, q *request.Request) error {
 	s := r.session
-	if group, ok := s.gateway.cfg.Directory.History(q.Group); ok {
-		if err := s.token.CheckLost(q.Group, &group); err != nil {
-			return err
-		}
+	if err := r.checkLost(q.Group); err != nil {
+		return err
 	}
 	if q.Access != config.AccessRead || q.Staleness == 0 {
 		return nil
@@ -130,10 +129,32 @@
 		return err
 	}
 	s.token.Raise(q.Group, floor)
+	s.assumed[q.Group] = floor
 	q.Floor, q.HasFloor = floor, true
 	return nil
 }
 
+// checkLost tells the session, once, that writes it has seen were lost with an
+// old term. A floor that was only assumed is asked for anew instead.
+func (r *run) checkLost(group table.GroupName) error {
+	s := r.session
+	agreed, ok := s.gateway.cfg.Directory.History(group)
+	if !ok {
+		return nil
+	}
+	err := s.token.CheckLost(group, &agreed)
+	if err == nil {
+		return nil
+	}
+	floor, _ := s.token.Floor(group)
+	assumed := s.assumed[group] == floor
+	s.token.Forget(group)
+	if assumed {
+		return nil
+	}
+	return err
+}
+
 // attempt routes the request once and runs it where the decision says.
 func (r *run) attempt(ctx context.Context, q *request.Request) (request.Result, error) {
 	idle := request.Result{TxStatus: request.TxIdle}
@@ -151,7 +172,10 @@
 		Home:      g.cfg.Domain,
 		Seed:      rand.Uint64(),
 	}, view)
-	r.logDecision(q, d)
+	if r.attempts == 1 || d != r.decided {
+		r.logDecision(q, d)
+	}
+	r.decided = d
 	if d.Refused() {
 		return idle, errkind.New(d.Refuse, "group %s: %s", q.Group, d.Reason).WithEffect(errkind.NotRun)
 	}
@@ -204,6 +228,9 @@
 		// not run twice is not sent again.
 		return e.Kind != errkind.LeaseLost || r.plan.class.Repeatable
 	}
+	if r.work.OnlyPrepares {
+		return true // nothing was to run
+	}
 	return r.plan.class.Access == config.AccessRead && r.plan.class.Repeatable && r.session.gateway.budget.withdraw()
 }
 
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -22,7 +22,8 @@
 	caller  string
 	class   string
 	token   *session.Token
-	given   bool // the token came from the caller, or the floor of a group was asked for
+	assumed map[table.GroupName]table.Mark // floors that were asked for, not seen
+	given   bool                           // the token came from the caller, or the floor of a group was asked for
 	// Key selects the group of requests that name none.
 	Key string
 	// RequestID is the idempotency key of the next request that names none.
--- a/internal/host/act.go
+++ b/internal/host/act.go
@@ -33,7 +33,7 @@
 	}
 	l.instances[in.ID] = in
 	// What changes with each announcement does not go out to all hosts.
-	old.Mark, old.SeenAt = in.Mark, in.SeenAt
+	old.Mark.Position, old.SeenAt = in.Mark.Position, in.SeenAt
 	if !known || old != in {
 		l.log.WithFields(logrus.Fields{
 			"instance": in.ID, "group": in.Group, "role": in.Role.String(), "term": in.Mark.Term,
--- a/internal/host/backend.go
+++ b/internal/host/backend.go
@@ -168,6 +168,9 @@
 	slices.SortFunc(st.Groups, func(a, b api.GroupStatus) int { return strings.Compare(string(a.Group), string(b.Group)) })
 	for _, in := range t.Instances {
 		o := view.Owners[in.ID]
+		if m, known := report.Marks[in.ID]; known {
+			in.Mark = m
+		}
 		st.Instances = append(st.Instances, api.InstanceStatus{
 			Instance: in.ID, Group: in.Group, Domain: in.Domain, Address: in.Address, Role: in.Role.String(),
 			Term: in.Mark.Term, Position: in.Mark.Position, Slots: in.Slots, Connections: in.Connections,
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -46,6 +46,7 @@
 	gateway     *gateway.Gateway
 	callers     *pg.Listener
 	beats       *beats
+	peerServer  *peer.Server
 	leader      *leader // nil on a host that is no control host
 	stopping    chan struct{}
 	reconciling sync.Mutex
@@ -133,6 +134,7 @@
 		Counters:        h.metrics,
 	})
 	h.beats = newBeats(h)
+	h.peerServer = &peer.Server{Owner: h.owner, Log: h.log, Methods: map[string]peer.Method{}}
 	if h.settings.Control != nil {
 		if h.leader, err = newLeader(h); err != nil {
 			return err
@@ -204,7 +206,7 @@
 }
 
 func (h *Host) servePeers(ctx context.Context) error {
-	s := &peer.Server{Owner: h.owner, Log: h.log, Methods: map[string]peer.Method{}}
+	s := h.peerServer
 	s.Methods[methodHeartbeat] = h.takeHeartbeat
 	s.Methods[methodApply] = h.takeApply
 	s.Methods[methodNudge] = h.takeNudge
--- a/internal/host/reconcile.go
+++ b/internal/host/reconcile.go
@@ -69,7 +69,7 @@
 func (h *Host) awaitHandOver(ctx context.Context) {
 	tick := time.NewTicker(drainPoll)
 	defer tick.Stop()
-	for len(h.owner.Owned()) > 0 && h.othersAlive() {
+	for h.peerServer.Running() > 0 || len(h.owner.Owned()) > 0 && h.othersAlive() {
 		select {
 		case <-ctx.Done():
 			for id := range h.owner.Owned() {
--- a/internal/host/status.go
+++ b/internal/host/status.go
@@ -22,8 +22,10 @@
 	Versions map[table.HostID]map[string]uint64
 	// Waits is what groups wait for, in words.
 	Waits map[table.GroupName]string
-	// Ages is the time since the latest announcement of each instance.
-	Ages map[table.InstanceID]time.Duration
+	// Ages is the time since the latest announcement of each instance, Marks
+	// what it said.
+	Ages  map[table.InstanceID]time.Duration
+	Marks map[table.InstanceID]table.Mark
 }
 
 // takeStatus answers methodStatus.
@@ -46,6 +48,7 @@
 		Versions: map[table.HostID]map[string]uint64{},
 		Waits:    map[table.GroupName]string{},
 		Ages:     map[table.InstanceID]time.Duration{},
+		Marks:    map[table.InstanceID]table.Mark{},
 	}
 	for id, versions := range l.versions {
 		r.Versions[id] = versions
@@ -55,6 +58,7 @@
 	}
 	for id, in := range l.instances {
 		r.Ages[id] = now - in.SeenAt
+		r.Marks[id] = in.Mark
 	}
 	return r, nil
 }
--- a/internal/owner/claimed.go
+++ b/internal/owner/claimed.go
@@ -19,16 +19,10 @@
 	out, err := in.claimed(ctx, e)
 	in.end(e, out, err)
 	e.ticket.release()
-	res := request.Result{TxStatus: request.TxIdle, Mark: out.Mark, HasMark: out.HasMark}
 	if err != nil {
-		return res, err
+		return request.Result{TxStatus: request.TxIdle}, err
 	}
-	if counts(out) {
-		if err := in.confirm(ctx, e.r, out); err != nil {
-			return res, err
-		}
-	}
-	return res, e.sink.Answer(e.answer)
+	return in.acknowledge(ctx, e, out)
 }
 
 // claimed does all exchanges of a claimed request. On return without an error
@@ -109,7 +103,7 @@
 func notRun(err error) error {
 	var pgErr *pgconn.PgError
 	if errors.As(err, &pgErr) {
-		return errkind.Wrap(err, errkind.UpstreamLost, "claim of the request id: %s", pgErr.Message).WithEffect(errkind.NotRun)
+		return errkind.Wrap(err, errkind.NoPrimary, "claim of the request id: %s", pgErr.Message).WithEffect(errkind.NotRun)
 	}
 	return errkind.Of(err).WithEffect(errkind.NotRun)
 }
@@ -154,7 +148,8 @@
 	if err != nil {
 		return idle, errkind.Of(err).WithEffect(errkind.Unknown)
 	}
-	e := &execution{r: r, sink: s, tx: &transaction{conn: conn}}
+	term, _ := in.cfg.Authority.Term(in.group, in.id)
+	e := &execution{r: r, sink: s, tx: &transaction{conn: conn, term: term}}
 	c := newClaim(conn, r)
 	out, err := in.shutOut(ctx, e, c)
 	if err != nil {
@@ -162,7 +157,7 @@
 		return idle, errkind.Of(err).WithEffect(errkind.Unknown)
 	}
 	in.pool.Put(conn)
-	if err := in.confirm(ctx, r, out); err != nil {
+	if err := in.confirm(ctx, e, out); err != nil {
 		return idle, errkind.Of(err).WithEffect(errkind.Unknown)
 	}
 	if out.Tag == void {
--- a/internal/owner/confirm.go
+++ b/internal/owner/confirm.go
@@ -18,14 +18,16 @@
 // term that took it. When the primary changed in between, the history of the
 // group decides: a write that the new term contains counts, and one that it
 // lacks has not run and never will.
-func (in *instance) confirm(ctx context.Context, r *request.Request, out pool.Outcome) error {
-	if !out.HasMark {
-		return errkind.New(errkind.OutcomeUnknown, "the upstream reported no position")
+//
+// A position of another term than the one in which the transaction began says
+// nothing: the upstream may follow another primary by now.
+func (in *instance) confirm(ctx context.Context, e *execution, out pool.Outcome) error {
+	if !out.HasMark || out.Mark.Term != e.tx.term {
+		return errkind.New(errkind.OutcomeUnknown, "the upstream reported no position of term %d", e.tx.term)
 	}
-	in.raiseAcked(out.Mark)
 	for {
 		changed := in.cfg.Authority.Changed()
-		err := in.confirmOnce(ctx, r, out.Mark)
+		err := in.confirmOnce(ctx, e.r, out.Mark)
 		if err == nil {
 			return nil
 		}
@@ -46,6 +48,7 @@
 		if err := in.cfg.Peers.AwaitAnyReplica(ctx, in.group, m); err != nil {
 			return err
 		}
+		in.raiseAcked(m)
 	}
 	return in.mayAcknowledge(m.Term, errkind.Unknown)
 }
--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -35,6 +35,8 @@
 	if err := in.mayRun(r); err != nil { // the wait may have been long
 		return idle, err
 	}
+	in.working.Add(1)
+	defer in.working.Add(-1)
 	tx, err := in.begin(ctx, r)
 	if err != nil {
 		return idle, err
@@ -99,7 +101,6 @@
 	}
 	if tx != nil {
 		tx.inUse = true
-		in.active++
 		in.mu.Unlock()
 		return tx, nil
 	}
@@ -107,6 +108,7 @@
 	if r.Continues {
 		return nil, errkind.New(errkind.UpstreamLost, "the transaction was rolled back").WithEffect(errkind.NotRun)
 	}
+	term, _ := in.cfg.Authority.Term(in.group, in.id)
 	writes := r.Access == config.AccessWrite
 	if writes {
 		if err := in.gate.enter(ctx, func() error { return in.mayRun(r) }); err != nil {
@@ -120,10 +122,7 @@
 		}
 		return nil, err
 	}
-	in.mu.Lock()
-	in.active++
-	in.mu.Unlock()
-	return &transaction{conn: conn, writes: writes, inUse: true}, nil
+	return &transaction{conn: conn, writes: writes, inUse: true, term: term}, nil
 }
 
 // execution is one request on its connection.
@@ -153,19 +152,29 @@
 	out, err := in.exchange(ctx, e, x)
 	in.end(e, out, err)
 	e.ticket.release()
-	res := request.Result{TxStatus: out.TxStatus, Mark: out.Mark, HasMark: out.HasMark}
 	if err != nil {
-		res.TxStatus = request.TxIdle
-		return res, err
+		return request.Result{TxStatus: request.TxIdle}, err
 	}
 	if !confirm {
-		return res, nil
+		return request.Result{TxStatus: out.TxStatus}, nil
 	}
-	if counts(out) {
-		if err := in.confirm(ctx, e.r, out); err != nil {
-			return res, err
-		}
+	return in.acknowledge(ctx, e, out)
+}
+
+// acknowledge confirms a write and passes its answer on.
+func (in *instance) acknowledge(ctx context.Context, e *execution, out pool.Outcome) (request.Result, error) {
+	res := request.Result{TxStatus: out.TxStatus}
+	if out.ReadOnly && out.Tag == "" && !e.r.Continues {
+		res.TxStatus = request.TxIdle
+		return res, errkind.New(errkind.LeaseLost, "%s takes no writes any more", in.id).WithEffect(errkind.NotRun)
+	}
+	if !counts(out) {
+		return res, e.sink.Answer(e.answer)
+	}
+	if err := in.confirm(ctx, e, out); err != nil {
+		return res, err
 	}
+	res.Mark, res.HasMark = out.Mark, true
 	return res, e.sink.Answer(e.answer)
 }
 
@@ -209,7 +218,6 @@
 // it when anything about it is in doubt.
 func (in *instance) end(e *execution, out pool.Outcome, err error) {
 	in.mu.Lock()
-	in.active--
 	tx := e.tx
 	tx.inUse = false
 	open := err == nil && !tx.doomed && out.TxStatus != request.TxIdle
--- a/internal/owner/instance.go
+++ b/internal/owner/instance.go
@@ -34,12 +34,12 @@
 
 	gate     writeGate
 	probeNow chan struct{}
-	ending   atomic.Bool // set once no new work may begin
-	serving  atomic.Bool // set once connections of earlier owners are closed
+	ending   atomic.Bool  // set once no new work may begin
+	working  atomic.Int32 // requests from their start to their answer
+	serving  atomic.Bool  // set once connections of earlier owners are closed
 
 	mu     sync.Mutex
 	held   map[request.SessionID]*transaction
-	active int
 	health health
 	age    ageProof
 }
@@ -48,7 +48,8 @@
 // its transaction.
 type transaction struct {
 	conn   *pool.Conn
-	writes bool // it entered the write gate
+	term   table.Term // agreed when it began
+	writes bool       // it entered the write gate
 	inUse  bool
 	doomed bool // the session ended while a statement ran
 }
@@ -153,7 +154,7 @@
 func (in *instance) running() int {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	return in.active + len(in.held)
+	return int(in.working.Load()) + len(in.held)
 }
 
 // position samples the mark of a primary under a valid lease.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -30,8 +31,13 @@
 	// no control host.
 	Deliver func(body []byte) error
 	Log     logrus.FieldLogger
+
+	running atomic.Int64
 }
 
+// Running returns how many requests of other hosts have no answer yet.
+func (s *Server) Running() int { return int(s.running.Load()) }
+
 // Serve answers on a listener until ctx ends.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	mux := drpcmux.New()
@@ -140,7 +146,9 @@
 	e.running[id] = stop
 	e.mu.Unlock()
 	e.work.Add(1)
+	e.server.running.Add(1)
 	go func() {
+		defer e.server.running.Add(-1)
 		defer e.work.Done()
 		defer e.cancel(id)
 		run(ctx)
--- a/internal/pool/run.go
+++ b/internal/pool/run.go
@@ -20,6 +20,9 @@
 // statusQuery asks for the term and the position; see docs/ops/upstreams.md.
 const statusQuery = "SELECT * FROM amaranthweir.status()"
 
+// readOnlyTransaction is the SQLSTATE of a write where none are taken.
+const readOnlyTransaction = "25006"
+
 // Exchange is one request on one connection.
 type Exchange struct {
 	// Settings are brought into force first, unless KeepSettings is set, as
@@ -47,6 +50,9 @@
 	HasMark  bool
 	// Failed is set when the upstream answered with an error.
 	Failed bool
+	// ReadOnly is set when the error was that the upstream takes no writes, as
+	// one that is no primary any more.
+	ReadOnly bool
 	// Tag is the last command tag, such as "INSERT 0 1".
 	Tag string
 }
@@ -177,6 +183,7 @@
 		return nil // belongs to the connection, not to the caller
 	case *pgproto3.ErrorResponse:
 		r.outcome.Failed = true
+		r.outcome.ReadOnly = r.outcome.ReadOnly || m.Code == readOnlyTransaction
 	case *pgproto3.CommandComplete:
 		r.outcome.Tag = string(m.CommandTag)
 	case *pgproto3.CopyInResponse, *pgproto3.CopyOutResponse, *pgproto3.CopyBothResponse:
