--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -18,9 +18,12 @@
 	// records has the membership at the base first, then one for each
 	// EntryMembers after it.
 	records []memberRecord
-	stable  uint64 // last durable index
-	commit  uint64
-	applied uint64
+	// restored is the last index that was there at the start and that no
+	// leader has replaced since: all that was applied before lies below it.
+	restored uint64
+	stable   uint64 // last durable index
+	commit   uint64
+	applied  uint64
 }
 
 func newEntryLog(snapshot Snapshot, entries []Entry, commit uint64) (*entryLog, error) {
@@ -30,6 +33,7 @@
 		return nil, err
 	}
 	l.stable = l.lastIndex()
+	l.restored = l.lastIndex()
 	l.commit = max(snapshot.Index, min(commit, l.lastIndex()))
 	return l, nil
 }
@@ -40,6 +44,7 @@
 	l.entries = nil
 	l.records = []memberRecord{{index: s.Index, members: s.Members}}
 	l.stable, l.commit, l.applied = s.Index, s.Index, s.Index
+	l.restored = min(l.restored, s.Index)
 }
 
 func (l *entryLog) lastIndex() uint64 { return l.baseIndex + uint64(len(l.entries)) }
@@ -110,6 +115,7 @@
 func (l *entryLog) truncate(index uint64) {
 	l.entries = slices.Clone(l.entries[:index-l.baseIndex])
 	l.stable = min(l.stable, index)
+	l.restored = min(l.restored, index)
 	for len(l.records) > 1 && l.membersIndex() > index {
 		l.records = l.records[:len(l.records)-1]
 	}
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -83,8 +83,8 @@
 	contact  uint64
 	deadline uint64 // tick of the next election
 	votes    map[NodeID]bool
-	// caughtUp is set once the node has applied what a leader of its time
-	// had committed.
+	// caughtUp is set once the node has committed, since its start, an entry
+	// of a current leader and all that it may have applied before.
 	caughtUp bool
 
 	leaderSince uint64 // tick of the election
@@ -148,8 +148,8 @@
 // Now returns how many ticks the node has counted.
 func (n *Node) Now() uint64 { return n.tick }
 
-// CaughtUp reports whether the node has applied, since its start, all that a
-// leader had committed when it was first heard.
+// CaughtUp reports whether the node, since its start, has committed an entry
+// of the term of a leader, and all that it may have applied before its start.
 func (n *Node) CaughtUp() bool { return n.caughtUp }
 
 // Tick counts one tick of the local clock.
@@ -330,13 +330,14 @@
 	n.log.applied = n.log.commit
 	n.log.stable = n.log.lastIndex()
 	if n.role == RoleLeader {
-		n.noteCaughtUp(n.termIndex)
 		n.advanceCommit()
+		n.noteCaughtUp()
 	}
 }
 
-func (n *Node) noteCaughtUp(commit uint64) {
-	if n.log.commit >= commit {
+func (n *Node) noteCaughtUp() {
+	term, _ := n.log.term(n.log.commit)
+	if n.log.commit >= n.log.restored && term == n.term {
 		n.caughtUp = true
 	}
 }
--- /dev/null
+++ b/internal/consensus/node_test.go
@@ -0,0 +1,302 @@
+package consensus
+
+import (
+	"errors"
+	"slices"
+	"testing"
+
+	"github.com/amaranthweir/amaranthweir/internal/table"
+	"gotest.tools/v3/assert"
+)
+
+func id(host string) NodeID { return NodeID{Host: table.HostID(host), Incarnation: 1} }
+
+// follower returns node a of the voters a, b and c with a log of the given
+// terms, past the time in which it may still owe a lease to a leader.
+func follower(t *testing.T, terms ...uint64) *Node {
+	t.Helper()
+	cfg := Config{
+		ID: id("a"), ElectionTicks: 10, HeartbeatTicks: 2, LeaseTicks: 7, MaxAppendBytes: 1 << 10, MaxInflight: 4,
+		Snapshot: Snapshot{Index: 1, Term: 1, Members: NewMembers(id("a"), id("b"), id("c"))},
+	}
+	for i, term := range terms {
+		cfg.Entries = append(cfg.Entries, Entry{Index: uint64(i) + 2, Term: term})
+		cfg.HardState.Term = term
+	}
+	n, err := New(cfg)
+	assert.NilError(t, err)
+	for range cfg.ElectionTicks {
+		n.tick++
+	}
+	n.deadline = n.tick + 10
+	return n
+}
+
+// leader returns node a as the leader of its next term; nothing of that term
+// is committed.
+func leader(t *testing.T, terms ...uint64) *Node {
+	t.Helper()
+	n := follower(t, terms...)
+	for n.role == RoleFollower {
+		n.Tick()
+	}
+	step(t, n, Message{Type: MsgPreVoteReply, From: id("b"), Term: n.term + 1})
+	step(t, n, Message{Type: MsgVoteReply, From: id("b"), Term: n.term})
+	assert.Equal(t, n.Role(), RoleLeader)
+	settle(n)
+	return n
+}
+
+func step(t *testing.T, n *Node, m Message) {
+	t.Helper()
+	m.To = n.ID()
+	assert.NilError(t, n.Step(m))
+}
+
+// settle does what Ready asks for and returns the messages.
+func settle(n *Node) []Message {
+	var sent []Message
+	for n.HasReady() {
+		sent = append(sent, n.Ready().Messages...)
+		n.Advance()
+	}
+	return sent
+}
+
+func ack(t *testing.T, n *Node, from string, index uint64) {
+	t.Helper()
+	step(t, n, Message{Type: MsgAppendReply, From: id(from), Term: n.term, Index: index, Stamp: n.tick})
+	settle(n)
+}
+
+func TestVotes(t *testing.T) {
+	cases := map[string]struct {
+		before  func(n *Node)
+		message Message
+		granted bool
+		silent  bool
+	}{
+		"equal log":           {message: Message{Type: MsgVote, Term: 3, Index: 3, LogTerm: 2}, granted: true},
+		"pre-vote":            {message: Message{Type: MsgPreVote, Term: 3, Index: 3, LogTerm: 2}, granted: true},
+		"shorter log":         {message: Message{Type: MsgVote, Term: 3, Index: 2, LogTerm: 2}},
+		"longer, older log":   {message: Message{Type: MsgVote, Term: 3, Index: 9, LogTerm: 1}},
+		"shorter, later log":  {message: Message{Type: MsgVote, Term: 4, Index: 2, LogTerm: 3}, granted: true},
+		"same candidate":      {before: vote("b"), message: Message{Type: MsgVote, Term: 2, Index: 3, LogTerm: 2}, granted: true},
+		"second candidate":    {before: vote("c"), message: Message{Type: MsgVote, Term: 2, Index: 3, LogTerm: 2}},
+		"old term":            {message: Message{Type: MsgVote, Term: 1, Index: 9, LogTerm: 9}},
+		"lease may be held":   {before: hear, message: Message{Type: MsgVote, Term: 3, Index: 9, LogTerm: 2}, silent: true},
+		"pre-vote in a lease": {before: hear, message: Message{Type: MsgPreVote, Term: 3, Index: 9, LogTerm: 2}, silent: true},
+		"just started":        {before: restart, message: Message{Type: MsgVote, Term: 3, Index: 9, LogTerm: 2}, silent: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			n := follower(t, 2, 2)
+			if c.before != nil {
+				c.before(n)
+			}
+			settle(n)
+			c.message.From = id("b")
+			step(t, n, c.message)
+			rd := n.Ready()
+			if c.silent {
+				assert.Equal(t, len(rd.Messages), 0)
+				return
+			}
+			assert.Equal(t, len(rd.Messages), 1)
+			assert.Equal(t, !rd.Messages[0].Reject, c.granted)
+			if c.granted && c.message.Type == MsgVote && n.saved.Vote != id("b") {
+				assert.Assert(t, rd.MustSync, "the vote must be durable before the reply")
+				assert.Equal(t, rd.HardState.Vote, id("b"))
+			}
+		})
+	}
+}
+
+func vote(host string) func(n *Node) { return func(n *Node) { n.vote = id(host) } }
+
+func hear(n *Node) { n.contact = n.tick - uint64(n.cfg.ElectionTicks) + 1 }
+
+func restart(n *Node) { n.tick = uint64(n.cfg.ElectionTicks) - 1 }
+
+func TestVoteInAKnownTermIsSynced(t *testing.T) {
+	n := follower(t, 2, 2)
+	step(t, n, Message{Type: MsgVoteReply, From: id("b"), Term: 5, Reject: true})
+	settle(n)
+	step(t, n, Message{Type: MsgVote, From: id("c"), Term: 5, Index: 3, LogTerm: 2})
+	assert.Assert(t, n.Ready().MustSync)
+}
+
+func TestAppends(t *testing.T) {
+	entries := func(from uint64, terms ...uint64) (es []Entry) {
+		for i, term := range terms {
+			es = append(es, Entry{Index: from + uint64(i), Term: term})
+		}
+		return es
+	}
+	cases := map[string]struct {
+		message Message
+		reject  bool
+		index   uint64 // of the reply
+		last    uint64
+		commit  uint64
+	}{
+		"heartbeat":         {Message{Index: 4, LogTerm: 2, Commit: 3}, false, 4, 4, 3},
+		"follows":           {Message{Index: 4, LogTerm: 2, Commit: 9, Entries: entries(5, 3)}, false, 5, 5, 5},
+		"known":             {Message{Index: 2, LogTerm: 1, Commit: 2, Entries: entries(3, 2)}, false, 3, 4, 2},
+		"replaces the tail": {Message{Index: 2, LogTerm: 1, Commit: 1, Entries: entries(3, 3)}, false, 3, 3, 1},
+		"gap":               {Message{Index: 8, LogTerm: 2, Entries: entries(9, 3)}, true, 8, 4, 1},
+		"other history":     {Message{Index: 4, LogTerm: 1, Entries: entries(5, 3)}, true, 4, 4, 1},
+		"old term":          {Message{Term: 1, Index: 4, LogTerm: 2}, true, 4, 4, 1},
+		"commit of unknown": {Message{Index: 2, LogTerm: 1, Commit: 4}, false, 2, 4, 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			n := follower(t, 1, 2, 2)
+			c.message.Type, c.message.From = MsgAppend, id("b")
+			if c.message.Term == 0 {
+				c.message.Term = 3
+			}
+			step(t, n, c.message)
+			reply := n.Ready().Messages[0]
+			assert.Equal(t, reply.Type, MsgAppendReply)
+			assert.Equal(t, reply.Reject, c.reject)
+			assert.Equal(t, reply.Index, c.index)
+			assert.Equal(t, n.LastIndex(), c.last)
+			assert.Equal(t, n.Commit(), c.commit)
+		})
+	}
+}
+
+func TestOnlyTheOwnTermCommits(t *testing.T) {
+	n := leader(t, 2, 2)
+	ack(t, n, "b", 3)
+	assert.Equal(t, n.Commit(), uint64(1), "entries of term 2 are on a majority, but may still be replaced")
+	ack(t, n, "b", 4)
+	assert.Equal(t, n.Commit(), uint64(4))
+}
+
+func TestLeaseNeedsAMajorityAndRunsOut(t *testing.T) {
+	n := leader(t)
+	_, ok := n.Lease()
+	assert.Assert(t, !ok, "nothing of the own term is committed")
+	ack(t, n, "b", n.LastIndex())
+	until, ok := n.Lease()
+	assert.Assert(t, ok)
+	assert.Equal(t, until, n.Now()+7)
+	for range 7 {
+		n.Tick()
+	}
+	_, ok = n.Lease()
+	assert.Assert(t, !ok)
+	for range 3 {
+		n.Tick()
+	}
+	assert.Equal(t, n.Role(), RoleFollower, "check-quorum")
+}
+
+func TestStrangersAreNotCounted(t *testing.T) {
+	wiped := NodeID{Host: "b", Incarnation: 2}
+	n := follower(t)
+	for n.role == RoleFollower {
+		n.Tick()
+	}
+	step(t, n, Message{Type: MsgPreVoteReply, From: wiped, Term: n.term + 1})
+	assert.Equal(t, n.Role(), RolePreCandidate)
+	n = leader(t)
+	step(t, n, Message{Type: MsgAppendReply, From: wiped, Term: n.term, Index: n.LastIndex(), Stamp: n.tick})
+	settle(n)
+	assert.Equal(t, n.Commit(), uint64(1))
+	step(t, n, Message{Type: MsgAppendReply, From: wiped, Term: n.term + 5, Reject: true})
+	assert.Equal(t, n.Role(), RoleLeader, "no stranger ends a term")
+	assert.NilError(t, n.Step(Message{Type: MsgAppend, From: id("b"), To: NodeID{Host: "a", Incarnation: 7}, Term: 99}))
+	assert.Assert(t, n.Term() != 99, "a message for the identity before the disk was lost")
+}
+
+func TestMembersChangeOneByOne(t *testing.T) {
+	d := id("d")
+	add, promote := ConfChange{AddLearner, d}, ConfChange{PromoteLearner, d}
+	n := leader(t)
+	assert.Assert(t, errors.Is(n.ProposeConfChange(add), ErrPendingChange), "own term not committed")
+	ack(t, n, "b", n.LastIndex())
+	bad := []ConfChange{
+		promote,
+		{AddLearner, id("b")},
+		{AddLearner, NodeID{Host: "b", Incarnation: 2}},
+		{RemoveMember, d},
+		{RemoveMember, id("a")},
+	}
+	for _, change := range bad {
+		assert.Assert(t, errors.Is(n.ProposeConfChange(change), ErrBadChange), "%v", change)
+	}
+	assert.NilError(t, n.ProposeConfChange(add))
+	settle(n)
+	assert.Assert(t, errors.Is(n.ProposeConfChange(promote), ErrPendingChange))
+	ack(t, n, "b", n.LastIndex())
+	assert.Assert(t, errors.Is(n.ProposeConfChange(promote), ErrNotCaughtUp))
+	assert.Assert(t, !n.Members().IsVoter(d))
+	ack(t, n, "d", n.LastIndex())
+	assert.NilError(t, n.ProposeConfChange(promote))
+	assert.Assert(t, n.Members().IsVoter(d))
+	assert.Equal(t, n.Members().Quorum(), 3)
+}
+
+func TestMembersOfAReplacedEntryAreRolledBack(t *testing.T) {
+	n := follower(t)
+	before := n.Members()
+	members, _ := before.with(ConfChange{AddLearner, id("d")}).AppendBinary(nil)
+	entry := Entry{Index: 2, Term: 2, Type: EntryMembers, Data: members}
+	step(t, n, Message{Type: MsgAppend, From: id("b"), Term: 2, Index: 1, LogTerm: 1, Entries: []Entry{entry}})
+	assert.Assert(t, n.Members().IsLearner(id("d")))
+	step(t, n, Message{Type: MsgAppend, From: id("c"), Term: 3, Index: 1, LogTerm: 1, Entries: []Entry{{Index: 2, Term: 3}}})
+	assert.Assert(t, slices.Equal(n.Members().All(), before.All()))
+}
+
+func TestPendingSnapshotIsNotResentAtOnce(t *testing.T) {
+	n := leader(t)
+	ack(t, n, "b", n.LastIndex())
+	for range 5 {
+		_, _, err := n.Propose([]byte("x"))
+		assert.NilError(t, err)
+	}
+	settle(n)
+	ack(t, n, "b", n.LastIndex())
+	n.Compact([]byte("state"))
+	snapshots := 0
+	for range 4 {
+		step(t, n, Message{Type: MsgAppendReply, From: id("c"), Term: n.term, Reject: true, Index: 2, Stamp: n.tick})
+		n.Tick()
+		n.Tick()
+		for _, m := range settle(n) {
+			if m.Type == MsgSnapshot {
+				snapshots++
+			}
+		}
+	}
+	assert.Equal(t, snapshots, 1)
+}
+
+func FuzzMessage(f *testing.F) {
+	m := Message{
+		Type: MsgAppend, From: id("a"), To: id("b"), Term: 3, Index: 4, LogTerm: 2, Commit: 3,
+		Entries: []Entry{{Index: 5, Term: 3, Data: []byte("x")}},
+	}
+	whole, _ := m.AppendBinary(nil)
+	f.Add(whole)
+	f.Add(whole[:len(whole)/2])
+	m = Message{Type: MsgSnapshot, Term: 1, Snapshot: &Snapshot{Index: 1, Term: 1, Members: NewMembers(id("a"))}}
+	whole, _ = m.AppendBinary(nil)
+	f.Add(whole)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var m, again Message
+		if m.UnmarshalBinary(b) != nil {
+			return
+		}
+		encoded, err := m.AppendBinary(nil)
+		assert.NilError(t, err)
+		assert.NilError(t, again.UnmarshalBinary(encoded))
+		assert.DeepEqual(t, m, again)
+		n := follower(t, 1, 2)
+		m.To = n.ID()
+		_ = n.Step(m)
+	})
+}
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -206,7 +206,7 @@
 		reply.Index = m.Index + uint64(len(m.Entries))
 		n.log.commitTo(min(m.Commit, reply.Index))
 	}
-	n.noteCaughtUp(m.Commit)
+	n.noteCaughtUp()
 	n.send(reply)
 	return nil
 }
@@ -225,7 +225,7 @@
 		n.log.reset(s)
 		n.install = &s
 	}
-	n.noteCaughtUp(m.Commit)
+	n.noteCaughtUp()
 	n.send(Message{Type: MsgAppendReply, To: m.From, Index: n.log.commit, Stamp: m.Stamp})
 	return nil
 }
--- /dev/null
+++ b/internal/wal/wal_test.go
@@ -0,0 +1,304 @@
+package wal_test
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/amaranthweir/amaranthweir/internal/consensus"
+	"github.com/amaranthweir/amaranthweir/internal/wal"
+	"github.com/amaranthweir/amaranthweir/internal/wal/waltest"
+	"gotest.tools/v3/assert"
+)
+
+var lostAll = func(int) int { return 0 }
+
+func open(t *testing.T, fs wal.FS) (*wal.Log, wal.Contents) {
+	t.Helper()
+	l, c, err := wal.Open(fs, wal.Options{SegmentBytes: 512})
+	assert.NilError(t, err)
+	return l, c
+}
+
+func entry(index, term uint64) consensus.Entry {
+	return consensus.Entry{Index: index, Term: term, Data: fmt.Appendf(nil, "entry %d of term %d", index, term)}
+}
+
+func hard(term uint64) *consensus.HardState {
+	return &consensus.HardState{Term: term, Vote: consensus.NodeID{Host: "b", Incarnation: 9}, Commit: term}
+}
+
+func snapshot(index, term uint64) consensus.Snapshot {
+	return consensus.Snapshot{Index: index, Term: term, Data: []byte("state")}
+}
+
+// filled returns a folder with a synced log of n entries, in two segments.
+func filled(t *testing.T, n uint64) *waltest.Folder {
+	t.Helper()
+	fs := waltest.NewFolder()
+	l, _ := open(t, fs)
+	for i := uint64(1); i <= n; i++ {
+		assert.NilError(t, l.Save(hard(i), []consensus.Entry{entry(i, i)}, true))
+	}
+	return fs
+}
+
+func lastSegment(t *testing.T, fs *waltest.Folder) string {
+	t.Helper()
+	names, err := fs.List()
+	assert.NilError(t, err)
+	for i := len(names) - 1; i >= 0; i-- {
+		if strings.HasSuffix(names[i], ".log") {
+			return names[i]
+		}
+	}
+	t.Fatal("no segment")
+	return ""
+}
+
+// checkPrefix checks that c holds the first entries of filled and no others.
+func checkPrefix(t *testing.T, c wal.Contents, atLeast, atMost uint64) {
+	t.Helper()
+	n := uint64(len(c.Entries))
+	assert.Assert(t, n >= atLeast && n <= atMost, "%d entries", n)
+	for i, e := range c.Entries {
+		assert.DeepEqual(t, e, entry(uint64(i)+1, uint64(i)+1))
+	}
+	assert.Assert(t, c.HardState.Term == n || c.HardState.Term+1 == n, "term %d with %d entries", c.HardState.Term, n)
+}
+
+func TestSavedIsFoundAfterACrash(t *testing.T) {
+	fs := filled(t, 20)
+	l, c := open(t, fs.Crash(lostAll))
+	checkPrefix(t, c, 20, 20)
+	assert.DeepEqual(t, c.HardState, *hard(20))
+	assert.NilError(t, l.Save(nil, []consensus.Entry{entry(21, 20)}, true))
+}
+
+func TestEntriesAreReplaced(t *testing.T) {
+	fs := filled(t, 20)
+	l, _ := open(t, fs)
+	assert.NilError(t, l.Save(nil, []consensus.Entry{entry(5, 30), entry(6, 30)}, true))
+	_, c := open(t, fs.Crash(lostAll))
+	assert.Equal(t, len(c.Entries), 6)
+	assert.DeepEqual(t, c.Entries[4:], []consensus.Entry{entry(5, 30), entry(6, 30)})
+}
+
+func TestSnapshots(t *testing.T) {
+	cases := map[string]struct {
+		do    func(l *wal.Log) error
+		index uint64
+		first uint64
+		last  uint64
+	}{
+		"compaction keeps the tail":  {func(l *wal.Log) error { return l.SaveSnapshot(snapshot(17, 17)) }, 17, 18, 20},
+		"compaction of all":          {func(l *wal.Log) error { return l.SaveSnapshot(snapshot(20, 20)) }, 20, 0, 0},
+		"reset drops the tail":       {func(l *wal.Log) error { return l.ResetTo(snapshot(17, 40)) }, 17, 0, 0},
+		"reset beyond the log":       {func(l *wal.Log) error { return l.ResetTo(snapshot(99, 40)) }, 99, 0, 0},
+		"lower snapshot is no news":  {twoSnapshots(15, 3), 15, 16, 20},
+		"two of the same segment":    {twoSnapshots(15, 16), 16, 17, 20},
+		"then a replaced tail":       {replaceTail, 15, 16, 17},
+		"then entries after a reset": {appendAfterReset, 50, 51, 51},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			fs := filled(t, 20)
+			l, _ := open(t, fs)
+			assert.NilError(t, c.do(l))
+			for range 2 {
+				fs = fs.Crash(lostAll)
+				_, got := open(t, fs)
+				assert.Equal(t, got.Snapshot.Index, c.index)
+				assert.Equal(t, string(got.Snapshot.Data), "state")
+				assert.Equal(t, got.HardState.Term, uint64(20))
+				if c.first == 0 {
+					assert.Equal(t, len(got.Entries), 0)
+					continue
+				}
+				assert.Equal(t, got.Entries[0].Index, c.first)
+				assert.Equal(t, got.Entries[len(got.Entries)-1].Index, c.last)
+			}
+		})
+	}
+}
+
+func twoSnapshots(a, b uint64) func(l *wal.Log) error {
+	return func(l *wal.Log) error {
+		return errors.Join(l.SaveSnapshot(snapshot(a, a)), l.SaveSnapshot(snapshot(b, b)))
+	}
+}
+
+func replaceTail(l *wal.Log) error {
+	return errors.Join(l.SaveSnapshot(snapshot(15, 15)), l.Save(nil, []consensus.Entry{entry(17, 40)}, true))
+}
+
+func appendAfterReset(l *wal.Log) error {
+	return errors.Join(l.ResetTo(snapshot(50, 40)), l.Save(nil, []consensus.Entry{entry(51, 40)}, true))
+}
+
+// TestCrashAtEveryByte tears the last write after each of its bytes.
+func TestCrashAtEveryByte(t *testing.T) {
+	for kept := 0; ; kept++ {
+		fs := filled(t, 20)
+		l, _ := open(t, fs)
+		assert.NilError(t, l.Save(hard(21), []consensus.Entry{entry(21, 21)}, false))
+		whole := false
+		crashed := fs.Crash(func(unsynced int) int {
+			whole = whole || unsynced > 0 && kept >= unsynced
+			return min(kept, unsynced)
+		})
+		l, c := open(t, crashed)
+		checkPrefix(t, c, 20, 21)
+		if whole {
+			checkPrefix(t, c, 21, 21)
+			return
+		}
+		next := uint64(len(c.Entries)) + 1
+		assert.NilError(t, l.Save(hard(next), []consensus.Entry{entry(next, next)}, true))
+		_, c = open(t, crashed.Crash(lostAll))
+		checkPrefix(t, c, next, next)
+	}
+}
+
+// TestTruncateAtEveryByte cuts the last segment at each byte. Its opening was
+// synced before it got its name, so a cut there is no torn write.
+func TestTruncateAtEveryByte(t *testing.T) {
+	whole, _ := filled(t, 20).ReadFile(lastSegment(t, filled(t, 20)))
+	refused, opened := 0, 0
+	for size := range whole {
+		fs := filled(t, 20)
+		fs.Edit(lastSegment(t, fs), func(b []byte) []byte { return b[:size] })
+		_, c, err := wal.Open(fs, wal.Options{})
+		var damaged *wal.CorruptError
+		if errors.As(err, &damaged) {
+			refused++
+			assert.Equal(t, opened, 0, "refused at %d bytes after opening with less", size)
+			continue
+		}
+		assert.NilError(t, err)
+		opened++
+		checkPrefix(t, c, 1, 20)
+	}
+	assert.Assert(t, refused > 0 && opened > refused)
+}
+
+// TestZerosAtTheEnd has the file grown by a write whose data never arrived.
+func TestZerosAtTheEnd(t *testing.T) {
+	for kept := range 40 {
+		fs := filled(t, 20)
+		l, _ := open(t, fs)
+		name := lastSegment(t, fs)
+		synced, _ := fs.ReadFile(name)
+		assert.NilError(t, l.Save(nil, []consensus.Entry{entry(21, 21)}, true))
+		fs.Edit(name, func(b []byte) []byte {
+			clear(b[min(len(synced)+kept, len(b)-1):])
+			return b
+		})
+		_, c := open(t, fs)
+		checkPrefix(t, c, 20, 20)
+	}
+}
+
+// TestFlipEveryByte flips each byte of every file: the log must name the file
+// and never start on it, for what is damaged there was acknowledged once.
+func TestFlipEveryByte(t *testing.T) {
+	build := func() *waltest.Folder {
+		fs := filled(t, 20)
+		l, _ := open(t, fs)
+		_, err := l.Identity("a", 7)
+		assert.Assert(t, err != nil, "the identity is made before the first entry")
+		assert.NilError(t, l.SaveSnapshot(snapshot(8, 8)))
+		assert.NilError(t, l.Save(hard(21), []consensus.Entry{entry(21, 21)}, true))
+		return fs
+	}
+	names, _ := build().List()
+	flips := 0
+	for _, name := range names {
+		content, _ := build().ReadFile(name)
+		for i := range content {
+			fs := build()
+			fs.Edit(name, func(b []byte) []byte { b[i] ^= 0x11; return b })
+			_, _, err := wal.Open(fs, wal.Options{})
+			var damaged *wal.CorruptError
+			assert.Assert(t, errors.As(err, &damaged), "%s byte %d: %v", name, i, err)
+			assert.Equal(t, damaged.File, name)
+			assert.Assert(t, damaged.Offset <= int64(i))
+			flips++
+		}
+	}
+	t.Logf("%d bytes flipped", flips)
+}
+
+func TestMissingFilesAreRefused(t *testing.T) {
+	fs := filled(t, 40)
+	l, _ := open(t, fs)
+	assert.NilError(t, l.SaveSnapshot(snapshot(4, 4)))
+	names, _ := fs.List()
+	assert.Assert(t, len(names) > 4)
+	for _, name := range names[:len(names)-1] {
+		damaged := fs.Crash(lostAll)
+		assert.NilError(t, damaged.Remove(name))
+		_, _, err := wal.Open(damaged, wal.Options{})
+		var corrupt *wal.CorruptError
+		assert.Assert(t, errors.As(err, &corrupt), "without %s: %v", name, err)
+	}
+}
+
+func TestIdentity(t *testing.T) {
+	fs := waltest.NewFolder()
+	l, _ := open(t, fs)
+	first, err := l.Identity("a", 7)
+	assert.NilError(t, err)
+	assert.NilError(t, l.Save(hard(1), []consensus.Entry{entry(1, 1)}, true))
+	fs = fs.Crash(lostAll)
+	l, _ = open(t, fs)
+	again, err := l.Identity("a", 8)
+	assert.NilError(t, err)
+	assert.Equal(t, again, first)
+	_, err = l.Identity("b", 8)
+	assert.ErrorContains(t, err, "belongs to host")
+	assert.NilError(t, fs.Remove("identity"))
+	_, err = l.Identity("a", 8)
+	assert.ErrorContains(t, err, "identity is missing")
+}
+
+func TestFailedWriteEndsTheLog(t *testing.T) {
+	fs := filled(t, 3)
+	l, _ := open(t, fs)
+	fs.FailWrites = true
+	assert.Assert(t, l.Save(nil, []consensus.Entry{entry(4, 4)}, true) != nil)
+	fs.FailWrites = false
+	assert.ErrorContains(t, l.Save(nil, []consensus.Entry{entry(4, 4)}, true), "an earlier write failed")
+	_, c := open(t, fs.Crash(func(unsynced int) int { return unsynced }))
+	checkPrefix(t, c, 3, 3)
+}
+
+// TestFolderOnDisk runs the real file system through the same steps.
+func TestFolderOnDisk(t *testing.T) {
+	path := t.TempDir() + "/data"
+	for round := range uint64(3) {
+		fs, err := wal.OpenFolder(path)
+		assert.NilError(t, err)
+		l, c := open(t, fs)
+		id, err := l.Identity("a", round+1)
+		assert.NilError(t, err)
+		assert.Equal(t, id.Incarnation, uint64(1))
+		assert.Equal(t, uint64(len(c.Entries))+c.Snapshot.Index, round*20)
+		for i := round*20 + 1; i <= round*20+20; i++ {
+			assert.NilError(t, l.Save(hard(i), []consensus.Entry{entry(i, i)}, true))
+		}
+		assert.NilError(t, l.SaveSnapshot(snapshot(round*20+10, round*20+10)))
+		assert.NilError(t, l.Close())
+	}
+}
+
+func BenchmarkSave(b *testing.B) {
+	fs, err := wal.OpenFolder(b.TempDir())
+	assert.NilError(b, err)
+	l, _, err := wal.Open(fs, wal.Options{})
+	assert.NilError(b, err)
+	for i := range uint64(b.N) {
+		assert.NilError(b, l.Save(nil, []consensus.Entry{entry(i+1, 1)}, true))
+	}
+}
