--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -26,7 +26,9 @@
 	echoes   map[table.HostID]uint64
 	joining  map[table.HostID]joiner
 
-	waiting      map[uint64]waiter
+	waiting map[uint64]waiter
+	// answers are given once the state that they speak of can be read.
+	answers      []func()
 	snapshotAt   uint64 // applied index of the last snapshot
 	loggedTerm   uint64
 	loggedLeader consensus.NodeID
@@ -131,12 +133,12 @@
 	return nil
 }
 
-// propose appends a command to the log; done is called once, with the answer
-// or the reason why there is none.
+// propose appends a command to the log; done is called once by giveAnswers,
+// with the answer or the reason why there is none.
 func (r *replica) propose(data []byte, done func(Result, error)) {
 	index, term, err := r.node.Propose(data)
 	if err != nil {
-		done(Result{}, r.notLeader())
+		r.answer(done, Result{}, r.notLeader())
 		return
 	}
 	r.waiting[index] = waiter{term: term, done: done}
@@ -218,19 +220,30 @@
 	}
 	delete(r.waiting, e.Index)
 	if w.term != e.Term {
-		w.done(Result{}, r.notLeader())
+		r.answer(w.done, Result{}, r.notLeader())
 		return nil
 	}
-	w.done(result, nil)
+	r.answer(w.done, result, nil)
 	return nil
 }
 
+func (r *replica) answer(done func(Result, error), result Result, err error) {
+	r.answers = append(r.answers, func() { done(result, err) })
+}
+
+func (r *replica) giveAnswers() {
+	for _, give := range r.answers {
+		give()
+	}
+	r.answers = nil
+}
+
 // abandonWaiting answers proposals of a leader that leads no more: whether
 // they will be committed is not known here.
 func (r *replica) abandonWaiting() {
 	for index, w := range r.waiting {
 		delete(r.waiting, index)
-		w.done(Result{}, errkind.New(errkind.NoQuorum, "the leader changed before the command was committed"))
+		r.answer(w.done, Result{}, errkind.New(errkind.NoQuorum, "the leader changed before the command was committed"))
 	}
 }
 
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -233,6 +233,7 @@
 		return err
 	}
 	s.publish()
+	s.replica.giveAnswers()
 	return nil
 }
 
@@ -304,6 +305,7 @@
 func (s *Server) stop() {
 	close(s.stopped)
 	s.replica.abandonWaiting()
+	s.replica.giveAnswers()
 	last := *s.status.Load()
 	last.isSelf, last.leaseUntil, last.leader = false, 0, ""
 	s.status.Store(&last)
--- a/internal/control/server_test.go
+++ b/internal/control/server_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/amaranthweir/amaranthweir/internal/consensus"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 	"github.com/amaranthweir/amaranthweir/internal/wal/waltest"
@@ -190,3 +191,9 @@
 		assert.Assert(t, s.Receive([]byte(b)) != nil, "%q", b)
 	}
 }
+
+func node(host table.HostID, incarnation uint64) consensus.NodeID {
+	return consensus.NodeID{Host: host, Incarnation: incarnation}
+}
+
+func members(ids ...consensus.NodeID) consensus.Members { return consensus.NewMembers(ids...) }
--- a/internal/wal/waltest/folder.go
+++ b/internal/wal/waltest/folder.go
@@ -9,6 +9,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/amaranthweir/amaranthweir/internal/wal"
 )
@@ -20,6 +21,8 @@
 	durable map[string]*file
 	// Syncs counts how often a file was synced.
 	Syncs int
+	// SyncTime is how long each sync of a file takes.
+	SyncTime time.Duration
 	// IgnoreSync makes Sync of files do nothing, as if the log never asked.
 	IgnoreSync bool
 	// FailWrites makes every write to a file fail half way.
@@ -144,6 +147,7 @@
 
 // Sync makes the content durable.
 func (c *file) Sync() error {
+	time.Sleep(c.folder.SyncTime)
 	c.folder.mu.Lock()
 	defer c.folder.mu.Unlock()
 	c.folder.Syncs++
