Add the demo: six hosts, two groups, a killed primary, a table

make demo builds, starts everything as processes on loopback addresses, applies the ledger document with amaranthweir apply, runs a mixed load through pgx whose sessions roam between hosts with their token, kills the primary of ledger-1 in the middle, and stops all it started, by process id.

--- a/Makefile
+++ b/Makefile
@@ -21,5 +21,8 @@
 test: ## all tests
 	$(GO) test -count=1 ./...
 
+demo: build ## the whole system on this machine for a short while, with a primary killed
+	bin/demo --bin bin --document examples/ledger.jsonc
+
 generate: ## regenerate the peer protocol (needs protoc from Debian's protobuf-compiler)
 	cd internal/peer/peerpb && protoc --plugin=protoc-gen-go="$$($(GO) tool -n protoc-gen-go)" --plugin=protoc-gen-go-drpc="$$($(GO) tool -n protoc-gen-go-drpc)" --go_out=. --go_opt=paths=source_relative --go-drpc_out=. --go-drpc_opt=paths=source_relative peer.proto
--- /dev/null
+++ b/standin/cmd/demo/process.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+// stopTimeout is how long a process may take to stop on SIGTERM.
+const stopTimeout = 15 * time.Second
+
+// process is one child of the demo.
+type process struct {
+	name string
+	cmd  *exec.Cmd
+	log  *os.File
+	done chan struct{} // closed when it has ended
+	err  error         // of Wait, once done
+}
+
+// startProcess starts a program whose output goes to a file in logs.
+func startProcess(logs, name, program string, args ...string) (*process, error) {
+	file, err := os.Create(filepath.Join(logs, name+".log"))
+	if err != nil {
+		return nil, err
+	}
+	p := &process{name: name, cmd: exec.Command(program, args...), log: file, done: make(chan struct{})}
+	p.cmd.Stdout, p.cmd.Stderr = file, file
+	if err := p.cmd.Start(); err != nil {
+		return nil, errors.Join(err, file.Close())
+	}
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// ended reports whether the process has ended.
+func (p *process) ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// kill ends the process at once and waits for its end.
+func (p *process) kill() error {
+	err := p.cmd.Process.Kill()
+	<-p.done
+	return err
+}
+
+// stop ends the process with SIGTERM, and fails when that takes too long.
+func (p *process) stop() error {
+	defer p.log.Close()
+	if p.ended() {
+		return nil
+	}
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return err
+	}
+	select {
+	case <-p.done:
+		return nil
+	case <-time.After(stopTimeout):
+		return errors.Join(fmt.Errorf("%s did not stop within %v", p.name, stopTimeout), p.kill())
+	}
+}
+
+// freeAddresses returns n loopback addresses: from the port base on, or on
+// ports that are free now.
+func freeAddresses(n, base int) ([]string, error) {
+	var addresses []string
+	for i := range n {
+		port := 0
+		if base > 0 {
+			port = base + i
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses, nil
+}
