--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -378,6 +379,23 @@
 	})
 }
 
+func TestKeyringIsSafeForConcurrentUse(t *testing.T) {
+	k := keyring(t, 1, 2)
+	var group errgroup.Group
+	for i := range 8 {
+		group.Go(func() error {
+			service := fmt.Sprintf("service-%d", i)
+			for range 200 {
+				if _, err := k.Decode(service, k.Encode(NewToken(service))); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+	assert.NilError(t, group.Wait())
+}
+
 func BenchmarkEncode(b *testing.B) {
 	k, token := keyring(b, 1), sampleToken()
 	b.ReportAllocs()
