--- a/standin/cmd/demo/journal.go
+++ b/standin/cmd/demo/journal.go
@@ -26,6 +26,9 @@
 	classes  map[string]*answers
 	refusals map[string]int
 	missed   []row
+	// repeats counts the writes that were sent again; settled those of them
+	// whose outcome was unknown before and known after, acked those that had been acknowledged.
+	repeats, settled, acked int
 }
 
 func newJournal() *journal {
@@ -65,6 +68,19 @@
 	j.refusals[o.kind]++
 }
 
+// repeated notes that a write was sent again under its request id.
+func (j *journal) repeated(first, again outcome) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.repeats++
+	switch {
+	case first.ok():
+		j.acked++
+	case again.ok() || again.effect == notRun:
+		j.settled++
+	}
+}
+
 func (j *journal) refused(kind string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -97,7 +113,7 @@
 type check struct {
 	acknowledged int
 	lost         []row // acknowledged, but not there
-	ranTwice     []row // sent once, and there before it ran
+	ranTwice     []row // a row of its own, and there before it ran
 	falseNotRun  []row // said not to have run, but there
 	unknownThere int
 	unknownGone  int
--- a/standin/cmd/demo/load.go
+++ b/standin/cmd/demo/load.go
@@ -33,6 +33,10 @@
 	requestTimeout = 10 * time.Second
 	// roamEvery is after how many requests a caller moves to another host.
 	roamEvery = 25
+	// maxRepeats bounds the repeats of a write whose outcome is unknown.
+	maxRepeats = 5
+	// repeatOneIn is the share of acknowledged writes that are repeated.
+	repeatOneIn = 20
 	// tokenParameter carries the session to another host.
 	tokenParameter = "amaranthweir.session"
 )
@@ -141,19 +145,53 @@
 	}
 }
 
-// write inserts a row that no other request inserts. It is sent once.
+// write inserts a row that no other request inserts. While its outcome is
+// unknown it is repeated at other hosts under its request id, and so are some
+// that were acknowledged, as after a lost answer.
 func (c *caller) write(ctx context.Context, class, table string, y yard) {
 	c.written++
 	r := row{y.group, table, fmt.Sprintf("%s/%d-%d", y.name, c.number, c.written)}
-	query := fmt.Sprintf("/* class=%s key=%s request_id=%s */ INSERT INTO %s (key, value) VALUES ($1, $2)", class, y.name, r.key, table)
 	begin := time.Now()
-	_, err := c.conn.Exec(ctx, query, r.key, "1")
-	o := outcomeOf(err)
-	c.load.journal.wrote(class, r, o, begin, time.Now())
+	o := c.insert(ctx, class, r, y)
+	took := time.Since(begin)
+	for range maxRepeats {
+		if o.ok() || o.effect != unknown || o.kind == kindRanTwice {
+			break
+		}
+		o = c.repeat(ctx, o, func() outcome { return c.insert(ctx, class, r, y) })
+		took = time.Since(begin)
+	}
+	if o.ok() && c.random.IntN(repeatOneIn) == 0 {
+		o = c.repeat(ctx, o, func() outcome { return c.insert(ctx, class, r, y) })
+	}
+	c.load.journal.wrote(class, r, o, begin, begin.Add(took))
 	if o.ok() {
 		c.last[y] = r
+	}
+}
+
+// repeat sends a request again, at the next host. A write that was
+// acknowledged stays so, unless the repeat shows that it ran twice.
+func (c *caller) repeat(ctx context.Context, first outcome, send func() outcome) outcome {
+	c.roam(ctx)
+	if pause(ctx, c.load.flags.Pause) != nil || !c.connected(ctx) {
+		return first
+	}
+	again := send()
+	c.load.journal.repeated(first, again)
+	if first.ok() && again.kind != kindRanTwice {
+		return first
+	}
+	return again
+}
+
+func (c *caller) insert(ctx context.Context, class string, r row, y yard) outcome {
+	query := fmt.Sprintf("/* class=%s key=%s request_id=%s */ INSERT INTO %s (key, value) VALUES ($1, $2)", class, y.name, r.key, r.table)
+	_, err := c.conn.Exec(ctx, query, r.key, "1")
+	if err == nil {
 		c.keepToken()
 	}
+	return outcomeOf(err)
 }
 
 // lookup reads the caller's latest row of the yard, which it must find.
@@ -221,8 +259,8 @@
 
 func (o outcome) ok() bool { return o.kind == "" }
 
-// kindRanTwice is the kind of the error for a row that is there already,
-// though it was sent once.
+// kindRanTwice is the kind of the error for a row that is there already: its
+// request ran twice, for no other request inserts it.
 const kindRanTwice = "duplicate_key"
 
 // outcomeOf reads the kind and the effect from the detail of an error answer.
--- a/standin/cmd/demo/report.go
+++ b/standin/cmd/demo/report.go
@@ -49,6 +49,8 @@
 	fmt.Fprintf(w, "  run twice\t%d\n", len(r.check.ranTwice))
 	fmt.Fprintf(w, "\"not run\", but there\t%d\n", len(r.check.falseNotRun))
 	fmt.Fprintf(w, "outcome unknown\t%d there, %d not\n", r.check.unknownThere, r.check.unknownGone)
+	fmt.Fprintf(w, "writes sent again\t%d (%d after an acknowledgement; %d unknown outcomes settled)\n",
+		r.journal.repeats, r.journal.acked, r.journal.settled)
 	fmt.Fprintf(w, "own writes that a session did not see\t%d\n", len(r.journal.missed))
 	_ = w.Flush() // what can't be printed can't be told
 }
