Hold the faults of the demo against the switches of the stand-in

The demo also waits longer for a process to stop than a host may take: a host that is no control host waits 30 s for its hand-over when the control hosts are gone, as a trial that stopped these first has shown.

--- a/standin/cmd/demo/demo_test.go
+++ b/standin/cmd/demo/demo_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/jackc/pgx/v5/pgconn"
 	"gotest.tools/v3/assert"
+
+	"github.com/amaranthweir/amaranthweir/standin"
 )
 
 var (
@@ -105,3 +107,19 @@
 	assert.DeepEqual(t, sum, map[string]int{"primary": 4, "replica": 1200})
 	assert.Assert(t, addReads(sum, strings.NewReader("amaranthweir_reads_total{role=\"replica\"} x\n")) != nil)
 }
+
+func TestEveryFaultIsASwitchOfTheStandIn(t *testing.T) {
+	in, err := standin.Start(standin.DefaultConfig("g", "a"))
+	assert.NilError(t, err)
+	defer in.Close()
+	c := &cluster{upstreams: []upstream{{name: "a", control: in.ControlAddress()}}}
+	for kind, switches := range faults {
+		for _, s := range []string{switches.begin, switches.end} {
+			if s != "" {
+				assert.NilError(t, c.switchFault(t.Context(), "a", s), kind)
+			}
+		}
+	}
+	assert.ErrorContains(t, c.switchFault(t.Context(), "a", "explode=true"), "400")
+	assert.ErrorContains(t, c.switchFault(t.Context(), "b", "lose=1"), "no stand-in")
+}
--- a/standin/cmd/demo/process.go
+++ b/standin/cmd/demo/process.go
@@ -11,8 +11,9 @@
 	"time"
 )
 
-// stopTimeout is how long a process may take to stop on SIGTERM.
-const stopTimeout = 15 * time.Second
+// stopTimeout is how long a process may take to stop on SIGTERM. It lies above
+// the bound that a host sets itself.
+const stopTimeout = 40 * time.Second
 
 // process is one child of the demo.
 type process struct {
