--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -396,20 +396,37 @@
 	assert.NilError(t, group.Wait())
 }
 
+func tokenOf(groups int) *Token {
+	token := NewToken("ledger")
+	for i := range groups {
+		token.Raise(table.GroupName(fmt.Sprintf("ledger-%d", i)), table.Mark{Term: 3, Position: 1 << 40})
+	}
+	return token
+}
+
 func BenchmarkEncode(b *testing.B) {
-	k, token := keyring(b, 1), sampleToken()
-	b.ReportAllocs()
-	for b.Loop() {
-		k.Encode(token)
+	for _, groups := range []int{1, 3, 16, MaxGroups} {
+		b.Run(fmt.Sprintf("groups=%d", groups), func(b *testing.B) {
+			k, token := keyring(b, 1), tokenOf(groups)
+			b.ReportAllocs()
+			for b.Loop() {
+				k.Encode(token)
+			}
+			b.ReportMetric(float64(len(k.Encode(token))), "bytes/token")
+		})
 	}
 }
 
 func BenchmarkDecode(b *testing.B) {
-	k := keyring(b, 1)
-	encoded := k.Encode(sampleToken())
-	b.ReportAllocs()
-	for b.Loop() {
-		_, _ = k.Decode("ledger", encoded)
+	for _, groups := range []int{1, 3, 16, MaxGroups} {
+		b.Run(fmt.Sprintf("groups=%d", groups), func(b *testing.B) {
+			k := keyring(b, 1)
+			encoded := k.Encode(tokenOf(groups))
+			b.ReportAllocs()
+			for b.Loop() {
+				_, _ = k.Decode("ledger", encoded)
+			}
+		})
 	}
 }
 
