Bound the problems of a document and the time to check it

A stranger can post 1 MiB that holds 150,000 faults, and each fault counts the lines before it; the groups of a class were looked up by a scan of each other. Up to 200 problems are reported now, then how many more there are, and groups are looked up in a map. With the bound taken out the new test fails ('10202 (int) != 201 (int)').

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -128,6 +128,17 @@
 	})
 }
 
+func TestProblemsAreBounded(t *testing.T) {
+	const faults = 10_000
+	src := `{"classes": [` + strings.Repeat("1,", MaxProblems) + `{` + strings.Repeat(`"x": 1,`, faults) + `}]}`
+	_, err := ParseDocument("f", []byte(src))
+	var problems *Problems
+	assert.Assert(t, errors.As(err, &problems))
+	assert.Equal(t, len(problems.Items), MaxProblems+1)
+	last := problems.Items[MaxProblems].String()
+	assert.Assert(t, strings.HasSuffix(last, "more problems"), last)
+}
+
 func TestParseSettingsNamesEveryProblem(t *testing.T) {
 	parse := func(src []byte) error { _, err := ParseSettings("f", src); return err }
 	const key = `"000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f"`
--- a/internal/config/parse_document.go
+++ b/internal/config/parse_document.go
@@ -86,7 +86,7 @@
 
 // ParseDocument reads and checks the document of a service. The name of the
 // file appears in problems only. The error is *Problems and lists every
-// problem found.
+// problem found, up to MaxProblems.
 func ParseDocument(name string, src []byte) (*Document, error) {
 	r := &reader{name: name, src: src}
 	root, ok := r.parseRoot()
@@ -266,13 +266,16 @@
 	if k.Access == AccessWrite && c.staleness.given() {
 		c.staleness.problem("a write has no staleness, expected no such field or \"access\": \"read\"")
 	}
+	seen := make(map[table.GroupName]bool, len(c.groups))
 	for i, n := range c.groups {
-		if !p.byGroup[k.Groups[i]] {
-			n.problem("no group is named %q, expected the name of a listed group", k.Groups[i])
+		name := k.Groups[i]
+		if !p.byGroup[name] {
+			n.problem("no group is named %q, expected the name of a listed group", name)
 		}
-		if slices.Index(k.Groups, k.Groups[i]) < i {
-			n.problem("the group %q stands twice, expected it once", k.Groups[i])
+		if seen[name] {
+			n.problem("the group %q stands twice, expected it once", name)
 		}
+		seen[name] = true
 	}
 }
 
--- a/internal/config/parse_settings.go
+++ b/internal/config/parse_settings.go
@@ -38,7 +38,7 @@
 
 // ParseSettings reads and checks the settings of a host. The name of the file
 // appears in problems only. The error is *Problems and lists every problem
-// found.
+// found, up to MaxProblems.
 func ParseSettings(name string, src []byte) (*Settings, error) {
 	r := &reader{name: name, src: src}
 	root, ok := r.parseRoot()
--- a/internal/config/reader.go
+++ b/internal/config/reader.go
@@ -13,6 +13,9 @@
 // MaxFileBytes bounds a settings file or a document.
 const MaxFileBytes = 1 << 20
 
+// MaxProblems bounds how many problems of one file are reported.
+const MaxProblems = 200
+
 // maxDepth bounds the nesting of a file. The parser recurses once a level.
 const maxDepth = 32
 
@@ -21,6 +24,7 @@
 	name     string
 	src      []byte
 	problems []offsetProblem
+	left     int // problems found beyond MaxProblems
 }
 
 // offsetProblem is a problem whose place is still a byte offset.
@@ -75,6 +79,10 @@
 
 // add records a problem at a byte offset.
 func (r *reader) add(offset int, path, format string, args ...any) {
+	if len(r.problems) == MaxProblems {
+		r.left++
+		return
+	}
 	p := Problem{File: r.name, Field: path, Message: fmt.Sprintf(format, args...)}
 	p.Line = 1 + bytes.Count(r.src[:offset], []byte("\n"))
 	p.Column = offset - bytes.LastIndexByte(r.src[:offset], '\n')
@@ -91,6 +99,11 @@
 	for _, p := range r.problems {
 		all.Items = append(all.Items, p.Problem)
 	}
+	if r.left > 0 {
+		last := all.Items[len(all.Items)-1]
+		last.Field, last.Message = "", fmt.Sprintf("and %d more problems", r.left)
+		all.Items = append(all.Items, last)
+	}
 	return all
 }
 
