--- a/internal/system/failover/promote.go
+++ b/internal/system/failover/promote.go
@@ -1,6 +1,7 @@
 package failover
 
 import (
+	"slices"
 	"time"
 
 	"github.com/amaranthweir/amaranthweir/internal/table"
@@ -22,10 +23,23 @@
 	if !s.findFloor(now, g, c) {
 		return WaitPositions
 	}
-	if g.safe(c) && c.failedIn != g.agreed.Term {
-		return s.orderPromotion(now, g, c)
+	if !g.safe(c) || c.failedIn == g.agreed.Term {
+		return s.replace(now, g, c)
+	}
+	if !g.promotion.sent && !g.plannedSafe(c) {
+		if top := s.safest(now, g, nil); top != nil && better(top, c) {
+			return s.replace(now, g, c)
+		}
 	}
-	return s.replace(now, g, c)
+	return s.orderPromotion(now, g, c)
+}
+
+// safest returns the most advanced safe instance other than c whose owner
+// sends heartbeats, nil if there is none.
+func (s *System) safest(now time.Duration, g *group, c *member) *member {
+	return g.best(func(m *member) bool {
+		return m != c && g.safe(m) && !s.leases.Late(now, m.owner)
+	})
 }
 
 // promotedAt returns the position at which the term began if the candidate is
@@ -75,41 +89,56 @@
 }
 
 // findFloor looks for a position at or above every acknowledged write. A write
-// is acknowledged once the primary and one replica hold it, so it is held by
-// one of any size-1 instances read after the fence. Fewer are enough where the
-// released owner stated its highest acknowledged position.
+// is acknowledged once the primary and one replica hold it, so any size-1
+// instances read after the fence include one that holds it: the floor is the
+// highest position of the size-1 least advanced ones. Fewer reads are enough
+// where the released owner stated its highest acknowledged position. Further
+// reads can only lower the floor.
 func (s *System) findFloor(now time.Duration, g *group, c *member) bool {
-	if g.floorKnown {
-		return true
-	}
 	if g.plannedSafe(c) {
 		g.setFloor(g.planned.mark)
 		return true
 	}
-	read := 0
-	var top table.Mark
+	var marks []table.Mark
+	open := false
 	for _, id := range g.order {
 		m := g.members[id]
-		if !m.readSince(g.fencedAt) {
-			continue
-		}
-		read++
-		if top.Less(m.readMark) {
-			top = m.readMark
+		switch {
+		case m.readSince(g.fencedAt):
+			marks = append(marks, m.readMark)
+		case m.reachable() && !s.leases.Late(now, m.owner):
+			open = true
 		}
 	}
+	late := now >= g.fencedAt+s.cfg.ReadBound
+	need := max(1, g.size()-1)
 	switch {
-	case read >= max(1, g.size()-1):
-		g.setFloor(top)
-	case g.ackedKnown && now >= g.fencedAt+s.cfg.ReadBound:
+	case open && !late && !g.floorKnown:
+	case len(marks) >= need:
+		slices.SortFunc(marks, compareMarks)
+		g.setFloor(marks[need-1])
+	case g.ackedKnown && late:
 		g.setFloor(g.acked)
 	}
 	return g.floorKnown
 }
 
+func compareMarks(a, b table.Mark) int {
+	switch {
+	case a.Less(b):
+		return -1
+	case b.Less(a):
+		return 1
+	default:
+		return 0
+	}
+}
+
 func (g *group) setFloor(m table.Mark) {
-	g.floorKnown = true
-	g.floor = m
+	if !g.floorKnown || m.Less(g.floor) {
+		g.floorKnown = true
+		g.floor = m
+	}
 }
 
 // safe reports whether the instance holds every acknowledged write.
@@ -123,6 +152,9 @@
 // orderPromotion has the candidate promoted and gives it up when that takes
 // too long.
 func (s *System) orderPromotion(now time.Duration, g *group, c *member) WaitReason {
+	if c.inst.Address == "" {
+		return WaitPositions
+	}
 	pr := &g.promotion
 	if pr.term != g.agreed.Term {
 		*pr = promotion{term: g.agreed.Term, firstAt: now}
@@ -144,12 +176,16 @@
 // replace agrees on a further term with another candidate, because c is out of
 // reach, lacks acknowledged writes or could not be promoted.
 func (s *System) replace(now time.Duration, g *group, c *member) WaitReason {
-	if !c.readSince(g.fencedAt) && c.failedIn != g.agreed.Term && now < g.fencedAt+s.cfg.ReadBound {
+	open := !c.reported || c.reachable() && !c.readSince(g.fencedAt)
+	if open && c.failedIn != g.agreed.Term && now < g.fencedAt+s.cfg.ReadBound {
 		return WaitPositions
 	}
-	other := g.best(func(m *member) bool {
-		return m != c && g.safe(m) && !s.leases.Late(now, m.owner)
-	})
+	if g.agreed.Primary == "" && !c.reachable() && !s.silent(now, c) {
+		// The group is new and its primary, which announces itself, has data
+		// of before: it is waited for.
+		return WaitPositions
+	}
+	other := s.safest(now, g, c)
 	if other == nil && g.safe(c) {
 		return s.retry(now, g, c)
 	}
@@ -176,8 +212,8 @@
 // lowerFloor accepts what the released owner stated where no instance within
 // reach holds the most advanced position that was read.
 func (g *group) lowerFloor() {
-	if g.ackedKnown && g.acked.Less(g.floor) {
-		g.floor = g.acked
+	if g.ackedKnown {
+		g.setFloor(g.acked)
 	}
 }
 
@@ -206,7 +242,7 @@
 func (s *System) needsFence(now time.Duration, g *group, m *member) bool {
 	id := m.inst.ID
 	current := id == g.agreed.Candidate || g.agreed.Phase == table.PhaseStable && id == g.agreed.Primary
-	if !g.known || current || m.role() != table.RolePrimary || m.mark().Term >= g.agreed.Term {
+	if !g.known || current || m.inst.Address == "" || m.role() != table.RolePrimary || m.mark().Term >= g.agreed.Term {
 		return false
 	}
 	alive := m.reachable() || m.announced && now < m.inst.SeenAt+s.cfg.AnnounceSilence
--- a/internal/system/failover/report.go
+++ b/internal/system/failover/report.go
@@ -25,6 +25,8 @@
 type Report struct {
 	Group    table.GroupName
 	Instance table.InstanceID
+	// Address is where the host probed it, ip:port.
+	Address string
 	// Witness is set by a host that probed an instance it does not own.
 	Witness bool
 	// Reachable is the result of the latest finished probe.
--- a/internal/system/failover/system.go
+++ b/internal/system/failover/system.go
@@ -264,6 +264,9 @@
 func (s *System) take(now time.Duration, m *member, r Report) {
 	m.reported = true
 	m.report = r
+	if m.inst.Address == "" {
+		m.inst.Address = r.Address
+	}
 	if !r.Reachable {
 		m.downSince = now - r.UnreachableFor
 		return
--- a/internal/system/failover/watch.go
+++ b/internal/system/failover/watch.go
@@ -109,6 +109,9 @@
 // the group, or else any hosts that are not late.
 func (s *System) witnessHosts(now time.Duration, g *group, p *member) []table.HostID {
 	var hosts []table.HostID
+	if p.inst.Address == "" {
+		return hosts
+	}
 	add := func(host table.HostID) {
 		if host == "" || host == p.owner || slices.Contains(hosts, host) || s.leases.Late(now, host) {
 			return
--- a/internal/system/ownership/config.go
+++ b/internal/system/ownership/config.go
@@ -25,6 +25,9 @@
 	// domain expired an announcement must have arrived to show that the
 	// instance is still within reach. It is shorter than a lease.
 	CutGrace time.Duration
+	// Settle is how long after it took office a leader gives an instance to no
+	// host outside its failure domain, since it has not heard of all hosts.
+	Settle time.Duration
 	// HoldOff is how long an owner stays before it is changed for the sake of
 	// balance or to return to the failure domain of the instance, and how
 	// long a host must have been there before instances are moved to it.
@@ -49,6 +52,7 @@
 	return Config{
 		Choices:      8,
 		CutGrace:     400 * time.Millisecond,
+		Settle:       time.Second,
 		HoldOff:      10 * time.Second,
 		AvoidFor:     15 * time.Second,
 		ProposeRetry: 300 * time.Millisecond,
@@ -60,7 +64,7 @@
 
 // Validate reports values that are missing or contradict each other.
 func (c Config) Validate() error {
-	for _, d := range []time.Duration{c.CutGrace, c.HoldOff, c.AvoidFor, c.ProposeRetry} {
+	for _, d := range []time.Duration{c.CutGrace, c.Settle, c.HoldOff, c.AvoidFor, c.ProposeRetry} {
 		if d <= 0 {
 			return errors.New("ownership: every duration must be positive")
 		}
--- a/internal/system/ownership/ownership_test.go
+++ b/internal/system/ownership/ownership_test.go
@@ -310,6 +310,16 @@
 	assert.NilError(t, f.loads(0, 4, 0))
 }
 
+func TestNewLeaderWaitsForHosts(t *testing.T) {
+	f := newFixture(0, 0)
+	f.beat(1, 0)
+	f.announce(0, 0)
+	f.run(900 * ms)
+	assert.Equal(t, len(f.owners), 0, "hosts of its failure domain may not have been heard of yet")
+	f.run(200 * ms)
+	assert.Equal(t, f.owner(0, 0), hostID(1, 0))
+}
+
 func TestJoiningHostGetsItsShare(t *testing.T) {
 	f := newFixture(1, 2)
 	for n := range 24 {
--- a/internal/system/ownership/place.go
+++ b/internal/system/ownership/place.go
@@ -149,6 +149,9 @@
 	if h := s.pick(now, &i.domain.usable, i); h != nil {
 		return h
 	}
+	if !s.settled {
+		return nil
+	}
 	if h := s.pick(now, &s.all, i); h != nil {
 		return h
 	}
--- a/internal/system/ownership/system.go
+++ b/internal/system/ownership/system.go
@@ -44,6 +44,7 @@
 	cfg       Config
 	leading   bool
 	ledSince  time.Duration
+	settled   bool
 	hosts     map[table.HostID]*host
 	domains   map[table.Domain]*domain
 	all       pool
@@ -74,6 +75,7 @@
 // agreed ownerships are kept.
 func (s *System) Lead(now time.Duration) {
 	s.leading = true
+	s.settled = false
 	s.ledSince = now
 	s.hosts = map[table.HostID]*host{}
 	s.domains = map[table.Domain]*domain{}
@@ -199,6 +201,10 @@
 	if !s.leading {
 		return nil
 	}
+	if !s.settled && now >= s.ledSince+s.cfg.Settle {
+		s.settled = true
+		s.enqueueHomeless()
+	}
 	s.retryPending(now)
 	queue := s.queue
 	s.queue = nil
@@ -325,6 +331,10 @@
 	}
 	h.domain.usable.add(h)
 	s.all.add(h)
+	s.enqueueHomeless()
+}
+
+func (s *System) enqueueHomeless() {
 	for _, i := range s.homeless {
 		i.homeless = false
 		s.enqueue(i)
