--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 
+	"github.com/amaranthweir/amaranthweir/internal/config"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
@@ -126,7 +127,7 @@
 		refusal = RefusedOld
 	case p.Version > now.Version+1:
 		refusal = RefusedGap
-	case p.Service == "" || p.Digest == "":
+	case p.Service == "" || p.Digest != config.DocumentDigest(p.Body):
 		refusal = RefusedInvalid
 	}
 	if refusal != Accepted {
