Report a quiesce only while it holds; do not wait for a leader that is gone

A report could say that no write runs although the hold had ended since its probe: the position in it was then older than writes that went on. The report now names the hold it was read in.

A shutdown waited its whole bound of 30 s when the control hosts were gone, since the tables still showed other hosts as alive.

--- a/internal/host/reconcile.go
+++ b/internal/host/reconcile.go
@@ -69,7 +69,7 @@
 func (h *Host) awaitHandOver(ctx context.Context) {
 	tick := time.NewTicker(drainPoll)
 	defer tick.Stop()
-	for h.peerServer.Running() > 0 || len(h.owner.Owned()) > 0 && h.othersAlive() {
+	for h.peerServer.Running() > 0 || len(h.owner.Owned()) > 0 && h.mayHandOver() {
 		select {
 		case <-ctx.Done():
 			for id := range h.owner.Owned() {
@@ -81,8 +81,13 @@
 	}
 }
 
-// othersAlive reports whether a host that does not drain could take over.
-func (h *Host) othersAlive() bool {
+// mayHandOver reports whether the leader can move instances to another host:
+// it renews the lease of this one, and another host that does not drain is
+// alive.
+func (h *Host) mayHandOver() bool {
+	if !h.dir.leaseValid() {
+		return false
+	}
 	for _, other := range h.dir.currentTables().Hosts {
 		if other.ID != h.settings.Host && other.State == table.HostAlive && !other.Draining {
 			return true
--- a/internal/owner/gate.go
+++ b/internal/owner/gate.go
@@ -18,6 +18,7 @@
 	mu      sync.Mutex
 	until   time.Time // new writes are held back before this moment
 	running int
+	holds   uint64 // how often writes were held back so far
 }
 
 // enter waits until writes may begin, or returns the error of mayRun.
@@ -54,6 +55,7 @@
 	defer g.mu.Unlock()
 	if !time.Now().Before(g.until) {
 		g.until = time.Now().Add(bound)
+		g.holds++
 	}
 }
 
@@ -64,9 +66,13 @@
 	g.mu.Unlock()
 }
 
-// quiet reports whether writes are held back and none runs.
-func (g *writeGate) quiet() bool {
+// quiet returns the number of the hold during which no write runs, or zero
+// while writes may begin or one runs.
+func (g *writeGate) quiet() uint64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return time.Now().Before(g.until) && g.running == 0
+	if g.running > 0 || !time.Now().Before(g.until) {
+		return 0
+	}
+	return g.holds
 }
--- a/internal/owner/report.go
+++ b/internal/owner/report.go
@@ -16,7 +16,7 @@
 	downSince time.Time // of the first probe that failed
 	status    platform.Status
 	after     failover.Stamp
-	quiesced  bool
+	quiesced  uint64 // the hold during which status was read, or zero
 	acked     table.Mark
 	ackedSet  bool
 }
@@ -56,7 +56,7 @@
 		SeenTerm:   seen,
 		Acked:      h.acked,
 		AckedKnown: h.ackedSet,
-		Quiesced:   h.quiesced,
+		Quiesced:   h.quiesced != 0 && h.quiesced == in.gate.quiet(),
 	}
 	if !h.reachable {
 		r.UnreachableFor = now.Sub(h.downSince)
@@ -112,7 +112,10 @@
 		return changed
 	}
 	h.probed, h.reachable = true, true
-	h.status, h.after, h.quiesced = st, stamp, quiet && in.gate.quiet()
+	h.status, h.after, h.quiesced = st, stamp, 0
+	if quiet == in.gate.quiet() {
+		h.quiesced = quiet
+	}
 	in.age.observeReplica(asked, st)
 	if st.Role == table.RolePrimary && (!h.ackedSet || h.acked.Term < st.Mark.Term) {
 		h.acked, h.ackedSet = st.Mark, true // covers what earlier owners acknowledged
