--- /dev/null
+++ b/internal/control/bench_test.go
@@ -0,0 +1,165 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/amaranthweir/amaranthweir/internal/table"
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+)
+
+// figure is one measurement as a JSON line.
+type figure struct {
+	Name  string  `json:"name"`
+	Value float64 `json:"value"`
+	Unit  string  `json:"unit"`
+	Bound float64 `json:"bound"`
+	Pass  bool    `json:"pass"`
+}
+
+func report(tb testing.TB, name string, value float64, unit string, bound float64) {
+	tb.Helper()
+	line, err := json.Marshal(figure{name, value, unit, bound, value <= bound})
+	assert.NilError(tb, err)
+	_, _ = fmt.Fprintln(os.Stdout, string(line))
+	assert.Check(tb, value <= bound, string(line))
+}
+
+type nowhere struct{}
+
+func (nowhere) Send(table.HostID, []byte) {}
+
+func diskConfig(folder string, snapshotEvery uint64) ServerConfig {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return ServerConfig{
+		Host: "h1", DataFolder: folder, Voters: []table.HostID{"h1"}, Transport: nowhere{},
+		Log: log, SnapshotEvery: snapshotEvery,
+	}
+}
+
+// fill carries out changes of eight services with documents of 2 KiB, a batch
+// of them for each sync.
+func fill(b *testing.B, cfg ServerConfig, changes int) {
+	b.Helper()
+	s, err := NewServer(cfg)
+	assert.NilError(b, err)
+	r := s.replica
+	for len(r.node.Members().Voters) == 0 || !r.node.CaughtUp() {
+		assert.NilError(b, r.tick())
+		assert.NilError(b, r.flush())
+	}
+	body := make([]byte, 2<<10)
+	for i := range changes {
+		data, err := put(fmt.Sprint("s", i%8), uint64(i/8)+1, string(body)).encode()
+		assert.NilError(b, err)
+		r.propose(data, func(res Result, err error) { assert.NilError(b, err); assert.NilError(b, res.Err()) })
+		if i%50 == 49 || i == changes-1 {
+			assert.NilError(b, r.flush())
+			r.giveAnswers()
+		}
+	}
+	assert.NilError(b, r.wal.Close())
+}
+
+// BenchmarkRecovery measures how long a control host needs to have its state
+// again after a restart, against the number of changes in its history.
+func BenchmarkRecovery(b *testing.B) {
+	const bound = 1000 // ms
+	for _, snapshots := range []uint64{0, 1 << 40} {
+		for _, changes := range []int{500, 2000, 8000} {
+			name := fmt.Sprintf("control_recovery_%d_changes", changes)
+			if snapshots != 0 {
+				name += "_without_snapshots"
+			}
+			b.Run(name, func(b *testing.B) {
+				cfg := diskConfig(b.TempDir(), snapshots)
+				fill(b, cfg, changes)
+				b.ResetTimer()
+				for range b.N {
+					s, err := NewServer(cfg)
+					assert.NilError(b, err)
+					assert.Equal(b, s.Revision(), uint64(changes))
+					assert.NilError(b, s.replica.wal.Close())
+				}
+				report(b, name, float64(b.Elapsed().Microseconds())/1000/float64(b.N), "ms", bound)
+			})
+		}
+	}
+}
+
+// BenchmarkPropose measures a change on one host with a disk, one at a time.
+func BenchmarkPropose(b *testing.B) {
+	s, err := NewServer(diskConfig(b.TempDir(), 0))
+	assert.NilError(b, err)
+	ctx, cancel := context.WithCancel(b.Context())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	for _, _, leased := s.Leader(); !leased; _, _, leased = s.Leader() {
+		<-s.Changed()
+	}
+	b.ResetTimer()
+	for i := range b.N {
+		r, err := s.Propose(ctx, put("s", uint64(i)+1, "body"))
+		assert.NilError(b, err)
+		assert.NilError(b, r.Err())
+	}
+	report(b, "control_propose", float64(b.Elapsed().Microseconds())/1000/float64(b.N), "ms", 50)
+	cancel()
+	assert.NilError(b, <-done)
+}
+
+// BenchmarkView measures taking a snapshot of the state, and a change after it.
+func BenchmarkView(b *testing.B) {
+	s := NewState()
+	for i := range 8800 {
+		s.Apply(Command{BeginTerm: &BeginTerm{Group: table.GroupName(fmt.Sprint(i)), Term: 1, Candidate: "i"}})
+	}
+	b.Run("view", func(b *testing.B) {
+		for range b.N {
+			_ = s.View()
+		}
+	})
+	b.Run("view_and_change_of_8800_groups", func(b *testing.B) {
+		for i := range b.N {
+			_ = s.View()
+			s.Apply(Command{BeginTerm: &BeginTerm{Group: "0", Term: table.Term(i) + 2, Candidate: "i"}})
+		}
+	})
+}
+
+// TestIdleTraffic counts what control hosts send each other when nothing
+// changes. The counts are of virtual time and the same in every run.
+func TestIdleTraffic(t *testing.T) {
+	const seconds = 60
+	for _, hosts := range []int{3, 5, 13} {
+		synctest.Test(t, func(t *testing.T) {
+			n := newNetwork(hosts)
+			n.startAll(t)
+			defer n.stopAll(t)
+			leader := n.leader(t).cfg.Host
+			time.Sleep(time.Second)
+			n.mu.Lock()
+			n.sent = map[table.HostID]traffic{}
+			n.mu.Unlock()
+			time.Sleep(seconds * time.Second)
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			name := fmt.Sprintf("control_idle_leader_%d_hosts", hosts)
+			report(t, name+"_messages", float64(n.sent[leader].messages)/seconds, "1/s", float64(21*(hosts-1)))
+			report(t, name+"_bytes", float64(n.sent[leader].bytes)/seconds, "B/s", float64(1000*(hosts-1)))
+			for host, sent := range n.sent {
+				if host != leader {
+					assert.Assert(t, sent.bytes/seconds <= 1000, "%s sends %d B/s", host, sent.bytes/seconds)
+				}
+			}
+		})
+	}
+}
--- a/internal/control/server_test.go
+++ b/internal/control/server_test.go
@@ -30,13 +30,16 @@
 	voters  []table.HostID
 	random  uint64
 	tune    func(*ServerConfig)
+	sent    map[table.HostID]traffic
 }
 
+type traffic struct{ messages, bytes int }
+
 func newNetwork(hosts int) *network {
 	n := &network{
 		servers: map[table.HostID]*Server{}, cancel: map[table.HostID]context.CancelFunc{},
 		done: map[table.HostID]chan error{}, folders: map[table.HostID]*waltest.Folder{},
-		cut: map[table.HostID]bool{}, tune: func(*ServerConfig) {},
+		cut: map[table.HostID]bool{}, sent: map[table.HostID]traffic{}, tune: func(*ServerConfig) {},
 	}
 	for i := range hosts {
 		host := table.HostID(fmt.Sprintf("h%d", i+1))
@@ -54,6 +57,8 @@
 func (p port) Send(to table.HostID, msg []byte) {
 	p.n.mu.Lock()
 	defer p.n.mu.Unlock()
+	sent := p.n.sent[p.from]
+	p.n.sent[p.from] = traffic{sent.messages + 1, sent.bytes + len(msg)}
 	s := p.n.servers[to]
 	if s != nil && !p.n.cut[p.from] && !p.n.cut[to] {
 		_ = s.Receive(msg)
@@ -113,12 +118,18 @@
 	}
 }
 
+func (n *network) server(host table.HostID) *Server {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.servers[host]
+}
+
 // leader waits for a server with a valid lease.
 func (n *network) leader(t *testing.T) *Server {
 	t.Helper()
 	for range 1000 {
 		for _, host := range n.voters {
-			if s := n.servers[host]; s != nil {
+			if s := n.server(host); s != nil {
 				if _, _, leased := s.Leader(); leased {
 					return s
 				}
