--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -6,6 +6,9 @@
 	"fmt"
 	"io"
 	"os"
+	"runtime"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -163,3 +166,78 @@
 		})
 	}
 }
+
+// TestLeaderGap crashes the leader 60 times and measures, in virtual time, how
+// long no host may act as the leader.
+func TestLeaderGap(t *testing.T) {
+	const kills = 60
+	for _, election := range []int{15, DefaultElectionTicks, 60} {
+		synctest.Test(t, func(t *testing.T) {
+			n := newNetwork(3)
+			n.tune = func(c *ServerConfig) { c.ElectionTicks = election }
+			n.startAll(t)
+			defer n.stopAll(t)
+			var gaps []time.Duration
+			for range kills {
+				host := n.leader(t).cfg.Host
+				n.stop(t, host)
+				begin := time.Now()
+				n.leader(t)
+				gaps = append(gaps, time.Since(begin))
+				n.start(t, host)
+				time.Sleep(5 * time.Second)
+			}
+			slices.Sort(gaps)
+			name := fmt.Sprintf("control_leader_gap_election_%d_ms", election*10)
+			bound := float64(3 * election * 10)
+			report(t, name+"_p50", float64(gaps[kills/2].Milliseconds()), "ms", bound)
+			report(t, name+"_max", float64(gaps[kills-1].Milliseconds()), "ms", bound)
+		})
+	}
+}
+
+// BenchmarkDelta measures what a host that follows is sent after one change of
+// 100 documents of 2 KiB, against the whole state.
+func BenchmarkDelta(b *testing.B) {
+	s := NewState()
+	for i := range 100 {
+		s.Apply(put(fmt.Sprint("s", i), 1, string(make([]byte, 2<<10))))
+	}
+	follower := s.View()
+	s.Apply(put("s1", 2, string(make([]byte, 2<<10))))
+	for _, since := range []uint64{0, follower.Revision} {
+		b.Run(fmt.Sprint("since ", since), func(b *testing.B) {
+			for range b.N {
+				delta, err := s.View().EncodeDelta(since)
+				assert.NilError(b, err)
+				_, err = follower.ApplyDelta(delta)
+				assert.NilError(b, err)
+				b.ReportMetric(float64(len(delta)), "B/delta")
+			}
+		})
+	}
+}
+
+// BenchmarkProposeTogether is BenchmarkPropose with 64 operators at once.
+func BenchmarkProposeTogether(b *testing.B) {
+	s, err := NewServer(diskConfig(b.TempDir(), 0))
+	assert.NilError(b, err)
+	ctx, cancel := context.WithCancel(b.Context())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	for _, _, leased := s.Leader(); !leased; _, _, leased = s.Leader() {
+		<-s.Changed()
+	}
+	var services atomic.Uint64
+	b.SetParallelism(64 / runtime.GOMAXPROCS(0))
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		service := fmt.Sprint(services.Add(1))
+		for version := uint64(1); pb.Next(); version++ {
+			_, err := s.Propose(ctx, put(service, version, "body"))
+			assert.Check(b, err)
+		}
+	})
+	cancel()
+	assert.NilError(b, <-done)
+}
