--- a/standin/cmd/demo/demo_test.go
+++ b/standin/cmd/demo/demo_test.go
@@ -45,7 +45,10 @@
 			if c.missed {
 				j.missedOwnWrite(r)
 			}
-			err := newReport(j, map[row]bool{base: true, r: c.there}, nil, nil).verdict()
+			rep := newReport(j, map[row]bool{base: true, r: c.there}, nil, nil)
+			once := !strings.Contains(c.want, "lost") && !strings.Contains(c.want, "twice")
+			assert.Equal(t, rep.exactlyOnce() == "yes", once)
+			err := rep.verdict()
 			if c.want == "" {
 				assert.NilError(t, err)
 				return
--- a/standin/cmd/demo/report.go
+++ b/standin/cmd/demo/report.go
@@ -41,10 +41,14 @@
 	for _, kind := range slices.Sorted(maps.Keys(r.journal.refusals)) {
 		fmt.Fprintf(w, "%s\t%d\n", kind, r.journal.refusals[kind])
 	}
+	if len(r.journal.refusals) == 0 {
+		fmt.Fprintln(w, "none\t")
+	}
 	fmt.Fprintln(w)
 	fmt.Fprintf(w, "stock reports served by replicas\t%s\n", r.replicaShare())
-	fmt.Fprintf(w, "gap in writes after the fault\t%s\n", r.gapText())
+	fmt.Fprintf(w, "failover gap (fault to next acknowledged write)\t%s\n", r.gapText())
 	fmt.Fprintf(w, "acknowledged writes\t%d\n", r.check.acknowledged)
+	fmt.Fprintf(w, "  each there exactly once\t%s\n", r.exactlyOnce())
 	fmt.Fprintf(w, "  lost\t%d\n", len(r.check.lost))
 	fmt.Fprintf(w, "  run twice\t%d\n", len(r.check.ranTwice))
 	fmt.Fprintf(w, "\"not run\", but there\t%d\n", len(r.check.falseNotRun))
@@ -55,6 +59,13 @@
 	_ = w.Flush() // what can't be printed can't be told
 }
 
+func (r *report) exactlyOnce() string {
+	if len(r.check.lost)+len(r.check.ranTwice) > 0 {
+		return "no"
+	}
+	return "yes"
+}
+
 func percentile(sorted []time.Duration, p int) time.Duration {
 	if len(sorted) == 0 {
 		return 0
