Show the share of stale reads that replicas serve, in virtual time

Owners with Trackers, hints and reads run together in virtual time: 200 writes a second, replicas that lag 100 ms, 1,000 reads a second.

A bounce now rules out for the time of its back-off only.

The target is 95 %.

--- /dev/null
+++ b/internal/system/routing/replicas_test.go
@@ -0,0 +1,187 @@
+package routing_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthweir/amaranthweir/internal/system/freshness"
+	"github.com/amaranthweir/amaranthweir/internal/system/routing"
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
+
+const (
+	ms       = time.Millisecond
+	length   = 20 * time.Second
+	stuckAt  = 5 * time.Second
+	lag      = 100 * ms
+	writeGap = 5 * ms   // one write is acknowledged in each
+	observe  = 20 * ms  // owners hear from primary and replica
+	gossip   = 200 * ms // the entry host hears from owners
+	hop      = 2 * ms
+	attempts = 3
+)
+
+// written is the position of the primary at a moment.
+func written(at time.Duration) table.Position { return table.Position(max(0, at) / writeGap) }
+
+// replica is a stand-in replica and the owner's Tracker of it.
+type replica struct {
+	id      table.InstanceID
+	stuck   bool
+	tracker freshness.Tracker
+	waiting []*read
+}
+
+func (r *replica) position(at time.Duration) table.Position {
+	if r.stuck {
+		at = min(at, stuckAt)
+	}
+	return written(at - lag)
+}
+
+func (r *replica) hint(now time.Duration) routing.Hint {
+	h := routing.Hint{At: now}
+	h.Age, h.AgeKnown = r.tracker.Age(now)
+	h.Mark, _, _ = r.tracker.Mark()
+	return h
+}
+
+// read is one read on its way.
+type read struct {
+	query     routing.Query
+	waitUntil time.Duration
+	attempt   int
+}
+
+// outcome counts what became of the reads.
+type outcome struct {
+	reads, byReplica, byPrimary, refused, bounces, wrong int
+}
+
+type fleet struct {
+	view     *routing.GroupView
+	replicas []*replica
+	silent   bool // the entry host gets no gossip
+	out      outcome
+}
+
+func newFleet(stuck bool) *fleet {
+	return &fleet{
+		replicas: []*replica{{id: "r1", stuck: stuck}, {id: "r2"}},
+		view: &routing.GroupView{Name: "g", Term: 1, Primary: "p", Candidates: []routing.Candidate{
+			{Instance: "p", Owner: "ha", Domain: "a", Role: table.RolePrimary},
+			{Instance: "r1", Owner: "ha", Domain: "a"},
+			{Instance: "r2", Owner: "hb", Domain: "b"},
+		}},
+	}
+}
+
+// step moves the trackers and the hints to now.
+func (f *fleet) step(now time.Duration) {
+	for _, r := range f.replicas {
+		if now%observe == 0 {
+			sent := now - hop
+			r.tracker.ObservePrimary(sent, now, table.Mark{Term: 1, Position: written(sent + hop/2)})
+			r.tracker.ObserveReplica(sent, table.Mark{Term: 1, Position: r.position(sent)})
+		}
+		if now%gossip == 0 && !f.silent {
+			f.view = f.view.WithHint(r.id, r.hint(now))
+		}
+		waiting := r.waiting
+		r.waiting = nil
+		for _, rd := range waiting {
+			f.check(now, r, rd)
+		}
+	}
+}
+
+// check is what the owner of r does with a read.
+func (f *fleet) check(now time.Duration, r *replica, rd *read) {
+	q := &rd.query
+	age, ok := r.tracker.Age(now)
+	fresh, holds := ok && age <= q.Staleness, !q.HasFloor || r.tracker.Holds(q.Floor)
+	switch {
+	case fresh && holds:
+		f.served(now, r, q)
+	case now < rd.waitUntil:
+		r.waiting = append(r.waiting, rd)
+	default:
+		f.out.bounces++
+		b := routing.Bounce{Hint: r.hint(now)}
+		if !fresh {
+			b.Staleness = q.Staleness
+		}
+		if !holds {
+			b.Floor, b.HasFloor = q.Floor, true
+		}
+		f.view = f.view.WithBounce(r.id, b)
+		rd.attempt++
+		f.route(now, rd)
+	}
+}
+
+// served compares the answer with the truth.
+func (f *fleet) served(now time.Duration, r *replica, q *routing.Query) {
+	f.out.byReplica++
+	held := r.position(now)
+	if written(now-q.Staleness) > held || q.HasFloor && q.Floor.Position > held {
+		f.out.wrong++
+	}
+}
+
+func (f *fleet) route(now time.Duration, rd *read) {
+	d := routing.Choose(now, &rd.query, f.view)
+	switch {
+	case d.Refused():
+		f.out.refused++
+	case d.Instance == "p" || rd.attempt == attempts:
+		f.out.byPrimary++
+	default:
+		for _, r := range f.replicas {
+			if r.id == d.Instance {
+				rd.waitUntil = now + d.Wait
+				f.check(now, r, rd)
+			}
+		}
+	}
+}
+
+// TestReplicasServeStaleReads runs owners, hints and reads in virtual time.
+func TestReplicasServeStaleReads(t *testing.T) {
+	const minShare, maxBounced = 0.95, 0.05
+	tests := map[string]struct {
+		stuck     bool
+		staleness time.Duration
+		floors    bool // half of the reads follow a write of their session
+		silent    bool // hints come with bounces only
+	}{
+		"lag":                      {false, time.Second, false, false},
+		"lag, sessions that write": {false, time.Second, true, false},
+		"one stuck":                {true, time.Second, false, false},
+		"one stuck, old data allowed, sessions that write": {true, time.Minute, true, false},
+		"one stuck, no gossip":                             {true, time.Second, false, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(tt.stuck)
+			f.silent = tt.silent
+			for now := observe; now < length; now += ms {
+				f.step(now)
+				rd := &read{query: routing.Query{Staleness: tt.staleness, Deadline: now + 2*time.Second, Rank: 1, Home: "a", Seed: uint64(now)}}
+				if tt.floors && now/ms%2 == 0 {
+					rd.query.Floor, rd.query.HasFloor = table.Mark{Term: 1, Position: written(now - 50*ms)}, true
+				}
+				f.out.reads++
+				f.route(now, rd)
+			}
+			t.Logf("%+v", f.out)
+			reads := float64(f.out.reads)
+			assert.Equal(t, f.out.wrong, 0)
+			assert.Equal(t, f.out.refused, 0)
+			assert.Check(t, float64(f.out.byReplica) >= minShare*reads, "%d of %v by replicas", f.out.byReplica, reads)
+			assert.Check(t, float64(f.out.bounces) <= maxBounced*reads, "%d of %v bounced", f.out.bounces, reads)
+		})
+	}
+}
--- a/internal/system/routing/survey.go
+++ b/internal/system/routing/survey.go
@@ -86,7 +86,7 @@
 	switch {
 	case c.avoid.covers(now, q):
 		return barred
-	case !h.recent(now):
+	case !h.recent(now) || c.avoid.over(now, h):
 		return fit // nothing recent speaks against it
 	case !h.AgeKnown || h.Age > q.Staleness:
 		return doubted
--- a/internal/system/routing/view.go
+++ b/internal/system/routing/view.go
@@ -53,6 +53,7 @@
 
 // avoidance is the memory of a bounce.
 type avoidance struct {
+	at        time.Duration // moment of the bounce
 	until     time.Duration
 	backoff   time.Duration
 	staleness time.Duration // the staleness that could not be proven, zero if none
@@ -71,6 +72,12 @@
 	return a.staleness > 0 && q.Staleness <= a.staleness
 }
 
+// over reports whether h came with the bounce and the time to avoid the
+// replica for it has passed: it is due for another try.
+func (a *avoidance) over(now time.Duration, h *Hint) bool {
+	return a.at == h.At && now >= a.until
+}
+
 // Bounce is the answer of an owner that its replica was not fresh enough.
 type Bounce struct {
 	Hint Hint // what the owner knew
@@ -108,6 +115,7 @@
 			backoff = min(max(2*backoff, minAvoid), maxAvoid)
 		}
 		c.avoid = avoidance{
+			at:        b.Hint.At,
 			until:     b.Hint.At + backoff,
 			backoff:   backoff,
 			staleness: b.Staleness,
