Measure the admission policy under floods, and hold a slot for urgent work

policybench drives FIFO, strict priority and the chosen policy in virtual time at both users' sizes, with ten times the capacity of the lowest rank and then of the most urgent, and holds the chosen one against the targets.

Cause of slow urgent answers under a background flood: every slot is taken by a statement that cannot be interrupted, so the wait grows with the length of the other work. Chosen: the last free slot is held while no running statement is expected to end within 0.75 mean urgent service times, within a budget.

The random test found that work of a class with no measurable service time could start at its deadline; a least service time is assumed now (TestNothingStartsAtItsDeadline, shown failing without it).

--- a/internal/system/admission/admission.go
+++ b/internal/system/admission/admission.go
@@ -36,14 +36,23 @@
 	// MaxQueued is how many requests of one rank may wait. A caller below its
 	// fair share of them may exceed it, up to twice the number.
 	MaxQueued int
+	// IdlePercent is the share of the slots that may stay idle, while less
+	// urgent work waits, so that urgent work finds one free. Zero never does.
+	IdlePercent int
 	// Classes are the declared classes. Others are taken as they come,
 	// without a declared rate.
 	Classes []Class
 }
 
+// maxIdlePercent is the highest IdlePercent.
+const maxIdlePercent = 50
+
 // maxFloorSum is the highest sum of floors, in percent.
 const maxFloorSum = 100
 
+// percent is how many percent make a whole.
+const percent = 100.0
+
 func (c *Config) validate() error {
 	if c.Slots < 0 {
 		return fmt.Errorf("slots: %d is negative", c.Slots)
@@ -51,6 +60,9 @@
 	if c.MaxQueued < 1 {
 		return fmt.Errorf("max queued: %d is below 1", c.MaxQueued)
 	}
+	if err := validateIdle(c.IdlePercent); err != nil {
+		return err
+	}
 	for _, d := range c.Classes {
 		if err := d.validate(); err != nil {
 			return err
@@ -59,6 +71,13 @@
 	return validateFloors(c.Floors)
 }
 
+func validateIdle(share int) error {
+	if share < 0 || share > maxIdlePercent {
+		return fmt.Errorf("idle percent: %d is not within 0 to %d", share, maxIdlePercent)
+	}
+	return nil
+}
+
 func (d *Class) validate() error {
 	if d.Name == "" {
 		return errors.New("class without a name")
@@ -97,6 +116,7 @@
 	limits    heap[*Request] // queued requests by the latest useful start
 	ready     []Outcome
 	accruedAt time.Duration
+	holder    holder
 }
 
 // New returns an empty queue, or an error that names the bad field.
@@ -105,6 +125,7 @@
 		return nil, err
 	}
 	q := &Queue{slots: cfg.Slots, maxQueued: cfg.MaxQueued, classes: map[string]*class{}}
+	q.holder.share = float64(cfg.IdlePercent) / percent
 	q.setFloors(cfg.Floors)
 	q.declare(0, cfg.Classes)
 	return q, nil
@@ -119,7 +140,7 @@
 	r.caller = nil
 	r.cost = r.Expected
 	if r.cost <= 0 {
-		r.cost = r.class.mean
+		r.cost = max(r.class.mean, minService)
 	}
 	r.startBy = startLimit(now, r)
 	if reason, ok := q.refusal(now, r); ok {
@@ -154,6 +175,7 @@
 	r.state = stateDone
 	r.class.learn(ran)
 	q.running--
+	q.holder.finished(r)
 	q.ranks[r.class.rank].finished(r, ran)
 	q.dispatch(now, ReasonTurn)
 }
@@ -181,6 +203,16 @@
 	return nil
 }
 
+// SetIdlePercent changes the share of the slots that may stay idle.
+func (q *Queue) SetIdlePercent(now time.Duration, share int) error {
+	if err := validateIdle(share); err != nil {
+		return err
+	}
+	q.accrue(now)
+	q.holder.share = float64(share) / percent
+	return nil
+}
+
 // SetClasses changes the declared classes. Requests that are queued keep the
 // rank that they had.
 func (q *Queue) SetClasses(now time.Duration, classes []Class) error {
@@ -209,7 +241,7 @@
 
 func (q *Queue) setFloors(floors [config.RankCount]int) {
 	for rank := range q.ranks {
-		q.ranks[rank].floor = float64(floors[rank]) / maxFloorSum
+		q.ranks[rank].floor = float64(floors[rank]) / percent
 	}
 	q.ranks[config.RankUrgent].floor = 0
 }
@@ -245,6 +277,7 @@
 		return
 	}
 	q.accruedAt = now
+	q.holder.accrue(dt, q.slots)
 	for rank := range q.ranks {
 		q.ranks[rank].accrue(dt, q.slots)
 	}
@@ -257,6 +290,7 @@
 		q.take(r)
 		q.refuse(r, ReasonTooLate)
 	}
+	q.holder.holding = false
 	for q.running < q.slots {
 		r, reason := q.next(now, why)
 		if r == nil {
@@ -277,6 +311,7 @@
 	r.state = stateRunning
 	r.startedAt = now
 	q.running++
+	q.holder.started(r)
 	q.ranks[r.class.rank].started(r)
 	q.ready = append(q.ready, Outcome{Request: r, Verdict: Start, Reason: reason})
 }
@@ -295,7 +330,7 @@
 //  1. a rank that got nothing for a whole credit window,
 //  2. urgent work within its declared rates,
 //  3. ranks that are behind their floors,
-//  4. the rest by rank.
+//  4. the rest by rank, unless the last free slot is held for urgent work.
 func (q *Queue) next(now time.Duration, why Reason) (*Request, Reason) {
 	for rank := config.RankNormal; rank < config.RankCount; rank++ {
 		if q.ranks[rank].overdue(q.slots) {
@@ -310,8 +345,12 @@
 			return q.ranks[rank].first(now, false), ReasonFloor
 		}
 	}
-	for rank := range q.ranks {
-		if r := q.ranks[rank].first(now, false); r != nil {
+	if r := q.ranks[config.RankUrgent].first(now, false); r != nil {
+		return r, why
+	}
+	for rank := config.RankNormal; rank < config.RankCount; rank++ {
+		r := q.ranks[rank].first(now, false)
+		if r != nil && !q.hold(now) {
 			return r, why
 		}
 	}
--- a/internal/system/admission/admission_test.go
+++ b/internal/system/admission/admission_test.go
@@ -180,6 +180,20 @@
 	assert.Equal(t, len(q.Ready(nil)), 1)
 }
 
+// TestNothingStartsAtItsDeadline offers work of a class that has taken no
+// measurable time so far.
+func TestNothingStartsAtItsDeadline(t *testing.T) {
+	q := newQueue(t, usual())
+	for range 500 {
+		r := request("order", "1", time.Hour)
+		q.Offer(0, r)
+		q.Finish(0, r, 0)
+	}
+	q.Ready(nil)
+	q.Offer(ms, request("order", "1", ms))
+	assert.Equal(t, q.Ready(nil)[0].Verdict, Refuse)
+}
+
 func TestSetSlots(t *testing.T) {
 	cfg := usual()
 	cfg.Slots = 0
--- a/internal/system/admission/class.go
+++ b/internal/system/admission/class.go
@@ -9,6 +9,8 @@
 const (
 	// initialService is the service time of a class before its first answer.
 	initialService = 5 * time.Millisecond
+	// minService is the least service time that is assumed.
+	minService = 50 * time.Microsecond
 	// learnShare is the weight of one answer in the learned service time, as
 	// a divisor.
 	learnShare = 16
--- a/internal/system/admission/estimate.go
+++ b/internal/system/admission/estimate.go
@@ -102,7 +102,7 @@
 	}
 	work := q.ranks[rank].work
 	if q.ranks[rank].count == 0 {
-		work = q.meanService()
+		work = q.ranks[rank].mean
 	}
 	return scale(work, float64(q.slots)*q.share(rank))
 }
@@ -124,15 +124,6 @@
 	return max(left, q.ranks[rank].floor, minShare)
 }
 
-// meanService is the mean over the declared and seen classes.
-func (q *Queue) meanService() time.Duration {
-	sum := time.Duration(0)
-	for _, c := range q.classes {
-		sum += c.mean
-	}
-	return sum / time.Duration(max(1, len(q.classes)))
-}
-
 func scale(d time.Duration, by float64) time.Duration {
 	return time.Duration(float64(d) / by)
 }
--- /dev/null
+++ b/internal/system/admission/policybench/policybench_test.go
@@ -0,0 +1,49 @@
+package policybench
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	seed   = 1
+	length = 20 * time.Second
+	// routedLength is longer, because a routed profile has less urgent work.
+	routedLength = 60 * time.Second
+)
+
+// TestPolicyKeepsItsTargets compares the policies in one table and holds the
+// chosen one against the targets, with the same mix at every instance.
+func TestPolicyKeepsItsTargets(t *testing.T) {
+	t.Logf("seed %d", seed)
+	lines, err := Report(os.Stdout, []Profile{Orderdesk(), Ledger()}, length, seed)
+	assert.NilError(t, err)
+	for _, l := range lines {
+		assert.Check(t, l.Pass, "%s: %v, the bound is %s", l.Name, l.Value, l.Bound)
+	}
+}
+
+// TestRoutedPolicyKeepsItsTargets does the same for the chosen policy where
+// routing sends writes to primaries and stale reads to replicas first.
+func TestRoutedPolicyKeepsItsTargets(t *testing.T) {
+	t.Logf("seed %d", seed)
+	for _, p := range []Profile{Orderdesk().Route(), Ledger().Route()} {
+		trio, err := Measure(p, "chosen", Chosen, routedLength, seed)
+		assert.NilError(t, err)
+		for _, l := range trio.Lines() {
+			t.Logf("%+v", l)
+			assert.Check(t, l.Pass, "%s: %v, the bound is %s", l.Name, l.Value, l.Bound)
+		}
+	}
+}
+
+func TestSameSeedSameResult(t *testing.T) {
+	a, err := Measure(Ledger(), "chosen", Chosen, time.Second, seed)
+	assert.NilError(t, err)
+	b, err := Measure(Ledger(), "chosen", Chosen, time.Second, seed)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, a.Lines(), b.Lines())
+}
--- /dev/null
+++ b/internal/system/admission/policybench/run.go
@@ -0,0 +1,280 @@
+package policybench
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/amaranthweir/amaranthweir/internal/config"
+	"github.com/amaranthweir/amaranthweir/internal/system/admission"
+)
+
+const (
+	// warmUp is the part of a run that is not counted.
+	warmUp = 2 * time.Second
+	// tickInterval is how often the queues are ticked.
+	tickInterval = 5 * time.Millisecond
+	// maxAnswer bounds the answer times that are told apart.
+	maxAnswer = time.Minute
+)
+
+// ClassResult is what became of the work of one class.
+type ClassResult struct {
+	Class    string
+	Rank     config.Rank
+	Flooding bool // the callers that flood
+	Offered  int  // after the warm-up, as all counts below
+	InTime   int  // answered by the deadline
+	Late     int  // answered after it
+	Refused  int
+	GaveUp   int // callers that gave up while their request waited
+	Answers  *hdrhistogram.Histogram
+	// Useful is the slot time after the warm-up of answers in time, also of
+	// work that was offered before.
+	Useful time.Duration
+}
+
+// Result is the outcome of one run.
+type Result struct {
+	Classes  []ClassResult
+	Capacity time.Duration // slot time of all instances
+}
+
+// Rank sums up the classes of a rank.
+func (r *Result) Rank(rank config.Rank) ClassResult {
+	sum := ClassResult{Rank: rank, Answers: newHistogram()}
+	for i := range r.Classes {
+		c := &r.Classes[i]
+		if c.Rank != rank {
+			continue
+		}
+		sum.Offered += c.Offered
+		sum.InTime += c.InTime
+		sum.Late += c.Late
+		sum.Refused += c.Refused
+		sum.GaveUp += c.GaveUp
+		sum.Useful += c.Useful
+		sum.Answers.Merge(c.Answers)
+	}
+	return sum
+}
+
+// Useful returns the share of the capacity that went into answers in time.
+func (r *Result) Useful() float64 {
+	sum := time.Duration(0)
+	for i := range r.Classes {
+		sum += r.Classes[i].Useful
+	}
+	return float64(sum) / float64(r.Capacity)
+}
+
+// P99 returns the 99th percentile of the answer times.
+func (c *ClassResult) P99() time.Duration {
+	return time.Duration(c.Answers.ValueAtQuantile(99)) * time.Microsecond
+}
+
+// Kept returns the share of the offered work that was answered in time.
+func (c *ClassResult) Kept() float64 { return float64(c.InTime) / float64(max(1, c.Offered)) }
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxAnswer.Microseconds(), 3)
+}
+
+// job is one request on its way.
+type job struct {
+	request  admission.Request
+	load     int
+	instance int
+	offered  time.Duration
+	service  time.Duration
+	counted  bool
+	waiting  bool
+}
+
+type eventKind uint8
+
+const (
+	arrive eventKind = iota
+	finish
+	giveUp
+	tick
+)
+
+type event struct {
+	at   time.Duration
+	seq  uint64
+	kind eventKind
+	load int // of arrive
+	job  *job
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+type simulation struct {
+	profile  Profile
+	policies []Policy
+	random   *rand.Rand
+	events   eventHeap
+	seq      uint64
+	now      time.Duration
+	result   Result
+	outcomes []admission.Outcome
+	callers  []string
+	topology *topology
+}
+
+// Run offers the work of p to one policy for each instance for the given time
+// after a warm-up.
+func Run(p Profile, mk Maker, length time.Duration, seed uint64) (*Result, error) {
+	s := &simulation{profile: p, random: rand.New(rand.NewPCG(seed, seed))}
+	s.result.Capacity = length * time.Duration(p.Instances*p.Slots)
+	most := 0
+	for i := range p.Loads {
+		l := &p.Loads[i]
+		s.result.Classes = append(s.result.Classes, ClassResult{
+			Class: l.Class, Rank: l.Rank, Flooding: l.Prefix != "", Answers: newHistogram(),
+		})
+		s.post(s.gap(i), event{kind: arrive, load: i})
+		most = max(most, l.Callers)
+	}
+	for i := range most {
+		s.callers = append(s.callers, strconv.Itoa(i))
+	}
+	for range p.Instances {
+		policy, err := mk(p)
+		if err != nil {
+			return nil, err
+		}
+		s.policies = append(s.policies, policy)
+	}
+	s.topology = newTopology(p.Instances)
+	s.post(0, event{kind: tick})
+	end := warmUp + length
+	for s.events[0].at < end {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		s.handle(e)
+	}
+	return &s.result, nil
+}
+
+func (s *simulation) post(after time.Duration, e event) {
+	s.seq++
+	e.at = s.now + after
+	e.seq = s.seq
+	heap.Push(&s.events, e)
+}
+
+// gap draws the time to the next arrival of a load anywhere.
+func (s *simulation) gap(load int) time.Duration {
+	rate := s.profile.rate(&s.profile.Loads[load]) * float64(s.profile.Instances)
+	return time.Duration(s.random.ExpFloat64() / rate * float64(time.Second))
+}
+
+// service draws a service time.
+func (s *simulation) service(l *Load) time.Duration {
+	sigma2 := math.Log(1 + l.Variation*l.Variation)
+	factor := math.Exp(s.random.NormFloat64()*math.Sqrt(sigma2) - sigma2/2)
+	return time.Duration(factor * float64(l.Mean))
+}
+
+func (s *simulation) handle(e event) {
+	switch e.kind {
+	case arrive:
+		s.arrive(e.load)
+	case finish:
+		s.finish(e.job)
+	case giveUp:
+		if j := e.job; j.waiting && s.policies[j.instance].Cancel(s.now, &j.request) {
+			j.waiting = false
+			s.count(j, func(c *ClassResult) { c.GaveUp++ })
+		}
+	case tick:
+		for i := range s.policies {
+			s.policies[i].Tick(s.now)
+			s.drain(i)
+		}
+		s.topology.refresh(s.now, s.policies)
+		s.post(tickInterval, event{kind: tick})
+	}
+}
+
+func (s *simulation) arrive(load int) {
+	s.post(s.gap(load), event{kind: arrive, load: load})
+	l := &s.profile.Loads[load]
+	j := &job{load: load, instance: s.instance(l), offered: s.now, service: s.service(l), waiting: true}
+	j.counted = s.now >= warmUp
+	j.request = admission.Request{
+		Class: l.Class, Rank: l.Rank, Caller: l.Prefix + s.callers[s.random.IntN(l.Callers)], Deadline: s.now + l.Deadline, User: j,
+	}
+	s.count(j, func(c *ClassResult) { c.Offered++ })
+	s.policies[j.instance].Offer(s.now, &j.request)
+	s.drain(j.instance)
+	if j.waiting {
+		s.post(l.Deadline, event{kind: giveUp, job: j})
+	}
+}
+
+// instance draws or chooses the instance of a request.
+func (s *simulation) instance(l *Load) int {
+	if s.profile.Routed {
+		return s.topology.choose(s.now, l, s.random.Uint64())
+	}
+	return s.random.IntN(len(s.policies))
+}
+
+func (s *simulation) finish(j *job) {
+	if s.now <= j.request.Deadline && s.now >= warmUp {
+		s.result.Classes[j.load].Useful += min(j.service, s.now-warmUp)
+	}
+	s.count(j, func(c *ClassResult) {
+		c.Answers.RecordValue(min(s.now-j.offered, maxAnswer).Microseconds())
+		if s.now <= j.request.Deadline {
+			c.InTime++
+		} else {
+			c.Late++
+		}
+	})
+	s.policies[j.instance].Finish(s.now, &j.request, j.service)
+	s.drain(j.instance)
+}
+
+// drain acts on the outcomes of one instance.
+func (s *simulation) drain(instance int) {
+	s.outcomes = s.policies[instance].Ready(s.outcomes[:0])
+	for i := range s.outcomes {
+		o := &s.outcomes[i]
+		j := o.Request.User.(*job)
+		j.waiting = false
+		if o.Verdict == admission.Refuse {
+			s.count(j, func(c *ClassResult) { c.Refused++ })
+			continue
+		}
+		s.post(j.service, event{kind: finish, job: j})
+	}
+}
+
+// count lets record see the result of the class of j unless j belongs to the
+// warm-up.
+func (s *simulation) count(j *job, record func(*ClassResult)) {
+	if j.counted {
+		record(&s.result.Classes[j.load])
+	}
+}
--- a/internal/system/admission/rank.go
+++ b/internal/system/admission/rank.go
@@ -8,6 +8,9 @@
 	creditWindow = 250 * time.Millisecond
 	// usageWindow is the time constant of the measured share of the slots.
 	usageWindow = time.Second
+	// floorMargin makes up for credit that is lost at its limit and for work
+	// that ends after its deadline.
+	floorMargin = 1.01
 )
 
 // rankQueue is the queued work of one rank and what it got of the slots.
@@ -21,6 +24,7 @@
 	running int
 	floor   float64       // share of the slots that is the rank's own
 	credit  time.Duration // slot time that it is behind its floor
+	mean    time.Duration // learned service time
 	usage   float64       // share of the slots that it had lately
 }
 
@@ -31,7 +35,7 @@
 	}
 	weight := float64(dt) / float64(dt+usageWindow)
 	q.usage += (float64(q.running)/float64(slots) - q.usage) * weight
-	due := time.Duration(q.floor * float64(slots) * float64(dt))
+	due := time.Duration(floorMargin * q.floor * float64(slots) * float64(dt))
 	q.credit += due - time.Duration(q.running)*dt
 	limit := q.creditLimit(slots)
 	q.credit = max(-limit, min(limit, q.credit))
@@ -149,6 +153,7 @@
 // finished corrects the charge once the service time is known.
 func (q *rankQueue) finished(r *Request, ran time.Duration) {
 	q.running--
+	q.mean += (ran - q.mean) / learnShare
 	r.class.virtual += float64(ran-r.cost) / r.class.weight
 	if r.caller != nil {
 		r.class.settle(r, ran)
