Fence the old primary also by time, and accept owners of unknown groups

A leader that takes office without the announcement of an instance knows its owner but not its group. It took such a primary as unowned and so as fenced. Now an owner whose group is unknown is kept until the group is, and a primary without a known owner counts as fenced only after every lease that was granted before the term began has run out. The same bound now ends the wait for an owner that never answers: a host applies the control state of an answer before it uses the lease that came with it, so no lease granted after the term began covers an older term.

Ruled out: trusting the lease of the owner alone, which needs the owner.

Also: the owner of a suspected primary hurries its heartbeats, and heartbeats that were overtaken can be told (Grantor.Overtaken).

--- /dev/null
+++ b/internal/system/failover/bench_test.go
@@ -0,0 +1,111 @@
+package failover_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/amaranthweir/amaranthweir/internal/system/failover"
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
+
+// largeGroups is the number of groups at the size to come, three instances
+// each.
+const largeGroups = 8800
+
+func largeInstance(g, n int) table.Instance {
+	i := table.Instance{
+		ID: table.InstanceID(fmt.Sprintf("g%d-%d", g, n)), Group: table.GroupName(fmt.Sprint("g", g)),
+		Address: "127.0.0.1:5432", Mark: table.Mark{Term: 1},
+	}
+	if n == 0 {
+		i.Role = table.RolePrimary
+	}
+	return i
+}
+
+func largeReport(g, n int, s *failover.System) failover.Report {
+	i := largeInstance(g, n)
+	return failover.Report{
+		Group: i.Group, Instance: i.ID, Reachable: true, Role: i.Role, Mark: i.Mark, After: s.Stamp(2 * time.Second),
+	}
+}
+
+// largeSystem returns a system in which every primary serves.
+func largeSystem() *failover.System {
+	s := failover.New(failover.DefaultConfig(), noLeases{})
+	for g := range largeGroups {
+		name := table.GroupName(fmt.Sprint("g", g))
+		s.Expect(name, 3)
+		for n := range 3 {
+			i := largeInstance(g, n)
+			s.Announced(i)
+			s.SetOwner(name, table.Ownership{Instance: i.ID, Host: ownerOf(g, n), Epoch: 1})
+		}
+		s.SetGroup(table.Group{Name: name, Term: 1, Primary: largeInstance(g, 0).ID})
+	}
+	s.Lead(time.Second, 1)
+	s.Step(time.Second)
+	for g := range largeGroups {
+		for n := range 3 {
+			s.Reported(2*time.Second, ownerOf(g, n), []failover.Report{largeReport(g, n, s)})
+		}
+	}
+	s.Step(2 * time.Second)
+	return s
+}
+
+func ownerOf(g, n int) table.HostID { return table.HostID(fmt.Sprint("h", (3*g+n)%4700)) }
+
+func TestLargeIsIdle(t *testing.T) {
+	s := largeSystem()
+	if s.Active() != 0 {
+		t.Fatalf("%d groups active", s.Active())
+	}
+}
+
+func BenchmarkIdleStep(b *testing.B) {
+	s := largeSystem()
+	for b.Loop() {
+		s.Step(3 * time.Second)
+	}
+}
+
+func BenchmarkReport(b *testing.B) {
+	s := largeSystem()
+	reports := []failover.Report{largeReport(7, 1, s)}
+	for b.Loop() {
+		s.Reported(3*time.Second, ownerOf(7, 1), reports)
+		s.Step(3 * time.Second)
+	}
+}
+
+func BenchmarkAnnouncement(b *testing.B) {
+	s := largeSystem()
+	i := largeInstance(7, 1)
+	for b.Loop() {
+		s.Announced(i)
+	}
+}
+
+func BenchmarkNewLeader(b *testing.B) {
+	s := largeSystem()
+	for b.Loop() {
+		s.Lead(3*time.Second, 2)
+		s.Step(3 * time.Second)
+	}
+}
+
+func BenchmarkMemory(b *testing.B) {
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		s := largeSystem()
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), "MiB")
+		runtime.KeepAlive(s)
+	}
+}
--- a/internal/system/failover/group.go
+++ b/internal/system/failover/group.go
@@ -103,6 +103,8 @@
 	// Change of primary, while PhasePromoting.
 	fenced     bool // the owner of the old primary can acknowledge nothing
 	fencedAt   time.Duration
+	termSeen   table.Term // the agreed term that this leader saw at termSeenAt
+	termSeenAt time.Duration
 	floorKnown bool
 	floor      table.Mark // every acknowledged write lies at or below it
 	promotion  promotion
@@ -155,9 +157,6 @@
 // size returns how many instances the group has when whole.
 func (g *group) size() int { return max(g.expected, len(g.members)) }
 
-// primary returns the agreed primary, nil if there is none.
-func (g *group) primary() *member { return g.members[g.agreed.Primary] }
-
 // plausible reports whether a mark may belong to the group.
 func (g *group) plausible(m table.Mark) bool {
 	return m.Term <= g.agreed.Term+maxTermJump
@@ -246,6 +245,7 @@
 	g.clearChange()
 	g.stable = false
 	g.planned = nil
+	g.termSeen = 0
 	g.proposal = proposal{}
 	for _, m := range g.members {
 		m.reported = false
--- a/internal/system/failover/promote.go
+++ b/internal/system/failover/promote.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/amaranthweir/amaranthweir/internal/system/lease"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
@@ -56,29 +57,44 @@
 }
 
 // ownerFenced reports whether the owner of the old primary can acknowledge no
-// further write: it has seen the term, its lease ran out, or there is none.
+// further write: it has seen the term, its lease ran out, or every lease that
+// was granted before the term began has run out. A host applies the control
+// state of an answer before it uses the lease that came with it.
 func (s *System) ownerFenced(now time.Duration, g *group) bool {
 	if g.fenced {
 		return true
 	}
-	p := g.primary()
-	if p != nil && p.owner != "" {
-		released := p.reported && p.report.SeenTerm >= g.agreed.Term
-		if !released && !s.leases.Expired(now, p.owner) {
-			s.tell(now, p.owner, Order{
-				Kind: OrderTerm, Group: g.name(), Instance: p.inst.ID,
-				Address: p.inst.Address, Term: g.agreed.Term,
-			})
-			return false
-		}
-		g.ackedKnown = released && p.report.AckedKnown
-		g.acked = p.report.Acked
+	if g.termSeen != g.agreed.Term {
+		g.termSeen, g.termSeenAt = g.agreed.Term, now
+	}
+	if g.agreed.Primary != "" && !s.primaryFenced(now, g, g.member(g.agreed.Primary)) {
+		return false
 	}
 	g.fenced = true
 	g.fencedAt = now
 	return true
 }
 
+func (s *System) primaryFenced(now time.Duration, g *group, p *member) bool {
+	released := p.reported && p.report.SeenTerm >= g.agreed.Term
+	switch {
+	case released:
+		g.ackedKnown = p.report.AckedKnown
+		g.acked = p.report.Acked
+		return true
+	case now >= g.termSeenAt+lease.GrantorTime(s.cfg.Lease.Duration):
+		return true
+	case p.owner == "":
+		return false
+	case s.leases.Expired(now, p.owner):
+		return true
+	}
+	s.tell(now, p.owner, Order{
+		Kind: OrderTerm, Group: g.name(), Instance: p.inst.ID, Address: p.inst.Address, Term: g.agreed.Term,
+	})
+	return false
+}
+
 // readPositions asks for the positions that were not read after the fence.
 func (s *System) readPositions(now time.Duration, g *group) {
 	for _, id := range g.order {
--- a/internal/system/failover/system.go
+++ b/internal/system/failover/system.go
@@ -26,6 +26,7 @@
 	ledSince   time.Duration
 	groups     map[table.GroupName]*group
 	byInstance map[table.InstanceID]*group
+	unplaced   map[table.InstanceID]table.Ownership // of unknown groups
 	owned      map[table.HostID]map[table.InstanceID]bool
 	hosts      []table.HostID // sorted
 	active     []*group
@@ -46,6 +47,7 @@
 		leases:     leases,
 		groups:     map[table.GroupName]*group{},
 		byInstance: map[table.InstanceID]*group{},
+		unplaced:   map[table.InstanceID]table.Ownership{},
 		owned:      map[table.HostID]map[table.InstanceID]bool{},
 		orders:     map[table.HostID][]Order{},
 		told:       map[toldKey]time.Duration{},
@@ -83,13 +85,27 @@
 func (s *System) SetGroup(a table.Group) {
 	g := s.group(a.Name)
 	g.adopt(a)
+	for _, id := range []table.InstanceID{a.Primary, a.Candidate} {
+		if o, ok := s.unplaced[id]; ok {
+			s.SetOwner(a.Name, o)
+		}
+	}
 	s.activate(g)
 }
 
-// SetOwner takes the agreed owner of an instance, at each change. The group of
-// the instance is known from its announcement or from name.
+// SetOwner takes the agreed owner of an instance, at each change. An empty name
+// means that the group of the instance is not known yet: its announcement will
+// tell.
 func (s *System) SetOwner(name table.GroupName, o table.Ownership) {
-	g := s.group(name)
+	g := s.byInstance[o.Instance]
+	if name != "" {
+		g = s.group(name)
+	}
+	if g == nil {
+		s.unplaced[o.Instance] = o
+		return
+	}
+	delete(s.unplaced, o.Instance)
 	m := g.member(o.Instance)
 	s.byInstance[o.Instance] = g
 	if m.epoch == o.Epoch && m.owner == o.Host {
@@ -113,6 +129,9 @@
 	s.byInstance[i.ID] = g
 	old := m.inst
 	m.inst = i
+	if o, ok := s.unplaced[i.ID]; ok {
+		s.SetOwner(i.Group, o)
+	}
 	changed := !m.announced || old.Role != i.Role || old.Mark.Term != i.Mark.Term ||
 		old.Leaving != i.Leaving || old.Address != i.Address
 	m.announced = true
--- a/internal/system/failover/system_test.go
+++ b/internal/system/failover/system_test.go
@@ -83,6 +83,30 @@
 	}
 }
 
+// TestFenceByTime has no word of the owner of the old primary: leases granted
+// before the term began have to run out, whoever holds them.
+func TestFenceByTime(t *testing.T) {
+	for name, owned := range map[string]bool{"owner silent": true, "owner unknown": false} {
+		t.Run(name, func(t *testing.T) {
+			s := failover.New(failover.DefaultConfig(), noLeases{})
+			s.Expect(groupName, 3)
+			if owned {
+				s.SetOwner("", table.Ownership{Instance: "i0", Host: "0", Epoch: 1})
+			}
+			s.SetGroup(table.Group{Name: groupName, Term: 2, Phase: table.PhasePromoting, Primary: "i0", Candidate: "i1"})
+			s.Lead(time.Second, 5)
+			s.Step(time.Second)
+			assert.Equal(t, len(s.Orders("0")) == 1, owned)
+			s.Step(time.Second + 1029*ms)
+			reason, _ := s.Waiting(groupName)
+			assert.Equal(t, reason, failover.WaitOwnerRelease)
+			s.Step(time.Second + 1030*ms)
+			reason, _ = s.Waiting(groupName)
+			assert.Equal(t, reason, failover.WaitPositions)
+		})
+	}
+}
+
 // TestFloor checks which instance is promoted for what was read.
 func TestFloor(t *testing.T) {
 	const fenced = 2 * time.Second
--- a/internal/system/failover/watch.go
+++ b/internal/system/failover/watch.go
@@ -52,8 +52,8 @@
 	asked := s.witnessHosts(now, g, p)
 	s.askWitnesses(now, g, p, asked)
 	for _, id := range g.order {
-		if m := g.members[id]; m != p && !m.readSince(g.suspectedAt) {
-			s.tellProbe(now, m)
+		if m := g.members[id]; !m.readSince(g.suspectedAt) {
+			s.tellProbe(now, m) // the owner of the primary hurries as well
 		}
 	}
 	v := g.verdict(now, p, asked)
--- a/internal/system/lease/grantor.go
+++ b/internal/system/lease/grantor.go
@@ -127,6 +127,13 @@
 	g.order.MoveToFront(gr.elem)
 }
 
+// Overtaken reports whether a heartbeat was sent before one that was granted
+// or released already. What it reports is out of date.
+func (g *Grantor) Overtaken(host table.HostID, beat Beat) bool {
+	gr := g.grants[host]
+	return gr != nil && beat.Before(gr.beat)
+}
+
 // Expired reports whether the host holds no lease at now, neither of this
 // leader nor of an earlier one. It is false while the leadership lease is not
 // valid.
--- a/internal/system/lease/lease_test.go
+++ b/internal/system/lease/lease_test.go
@@ -287,6 +287,15 @@
 	assert.Equal(t, len(g.Sweep(1211*ms)), 0)
 }
 
+func TestOvertaken(t *testing.T) {
+	g := NewGrantor(DefaultConfig())
+	g.Lead(0, forever, nil)
+	assert.Assert(t, !g.Overtaken(host, Beat{1, 2}))
+	g.Grant(0, host, Beat{1, 2})
+	assert.Assert(t, g.Overtaken(host, Beat{1, 1}))
+	assert.Assert(t, !g.Overtaken(host, Beat{2, 1}), "the host started again")
+}
+
 func TestConfigValidate(t *testing.T) {
 	assert.NilError(t, DefaultConfig().Validate())
 	for _, c := range []Config{
