Let answers carry hints, and prove ages only where they are asked for

An owner's answer now says how old its replica is, how far it is and how long work of each rank would wait; the gateway routes by that. A read may wait a little at a replica that is about to be fresh enough.

The position of a primary goes only to the owners of replicas that were read within the last 5 s, beside the probes and no longer in their loop: a primary that did not answer held up the probes of its replicas by 250 ms.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -187,29 +187,58 @@
 	r.instance, r.owner, r.executor = d.Instance, d.Owner, executor
 	r.replica = view.Primary != d.Instance
 	res, err := executor.Execute(ctx, q, &r.sink)
-	if errkind.Is(err, errkind.StalenessUnprovable) {
-		r.bounced(q)
-	}
+	r.learn(q, &res, err)
 	return res, err
 }
 
-// bounced remembers that a replica was not fresh enough.
-func (r *run) bounced(q *request.Request) {
+// hintInterval is how often the hints about an instance are renewed.
+const hintInterval = 20 * time.Millisecond
+
+// learn takes what the owner knew into the view of the group: that a replica
+// was not fresh enough, or a hint when the last one is old.
+func (r *run) learn(q *request.Request, res *request.Result, err error) {
 	g := r.session.gateway
-	b := routing.Bounce{
-		Hint:      routing.Hint{At: g.cfg.Clock()},
-		Staleness: q.Staleness,
-		Floor:     q.Floor,
-		HasFloor:  q.HasFloor,
+	bounced := errkind.Is(err, errkind.StalenessUnprovable)
+	now := g.cfg.Clock()
+	if !bounced && (!res.HasHint || !r.hintIsOld(q.Instance, now)) {
+		return
+	}
+	hint := routing.Hint{
+		At:        now,
+		Age:       res.Hint.Age,
+		AgeKnown:  res.Hint.AgeKnown,
+		Mark:      res.Hint.Mark,
+		QueueWait: res.Hint.QueueWait,
 	}
 	g.cfg.Directory.Groups().Update(q.Group, func(v *routing.GroupView) *routing.GroupView {
-		if v == nil {
+		switch {
+		case v == nil:
 			return nil
+		case bounced:
+			return v.WithBounce(q.Instance, routing.Bounce{
+				Hint: hint, Staleness: q.Staleness, Floor: q.Floor, HasFloor: q.HasFloor,
+			})
+		case err == nil && q.Access == config.AccessRead:
+			return v.WithServed(q.Instance, hint)
+		default:
+			return v.WithHint(q.Instance, hint)
 		}
-		return v.WithBounce(q.Instance, b)
 	})
 }
 
+func (r *run) hintIsOld(id table.InstanceID, now time.Duration) bool {
+	v := r.session.gateway.cfg.Directory.Groups().Lookup(r.plan.group)
+	if v == nil {
+		return false
+	}
+	for i := range v.Candidates {
+		if v.Candidates[i].Instance == id {
+			return now-v.Candidates[i].Hint.At > hintInterval
+		}
+	}
+	return false
+}
+
 // mayRetry reports whether the request may be sent again: it has not run, or
 // it is a read of which nothing was passed on yet and the retry budget allows
 // it.
--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -18,10 +18,16 @@
 // execute runs one request: admission, connection, exchange, confirmation,
 // answer.
 func (in *instance) execute(ctx context.Context, r *request.Request, s request.Sink) (request.Result, error) {
+	res, err := in.admitAndRun(ctx, r, s)
+	res.Hint, res.HasHint = in.hint(time.Now()), true
+	return res, err
+}
+
+func (in *instance) admitAndRun(ctx context.Context, r *request.Request, s request.Sink) (request.Result, error) {
 	ctx, stop := context.WithDeadline(ctx, r.Deadline)
 	defer stop()
 	idle := request.Result{TxStatus: request.TxIdle}
-	if err := in.mayRun(r); err != nil {
+	if err := in.awaitFresh(ctx, r); err != nil {
 		return idle, err
 	}
 	if r.Settle {
@@ -77,7 +83,35 @@
 	}
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	return in.age.check(time.Now(), r)
+	in.age.readAt = time.Now()
+	return in.age.check(in.age.readAt, r)
+}
+
+// awaitFresh is mayRun for a request that has not begun: a read may wait as
+// long as it says for the replica to become fresh enough.
+func (in *instance) awaitFresh(ctx context.Context, r *request.Request) error {
+	until := time.Now().Add(r.Wait)
+	for {
+		err := in.mayRun(r)
+		if !errkind.Is(err, errkind.StalenessUnprovable) || time.Now().After(until) {
+			return err
+		}
+		in.hurry()
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(in.cfg.Timing.ReplicaPoll):
+		}
+	}
+}
+
+// hint is what helps the next routing decision.
+func (in *instance) hint(now time.Time) request.Hint {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	h := request.Hint{Mark: in.health.status.Mark, QueueWait: in.waits}
+	h.Age, h.AgeKnown = in.age.tracker.Age(since(now))
+	return h
 }
 
 func (in *instance) mayAcknowledge(term table.Term, effect errkind.Effect) error {
--- a/internal/owner/instance.go
+++ b/internal/owner/instance.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/amaranthweir/amaranthweir/internal/config"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/platform"
 	"github.com/amaranthweir/amaranthweir/internal/pool"
@@ -33,7 +34,8 @@
 	log     logrus.FieldLogger
 
 	gate     writeGate
-	probeNow chan struct{}
+	probeNow chan struct{} // asks for a probe at once
+	trackNow chan struct{} // asks for the primary's position at once
 	ending   atomic.Bool  // set once no new work may begin
 	working  atomic.Int32 // requests from their start to their answer
 	serving  atomic.Bool  // set once connections of earlier owners are closed
@@ -41,6 +43,7 @@
 	mu     sync.Mutex
 	held   map[request.SessionID]*transaction
 	health health
+	waits  [config.RankCount]time.Duration // for a slot, by rank
 	age    ageProof
 }
 
@@ -85,6 +88,7 @@
 		stop:     stop,
 		log:      cfg.Log.WithFields(logrus.Fields{"instance": desc.ID, "group": desc.Group, "epoch": epoch}),
 		probeNow: make(chan struct{}, 1),
+		trackNow: make(chan struct{}, 1),
 		held:     map[request.SessionID]*transaction{},
 	}
 	in.probe = newSampler(func(ctx context.Context) (platform.Status, error) {
@@ -93,6 +97,7 @@
 		return cfg.Prober.Probe(ctx, desc.Address)
 	})
 	go in.watch(ctx)
+	go in.trackPrimary(ctx)
 	return in, nil
 }
 
@@ -122,8 +127,10 @@
 		if in.takeOver(ctx) {
 			in.pool.Maintain(ctx, time.Now())
 		}
-		in.refreshAge(ctx)
-		in.slots.tick()
+		waits := in.slots.tick()
+		in.mu.Lock()
+		in.waits = waits
+		in.mu.Unlock()
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/owner/report.go
+++ b/internal/owner/report.go
@@ -81,10 +81,8 @@
 
 // hurry makes the next probe begin at once.
 func (in *instance) hurry() {
-	select {
-	case in.probeNow <- struct{}{}:
-	default:
-	}
+	wake(in.trackNow)
+	wake(in.probeNow)
 }
 
 // probeOnce probes the instance and notes the outcome. It reports whether
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -44,6 +44,24 @@
 	return errkind.New(kind, "%s", f.GetDetail()).WithEffect(errkind.Effect(f.GetEffect()))
 }
 
+func encodeHint(h *request.Hint) *peerpb.Hint {
+	p := &peerpb.Hint{AgeNanos: int64(h.Age), AgeKnown: h.AgeKnown, Mark: encodeMark(h.Mark)}
+	for _, w := range h.QueueWait {
+		p.QueueWaitNanos = append(p.QueueWaitNanos, int64(w))
+	}
+	return p
+}
+
+func decodeHint(p *peerpb.Hint) request.Hint {
+	h := request.Hint{Age: time.Duration(p.GetAgeNanos()), AgeKnown: p.GetAgeKnown(), Mark: decodeMark(p.GetMark())}
+	for rank, w := range p.GetQueueWaitNanos() {
+		if rank < len(h.QueueWait) {
+			h.QueueWait[rank] = time.Duration(w)
+		}
+	}
+	return h
+}
+
 // encodeRequest gives the deadline as time that remains, for the clocks of two
 // hosts are not compared.
 func encodeRequest(r *request.Request, now time.Time) *peerpb.Request {
--- a/internal/peer/remote.go
+++ b/internal/peer/remote.go
@@ -108,6 +108,9 @@
 			continue
 		}
 		res := request.Result{TxStatus: byte(a.GetTxStatus()), Mark: decodeMark(a.GetMark()), HasMark: a.GetMark() != nil}
+		if a.GetHint() != nil {
+			res.Hint, res.HasHint = decodeHint(a.GetHint()), true
+		}
 		if a.GetFailure() != nil {
 			return res, decodeFailure(a.GetFailure())
 		}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -198,6 +198,9 @@
 	e.mu.Unlock()
 	res, err := e.server.Owner.Execute(ctx, r, &sink{exchange: e, id: id})
 	a := &peerpb.Answer{Last: true, TxStatus: uint32(res.TxStatus)}
+	if res.HasHint {
+		a.Hint = encodeHint(&res.Hint)
+	}
 	if res.HasMark {
 		a.Mark = encodeMark(res.Mark)
 	}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -91,6 +91,19 @@
 	// Mark is a point in the history that covers the writes of the request.
 	Mark    table.Mark
 	HasMark bool
+	// Hint is what the owner knew of the instance, also with an error.
+	Hint    Hint
+	HasHint bool
+}
+
+// Hint helps the next routing decision. Nothing depends on its being right.
+type Hint struct {
+	// Age is the age of the data that could be proven, if AgeKnown is set.
+	Age      time.Duration
+	AgeKnown bool
+	Mark     table.Mark
+	// QueueWait estimates how long work of each rank waits for a slot.
+	QueueWait [config.RankCount]time.Duration
 }
 
 // Sink takes the encoded answer messages, in order, without the final
