--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -168,6 +168,8 @@
     {"name": "settlement", "rank": "normal", "access": "write", "group": "ledger-1", "deadline": "8s", "worth": 10, "repeatable": false},
     {"name": "lookup", "rank": "normal", "access": "read", "group": "ledger-1", "staleness": "0s", "deadline": "8s", "worth": 1},
     {"name": "report", "rank": "background", "access": "read", "group": "ledger-1", "staleness": "2s", "deadline": "8s", "worth": 1},
+    {"name": "quick-ticket", "rank": "urgent", "access": "write", "group": "ledger-1", "deadline": "1s", "worth": 1, "repeatable": true},
+    {"name": "quick-report", "rank": "background", "access": "read", "group": "ledger-1", "staleness": "2s", "deadline": "1s", "worth": 1},
   ],
   "default_class": "ticket",
 }`
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -56,6 +56,7 @@
 		return request.Result{TxStatus: request.TxIdle}, err
 	}
 	r.session.gateway.budget.deposit()
+	var refused error
 	for {
 		changed := r.session.gateway.cfg.Directory.Changed()
 		res, err := r.attempt(ctx, q)
@@ -65,12 +66,24 @@
 		if err == nil || !r.mayRetry(err) {
 			return res, err
 		}
+		if errkind.Of(err).Effect == errkind.NotRun {
+			refused = err
+		}
 		if !r.pause(ctx, changed) {
-			return res, err
+			return res, r.lastWord(refused, err)
 		}
 	}
 }
 
+// lastWord is the error at the end of the deadline. A read has no effect to be
+// in doubt about: it is told why it was refused, if it was.
+func (r *run) lastWord(refused, err error) error {
+	if refused != nil && r.plan.class.Access == config.AccessRead {
+		return refused
+	}
+	return err
+}
+
 // request is the unit as its owner will see it.
 func (r *run) request() *request.Request {
 	s, c := r.session, r.plan.class
--- a/internal/host/beats.go
+++ b/internal/host/beats.go
@@ -121,7 +121,7 @@
 	sentAt := b.host.clock()
 	var reply heartbeatReply
 	err := b.conn.Call(ctx, address, methodHeartbeat, hb, &reply)
-	if err != nil || reply.Leader != "" {
+	if err != nil || !reply.Leads {
 		b.lost(hb, reply.Leader, err)
 		return false
 	}
--- a/internal/host/leader.go
+++ b/internal/host/leader.go
@@ -282,7 +282,7 @@
 		id, _, _ := l.server.Leader()
 		return heartbeatReply{Leader: l.address(id)}
 	}
-	var reply heartbeatReply
+	reply := heartbeatReply{Leads: true}
 	beat := lease.Beat{Incarnation: hb.Incarnation, Sequence: hb.Sequence}
 	if hb.Release {
 		l.grantor.Release(hb.Host, beat)
--- a/internal/host/wire.go
+++ b/internal/host/wire.go
@@ -52,7 +52,10 @@
 
 // heartbeatReply answers a heartbeat.
 type heartbeatReply struct {
-	// Leader is where heartbeats belong, when the host asked does not lead.
+	// Leads is set by the leader; another host fills in nothing but Leader.
+	Leads bool
+	// Leader is where heartbeats belong, when the host asked does not lead;
+	// empty when it knows no leader.
 	Leader string
 	// Lease is how long the lease lasts, counted from the moment the heartbeat
 	// was sent; zero grants nothing.
