--- a/internal/e2e/control_test.go
+++ b/internal/e2e/control_test.go
@@ -127,6 +127,8 @@
 	for _, p := range cut {
 		assert.NilError(t, p.cmd.Process.Signal(syscall.SIGCONT))
 	}
+	healed := time.Now()
+	defer func() { t.Logf("served again %v after the cut healed", time.Since(healed).Round(10*time.Millisecond)) }()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if err := insert(ctx, conn, "c"); err != nil {
 			return poll.Continue("after the cut healed: %v", err)
--- a/internal/owner/instance.go
+++ b/internal/owner/instance.go
@@ -36,9 +36,9 @@
 	gate     writeGate
 	probeNow chan struct{} // asks for a probe at once
 	trackNow chan struct{} // asks for the primary's position at once
-	ending   atomic.Bool  // set once no new work may begin
-	working  atomic.Int32 // requests from their start to their answer
-	serving  atomic.Bool  // set once connections of earlier owners are closed
+	ending   atomic.Bool   // set once no new work may begin
+	working  atomic.Int32  // requests from their start to their answer
+	serving  atomic.Bool   // set once connections of earlier owners are closed
 
 	mu     sync.Mutex
 	held   map[request.SessionID]*transaction
