Make the tests of sessions, aborted transactions and leaving primaries bite

Taking the mechanisms out had left them green: replicas could not prove their age yet, only the upstream's own errors were tried, and refused writes were sent again.

--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -198,7 +198,7 @@
 	t.Parallel()
 	c := start(t, 4, 5*time.Millisecond)
 	stop := make(chan struct{})
-	l, wg := c.writers("ticket", 2, stop)
+	l, wg := c.writers("settlement", 4, stop) // never sent twice, so a refusal shows
 	c.more(l, 20)
 	in, _ := c.primary()
 	in.SetLeaving(true)
--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -59,6 +59,13 @@
 	assert.Equal(t, state(insert(ctx, conn, "c")), "25P02", "a failed transaction runs nothing")
 	assert.NilError(t, tx.Rollback(ctx))
 
+	tx, err = conn.Begin(ctx)
+	assert.NilError(t, err)
+	_, err = conn.Exec(ctx, "LISTEN news")
+	assert.Equal(t, state(err), "0A000")
+	assert.Equal(t, state(insert(ctx, conn, "d")), "25P02", "an error of the proxy aborts the transaction too")
+	assert.NilError(t, tx.Rollback(ctx))
+
 	_, err = conn.Exec(ctx, "COPY tickets FROM stdin")
 	assert.Equal(t, state(err), "0A000")
 	_, err = conn.Exec(ctx, "LISTEN news")
@@ -114,6 +121,11 @@
 	t.Parallel()
 	c := start(t, 4, 300*time.Millisecond)
 	ctx := t.Context()
+	warm := c.connect(c.hosts[0])
+	for range 40 { // the replicas are read, so they can prove their age
+		count(t, warm, "report")
+		time.Sleep(10 * time.Millisecond)
+	}
 	for i := range 6 {
 		writer := c.connect(c.hosts[i%4])
 		assert.NilError(t, insert(ctx, writer, string(rune('a'+i))))
