Test the wait estimate and learn nothing from cancelled work

A cancelled statement ends early, so its service time would pull the learned mean down and let later work start too late. The wait estimate, which guides routing, gets a test: it grows with what more urgent work takes and is bounded by the floor.

--- a/internal/system/admission/admission.go
+++ b/internal/system/admission/admission.go
@@ -136,6 +136,7 @@
 func (q *Queue) Offer(now time.Duration, r *Request) {
 	q.accrue(now)
 	r.state = stateNew
+	r.cancelled = false
 	r.class = q.classOf(r)
 	r.caller = nil
 	r.cost = r.Expected
@@ -157,6 +158,7 @@
 // request was still queued: then it has not run and no outcome comes. A
 // request that has been started keeps its slot until Finish.
 func (q *Queue) Cancel(now time.Duration, r *Request) bool {
+	r.cancelled = true
 	if r.state != stateQueued {
 		return false
 	}
@@ -166,14 +168,17 @@
 	return true
 }
 
-// Finish frees the slot of a started request, which held it for ran.
+// Finish frees the slot of a started request, which held it for ran. The class
+// learns from it unless the request was cancelled.
 func (q *Queue) Finish(now time.Duration, r *Request, ran time.Duration) {
 	if r.state != stateRunning {
 		return
 	}
 	q.accrue(now)
 	r.state = stateDone
-	r.class.learn(ran)
+	if !r.cancelled {
+		r.class.learn(ran)
+	}
 	q.running--
 	q.holder.finished(r)
 	q.ranks[r.class.rank].finished(r, ran)
@@ -259,8 +264,7 @@
 	q.classes = declared
 }
 
-// classOf returns the class of r. One that is not declared, or is with
-// another rank, counts as a class of its own.
+// classOf returns the class of r, which is made when it is not declared.
 func (q *Queue) classOf(r *Request) *class {
 	c := q.classes[r.Class]
 	if c == nil {
--- a/internal/system/admission/admission_test.go
+++ b/internal/system/admission/admission_test.go
@@ -194,6 +194,28 @@
 	assert.Equal(t, q.Ready(nil)[0].Verdict, Refuse)
 }
 
+// TestWaitEstimate queues background work, then urgent work that leaves it
+// its floor only.
+func TestWaitEstimate(t *testing.T) {
+	q := newQueue(t, usual())
+	assert.Equal(t, q.WaitEstimate(0, config.RankUrgent), time.Duration(0))
+	for range 11 {
+		q.Offer(0, request("proof", "1", time.Hour))
+	}
+	idle := q.WaitEstimate(0, config.RankBackground)
+	assert.Equal(t, idle, 10*initialService)
+	assert.Assert(t, q.WaitEstimate(0, config.RankUrgent) < idle)
+	now, running := time.Duration(0), q.Ready(nil)[0].Request
+	for range 40 {
+		q.Offer(now, request("rush", "2", time.Hour))
+		now += 5 * ms
+		q.Finish(now, running, 5*ms)
+		running = q.Ready(nil)[0].Request
+	}
+	work, busy := q.ranks[config.RankBackground].work, q.WaitEstimate(now, config.RankBackground)
+	assert.Assert(t, work > 0 && busy > work && busy <= scale(work, 0.1), "%v of work, %v", work, busy)
+}
+
 func TestSetSlots(t *testing.T) {
 	cfg := usual()
 	cfg.Slots = 0
--- a/internal/system/admission/policybench/policybench_test.go
+++ b/internal/system/admission/policybench/policybench_test.go
@@ -47,3 +47,18 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, a.Lines(), b.Lines())
 }
+
+// BenchmarkReport prints the whole comparison once, with routed profiles and
+// with background statements of twice the length, whose ratio is over the
+// bound. Run it with -benchtime 1x.
+func BenchmarkReport(b *testing.B) {
+	profiles := []Profile{
+		Orderdesk(), Ledger(), Orderdesk().Route(), Ledger().Route(),
+		Orderdesk().Lengthen("proof_preview", 2), Ledger().Lengthen("stock_report", 2),
+		Orderdesk().Route().Lengthen("proof_preview", 2), Ledger().Route().Lengthen("stock_report", 2),
+	}
+	for range b.N {
+		_, err := Report(os.Stdout, profiles, routedLength, seed)
+		assert.NilError(b, err)
+	}
+}
--- a/internal/system/admission/request.go
+++ b/internal/system/admission/request.go
@@ -10,7 +10,8 @@
 // Request is one statement that asks for a slot. The exported fields are set
 // before Offer and not changed until the request has finished or was refused.
 type Request struct {
-	Class  string
+	Class string
+	// Rank counts when the class is not declared.
 	Rank   config.Rank
 	Caller string
 	// Deadline is the local moment after which an answer is of no use.
@@ -24,6 +25,7 @@
 	User any
 
 	state     state
+	cancelled bool
 	class     *class
 	caller    *caller
 	list      *list // the list that holds the request while it is queued
