Let the owner of a replica wait for its next report

Between two reports the age that an owner can prove grows, so a read that allowed little more than the lag bounced and went to the primary.

--- a/internal/system/routing/replicas_test.go
+++ b/internal/system/routing/replicas_test.go
@@ -174,6 +174,7 @@
 		"lag, sessions that write": {false, time.Second, true, false},
 		"one stuck":                {true, time.Second, false, false},
 		"one stuck, old data allowed, sessions that write": {true, time.Minute, true, false},
+		"little more than the lag allowed":                 {false, 120 * ms, false, false},
 		"one stuck, no gossip":                             {true, time.Second, false, true},
 	}
 	for name, tt := range tests {
--- a/internal/system/routing/routing.go
+++ b/internal/system/routing/routing.go
@@ -134,18 +134,19 @@
 	return Decision{Instance: c.Instance, Owner: c.Owner, Reason: why}
 }
 
-// toReplica sends the request to a replica. Where the hints do not show that
-// it is fresh enough already, the owner may wait for it to become so.
+// toReplica sends the request to a replica. Its owner may wait until the
+// replica reaches the floor, or until it next hears from it: the age that it
+// can prove grows between two samples.
 func toReplica(now time.Duration, q *Query, o *option, why Reason) Decision {
 	d := Decision{Instance: o.candidate.Instance, Owner: o.candidate.Owner, Reason: why}
 	h := &o.candidate.Hint
 	switch {
 	case why == ReasonReplicaLastResort:
 		d.Wait = budget(now, q)
-	case !h.recent(now):
-		d.Wait = min(budget(now, q), sampleInterval)
 	case q.HasFloor && h.Mark.Less(q.Floor):
 		d.Wait = min(budget(now, q), 2*h.Age+sampleInterval)
+	default:
+		d.Wait = min(budget(now, q), sampleInterval)
 	}
 	return d
 }
