--- a/internal/system/admission/policybench/policybench_test.go
+++ b/internal/system/admission/policybench/policybench_test.go
@@ -40,6 +40,24 @@
 	}
 }
 
+// TestBothFloodsWithAnInstanceLost floods the lowest and the most urgent rank at
+// once, with one instance less, and compares with the calm run of all.
+func TestBothFloodsWithAnInstanceLost(t *testing.T) {
+	t.Logf("seed %d", seed)
+	for _, p := range []Profile{Orderdesk(), Ledger()} {
+		calm, err := Run(p, Chosen, length, seed)
+		assert.NilError(t, err)
+		lost := p.LoseInstance()
+		high, err := Run(lost.Flood(p.Loads[len(p.Loads)-1].Class, floodTimes).Flood(p.Loads[0].Class, floodTimes), Chosen, length, seed)
+		assert.NilError(t, err)
+		trio := Trio{Profile: lost, Policy: "chosen", Calm: calm, High: high}
+		for _, l := range trio.highLines() {
+			t.Logf("%+v", l)
+			assert.Check(t, l.Pass, "%s: %v, the bound is %v", l.Name, l.Value, l.Bound)
+		}
+	}
+}
+
 func TestSameSeedSameResult(t *testing.T) {
 	a, err := Measure(Ledger(), "chosen", Chosen, time.Second, seed)
 	assert.NilError(t, err)
--- a/internal/system/admission/policybench/profile.go
+++ b/internal/system/admission/policybench/profile.go
@@ -104,6 +104,17 @@
 	return p
 }
 
+// LoseInstance returns the profile with one instance less and the same work.
+func (p Profile) LoseInstance() Profile {
+	p.Name += "_lost"
+	p.Loads = append([]Load(nil), p.Loads...)
+	for i := range p.Loads {
+		p.Loads[i].Share *= float64(p.Instances) / float64(p.Instances-1)
+	}
+	p.Instances--
+	return p
+}
+
 // Lengthen returns the profile with the service time of one class multiplied.
 func (p Profile) Lengthen(class string, times int) Profile {
 	p.Name += "_long"
