Take the power of each control host at each step of a change

Each write, sync, rename and message of the leader, then of a follower, is the last one once; the change is sent again and the host comes back.

Failing first: records not synced (the follower never catches up), an answer before the commit (revision 0, want 2).

--- a/internal/control/recovery_test.go
+++ b/internal/control/recovery_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -268,6 +269,67 @@
 	})
 }
 
+// TestPowerLossAtEachStep takes the power of one host at each step, a write to
+// its disk or a message it sends, that follows a change: once for the leader
+// and once for a follower. The change is sent again until it is answered.
+func TestPowerLossAtEachStep(t *testing.T) {
+	for _, role := range []string{"leader", "follower"} {
+		t.Run(role, func(t *testing.T) {
+			steps := 0
+			for reached := true; reached; steps++ {
+				started(t, func(t *testing.T, n *network, leader *Server) {
+					reached = n.losePower(t, leader, role == "leader", steps)
+				})
+			}
+			assert.Assert(t, steps > 3, "%d steps", steps)
+		})
+	}
+}
+
+// losePower takes the power of a host before one of its steps and reports
+// whether it came that far.
+func (n *network) losePower(t *testing.T, leader *Server, ofLeader bool, step int) (reached bool) {
+	victim := leader.cfg.Host
+	for _, host := range n.voters {
+		if !ofLeader && host != leader.cfg.Host {
+			victim = host
+		}
+	}
+	n.persist(t, put("s", 1, "before"))
+	time.Sleep(time.Second)
+	var left atomic.Int64
+	left.Store(int64(step))
+	folder := n.folders[victim]
+	hasPower := func() bool { return left.Add(-1) >= 0 }
+	n.setPower(func(host table.HostID) bool { return host != victim || hasPower() })
+	folder.SetBefore(hasPower)
+	change := put("s", 2, "mine")
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	_, _ = leader.Propose(ctx, change)
+	cancel()
+	synctest.Wait()
+	if left.Load() >= 0 {
+		n.setPower(nil)
+		folder.SetBefore(nil)
+		return false
+	}
+	n.stop(t, victim)
+	n.setPower(nil)
+	first := n.persist(t, change)
+	assert.NilError(t, first.Err())
+	assert.Equal(t, first.Revision, uint64(2))
+	n.start(t, victim)
+	assert.NilError(t, n.persist(t, put("s", 3, "next")).Err())
+	n.checkSame(t, 3)
+	return true
+}
+
+func (n *network) setPower(power func(host table.HostID) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.power = power
+}
+
 // awaitVoter waits until the leader counts the identity that host has now.
 func (n *network) awaitVoter(t *testing.T, host table.HostID) {
 	t.Helper()
--- a/internal/control/server_test.go
+++ b/internal/control/server_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"io"
 	"sync"
@@ -31,6 +32,8 @@
 	random  uint64
 	tune    func(*ServerConfig)
 	sent    map[table.HostID]traffic
+	// power, if set, says whether a host still has power for its next step.
+	power func(host table.HostID) bool
 }
 
 type traffic struct{ messages, bytes int }
@@ -57,6 +60,9 @@
 func (p port) Send(to table.HostID, msg []byte) {
 	p.n.mu.Lock()
 	defer p.n.mu.Unlock()
+	if p.n.power != nil && !p.n.power(p.from) {
+		return
+	}
 	sent := p.n.sent[p.from]
 	p.n.sent[p.from] = traffic{sent.messages + 1, sent.bytes + len(msg)}
 	s := p.n.servers[to]
@@ -105,7 +111,9 @@
 	n.servers[host] = nil
 	n.mu.Unlock()
 	cancel()
-	assert.NilError(t, <-done)
+	if err := <-done; !errors.Is(err, waltest.ErrPowerLoss) {
+		assert.NilError(t, err)
+	}
 	n.folders[host] = n.folders[host].Crash(func(int) int { return 0 })
 }
 
--- a/internal/wal/waltest/folder.go
+++ b/internal/wal/waltest/folder.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io/fs"
 	"maps"
@@ -25,10 +26,32 @@
 	SyncTime time.Duration
 	// IgnoreSync makes Sync of files do nothing, as if the log never asked.
 	IgnoreSync bool
+	before     func() bool
 	// FailWrites makes every write to a file fail half way.
 	FailWrites bool
 }
 
+// ErrPowerLoss is the error of operations that are not allowed.
+var ErrPowerLoss = errors.New("power loss")
+
+// SetBefore has allow called before each operation that changes the folder.
+// If it returns false the operation fails, as it would after a power loss.
+func (f *Folder) SetBefore(allow func() bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.before = allow
+}
+
+func (f *Folder) allowed() error {
+	f.mu.Lock()
+	allow := f.before
+	f.mu.Unlock()
+	if allow != nil && !allow() {
+		return ErrPowerLoss
+	}
+	return nil
+}
+
 type file struct {
 	folder *Folder
 	data   []byte
@@ -84,6 +107,9 @@
 
 // Create makes an empty file.
 func (f *Folder) Create(name string) (wal.File, error) {
+	if err := f.allowed(); err != nil {
+		return nil, err
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c := &file{folder: f}
@@ -104,12 +130,18 @@
 
 // Truncate cuts a file.
 func (f *Folder) Truncate(name string, size int64) error {
+	if err := f.allowed(); err != nil {
+		return err
+	}
 	f.Edit(name, func(data []byte) []byte { return data[:size] })
 	return nil
 }
 
 // Rename replaces the file at to; a crash undoes it until SyncFolder.
 func (f *Folder) Rename(from, to string) error {
+	if err := f.allowed(); err != nil {
+		return err
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.current[to] = f.current[from]
@@ -119,6 +151,9 @@
 
 // Remove deletes a file; a crash undoes it until SyncFolder.
 func (f *Folder) Remove(name string) error {
+	if err := f.allowed(); err != nil {
+		return err
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.current, name)
@@ -127,6 +162,9 @@
 
 // SyncFolder makes the names durable.
 func (f *Folder) SyncFolder() error {
+	if err := f.allowed(); err != nil {
+		return err
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.durable = maps.Clone(f.current)
@@ -135,6 +173,9 @@
 
 // Write appends to the file.
 func (c *file) Write(b []byte) (int, error) {
+	if err := c.folder.allowed(); err != nil {
+		return 0, err
+	}
 	c.folder.mu.Lock()
 	defer c.folder.mu.Unlock()
 	if c.folder.FailWrites {
@@ -148,6 +189,9 @@
 // Sync makes the content durable.
 func (c *file) Sync() error {
 	time.Sleep(c.folder.SyncTime)
+	if err := c.folder.allowed(); err != nil {
+		return err
+	}
 	c.folder.mu.Lock()
 	defer c.folder.mu.Unlock()
 	c.folder.Syncs++
