--- a/internal/consensus/codec.go
+++ b/internal/consensus/codec.go
@@ -15,6 +15,8 @@
 	// MaxMembers bounds one membership.
 	MaxMembers = 32
 
+	// maxCounter bounds terms, indexes and ticks, so that none runs over.
+	maxCounter   = 1 << 62
 	maxHostBytes = 255
 	codecVersion = 1
 )
@@ -52,6 +54,7 @@
 	*m = Message{Type: MessageType(r.byte()), From: r.node(), To: r.node()}
 	for _, v := range [...]*uint64{&m.Term, &m.Index, &m.LogTerm, &m.Commit, &m.Hint, &m.Stamp} {
 		*v = r.uvarint()
+		r.bad = r.bad || *v > maxCounter
 	}
 	m.Reject = r.flag()
 	hasSnapshot := r.flag()
@@ -221,7 +224,7 @@
 func (r *reader) entry() Entry {
 	e := Entry{Index: r.uvarint(), Term: r.uvarint(), Type: EntryType(r.byte())}
 	e.Data = r.bytes(MaxMessageBytes)
-	r.bad = r.bad || e.Type >= entryTypeCount
+	r.bad = r.bad || e.Type >= entryTypeCount || e.Index > maxCounter || e.Term > maxCounter
 	return e
 }
 
@@ -256,5 +259,6 @@
 func (r *reader) snapshot() Snapshot {
 	s := Snapshot{Index: r.uvarint(), Term: r.uvarint(), Members: r.members()}
 	s.Data = r.bytes(MaxMessageBytes)
+	r.bad = r.bad || s.Index > maxCounter || s.Term > maxCounter
 	return s
 }
--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -275,6 +275,16 @@
 	assert.Equal(t, snapshots, 1)
 }
 
+func TestCountersCannotRunOver(t *testing.T) {
+	m := Message{Type: MsgVote, From: id("b"), To: id("a"), Term: maxCounter}
+	encoded, err := m.AppendBinary(nil)
+	assert.NilError(t, err)
+	assert.NilError(t, new(Message).UnmarshalBinary(encoded))
+	m.Term++
+	encoded, _ = m.AppendBinary(nil)
+	assert.Assert(t, errors.Is(new(Message).UnmarshalBinary(encoded), ErrMalformed))
+}
+
 func FuzzMessage(f *testing.F) {
 	m := Message{
 		Type: MsgAppend, From: id("a"), To: id("b"), Term: 3, Index: 4, LogTerm: 2, Commit: 3,
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"io"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -160,22 +161,15 @@
 }
 
 // NewServer opens the data folder and restores the state. Damaged files give
-// a *wal.CorruptError.
+// a *wal.CorruptError, a folder that another process works on wal.ErrInUse.
+// The folder is closed when Run ends.
 func NewServer(cfg ServerConfig) (*Server, error) {
 	if err := cfg.validate(); err != nil {
 		return nil, err
 	}
 	cfg = cfg.withDefaults()
 	cfg.Voters = slices.Sorted(slices.Values(cfg.Voters))
-	fs := cfg.FS
-	if fs == nil {
-		folder, err := wal.OpenFolder(cfg.DataFolder)
-		if err != nil {
-			return nil, err
-		}
-		fs = folder
-	}
-	r, err := newReplica(cfg, fs)
+	r, err := openReplica(cfg)
 	if err != nil {
 		return nil, err
 	}
@@ -191,6 +185,22 @@
 	return s, nil
 }
 
+func openReplica(cfg ServerConfig) (*replica, error) {
+	fs := cfg.FS
+	if fs == nil {
+		folder, err := wal.OpenFolder(cfg.DataFolder)
+		if err != nil {
+			return nil, err
+		}
+		fs = folder
+	}
+	r, err := newReplica(cfg, fs)
+	if closer, ok := fs.(io.Closer); ok && err != nil {
+		err = errors.Join(err, closer.Close())
+	}
+	return r, err
+}
+
 // Run takes part in the agreement until ctx ends. It returns nil then, and an
 // error when the files can no longer be written. It must be called once.
 func (s *Server) Run(ctx context.Context) error {
--- a/internal/control/server_test.go
+++ b/internal/control/server_test.go
@@ -77,7 +77,8 @@
 	n.cut[host] = cut
 }
 
-func (n *network) start(t *testing.T, host table.HostID) {
+// prepare makes a server that does not run yet.
+func (n *network) prepare(t *testing.T, host table.HostID) *Server {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -88,10 +89,19 @@
 	n.tune(&cfg)
 	s, err := NewServer(cfg)
 	assert.NilError(t, err)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.servers[host] = s
+	return s
+}
+
+func (n *network) start(t *testing.T, host table.HostID) {
+	t.Helper()
+	s := n.prepare(t, host)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	n.mu.Lock()
-	n.servers[host], n.cancel[host], n.done[host] = s, cancel, done
+	n.cancel[host], n.done[host] = cancel, done
 	n.mu.Unlock()
 	go func() { done <- s.Run(ctx) }()
 }
--- a/internal/wal/fs.go
+++ b/internal/wal/fs.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"os"
 	"path/filepath"
+	"syscall"
 )
 
 // FS is the part of a file system that the log needs. Names are relative to
@@ -40,18 +42,39 @@
 	fileMode   = 0o600
 )
 
-type folder struct{ path string }
+const lockFile = "lock"
+
+// ErrInUse means that another process works on the data folder.
+var ErrInUse = errors.New("the data folder is in use by another process")
+
+type folder struct {
+	path string
+	lock *os.File
+}
 
 // OpenFolder returns the file system of the folder at path, which it creates
-// if it does not exist.
+// if it does not exist. It fails with ErrInUse while another one is open on
+// it; Log.Close closes it.
 func OpenFolder(path string) (FS, error) {
 	if err := os.MkdirAll(path, folderMode); err != nil {
 		return nil, err
 	}
-	f := folder{path: path}
-	return f, syncFolder(filepath.Dir(filepath.Clean(path)))
+	if err := syncFolder(filepath.Dir(filepath.Clean(path))); err != nil {
+		return nil, err
+	}
+	lock, err := os.OpenFile(filepath.Join(path, lockFile), os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		return nil, errors.Join(fmt.Errorf("%w: %s: %w", ErrInUse, path, err), lock.Close())
+	}
+	return folder{path: path, lock: lock}, nil
 }
 
+// Close lets another process open the folder.
+func (f folder) Close() error { return f.lock.Close() }
+
 func (f folder) at(name string) string { return filepath.Join(f.path, name) }
 
 func (f folder) List() ([]string, error) {
--- a/internal/wal/identity.go
+++ b/internal/wal/identity.go
@@ -19,6 +19,9 @@
 		return consensus.NodeID{}, err
 	}
 	if !slices.Contains(names, identityFile) {
+		if slices.Contains(names, foundingFile) {
+			return consensus.NodeID{}, corrupt(identityFile, 0, "the identity is missing, but the founding is pinned")
+		}
 		return l.makeIdentity(host, fresh)
 	}
 	payload, err := readSingle(l.fs, identityFile)
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -11,6 +11,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"io"
 	"slices"
 	"strings"
 
@@ -140,7 +141,7 @@
 // segments.
 func (l *Log) begin(names []string) (*Log, Contents, error) {
 	for _, name := range names {
-		if name == identityFile || strings.HasSuffix(name, snapshotSuffix) {
+		if name == identityFile || name == foundingFile || strings.HasSuffix(name, snapshotSuffix) {
 			return nil, Contents{}, corrupt(segmentName(1), 0, "the segment is missing, but %s is there", name)
 		}
 	}
@@ -334,5 +335,12 @@
 	return l.fs.SyncFolder()
 }
 
-// Close closes the log without writing anything.
-func (l *Log) Close() error { return l.file.Close() }
+// Close closes the log, and the data folder if that can be closed, without
+// writing anything.
+func (l *Log) Close() error {
+	err := l.file.Close()
+	if c, ok := l.fs.(io.Closer); ok {
+		err = errors.Join(err, c.Close())
+	}
+	return err
+}
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -263,6 +263,29 @@
 	assert.ErrorContains(t, err, "identity is missing")
 }
 
+func TestPinnedFoundingNeedsItsIdentity(t *testing.T) {
+	for _, name := range []string{"identity", "0000000000000001.log"} {
+		fs := waltest.NewFolder()
+		l, _ := open(t, fs)
+		id, err := l.Identity("a", 7)
+		assert.NilError(t, err)
+		assert.NilError(t, l.SaveFounding(consensus.NewMembers(id)))
+		fs = fs.Crash(lostAll)
+		l, _ = open(t, fs)
+		pinned, err := l.Founding()
+		assert.NilError(t, err)
+		assert.Assert(t, pinned.IsVoter(id))
+		assert.NilError(t, fs.Remove(name))
+		l, _, err = wal.Open(fs, wal.Options{})
+		if err == nil {
+			_, err = l.Identity("a", 8)
+		}
+		var damaged *wal.CorruptError
+		assert.Assert(t, errors.As(err, &damaged), name)
+		assert.Equal(t, damaged.File, name)
+	}
+}
+
 func TestFailedWriteEndsTheLog(t *testing.T) {
 	fs := filled(t, 3)
 	l, _ := open(t, fs)
@@ -280,6 +303,8 @@
 	for round := range uint64(3) {
 		fs, err := wal.OpenFolder(path)
 		assert.NilError(t, err)
+		_, err = wal.OpenFolder(path)
+		assert.Assert(t, errors.Is(err, wal.ErrInUse))
 		l, c := open(t, fs)
 		id, err := l.Identity("a", round+1)
 		assert.NilError(t, err)
