Hand the leadership over at a stop, remove members, retry elections sooner

Votes of a handover need not wait for the lease, since it is over.

After a split vote a candidate waited for a whole election timeout again.

RemoveMember takes a control host out for good.

--- a/internal/consensus/codec.go
+++ b/internal/consensus/codec.go
@@ -32,7 +32,7 @@
 	for _, v := range [...]uint64{m.Term, m.Index, m.LogTerm, m.Commit, m.Hint, m.Stamp} {
 		b = binary.AppendUvarint(b, v)
 	}
-	b = append(b, flag(m.Reject), flag(m.Snapshot != nil))
+	b = append(b, flag(m.Reject), flag(m.Handover), flag(m.Snapshot != nil))
 	b = binary.AppendUvarint(b, uint64(len(m.Entries)))
 	for _, e := range m.Entries {
 		b = appendEntry(b, e)
@@ -57,6 +57,7 @@
 		r.bad = r.bad || *v > maxCounter
 	}
 	m.Reject = r.flag()
+	m.Handover = r.flag()
 	hasSnapshot := r.flag()
 	m.Entries = r.entries()
 	if hasSnapshot {
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -8,7 +8,7 @@
 
 // campaign asks the voters, first whether they would elect this node, then to
 // do so.
-func (n *Node) campaign(role Role) {
+func (n *Node) campaign(role Role, handover bool) {
 	if !n.Members().IsVoter(n.cfg.ID) {
 		return
 	}
@@ -23,7 +23,10 @@
 	n.votes = map[NodeID]bool{n.cfg.ID: true}
 	for _, id := range n.Members().Voters {
 		if id != n.cfg.ID {
-			n.send(Message{Type: kind, To: id, Term: term, Index: n.log.lastIndex(), LogTerm: n.log.lastTerm()})
+			n.send(Message{
+				Type: kind, To: id, Term: term, Handover: handover,
+				Index: n.log.lastIndex(), LogTerm: n.log.lastTerm(),
+			})
 		}
 	}
 	n.countVotes()
@@ -71,11 +74,38 @@
 	quorum := n.Members().Quorum()
 	switch {
 	case granted >= quorum && n.role == RolePreCandidate:
-		n.campaign(RoleCandidate)
+		n.campaign(RoleCandidate, false)
 	case granted >= quorum:
 		n.becomeLeader()
 	case refused >= quorum:
 		n.becomeFollower(n.term, NodeID{})
+		n.campaignAgainSoon()
+	}
+}
+
+// Handover gives up the leadership and its lease. If a voter holds the whole
+// log, it is asked to campaign at once. The caller must see to it that the
+// lease is no longer used before it sends the messages of the next Ready.
+func (n *Node) Handover() {
+	if n.role != RoleLeader {
+		return
+	}
+	var heir NodeID
+	ack := uint64(0)
+	for _, id := range n.Members().Voters {
+		if pr := n.progress[id]; pr != nil && pr.match == n.log.lastIndex() && pr.ack > ack {
+			heir, ack = id, pr.ack
+		}
+	}
+	n.becomeFollower(n.term, NodeID{})
+	if !heir.IsZero() {
+		n.send(Message{Type: MsgHandover, To: heir})
+	}
+}
+
+func (n *Node) handleHandover(m Message) {
+	if n.role == RoleFollower && n.leader == m.From {
+		n.campaign(RoleCandidate, true)
 	}
 }
 
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -160,8 +160,8 @@
 		return
 	}
 	if n.tick >= n.deadline {
-		n.resetDeadline()
-		n.campaign(RolePreCandidate)
+		n.campaignAgainSoon()
+		n.campaign(RolePreCandidate, false)
 	}
 }
 
@@ -195,6 +195,13 @@
 	n.deadline = n.tick + election + n.rng.Uint64N(election)
 }
 
+// campaignAgainSoon sets the next election for the case that this one brings no
+// leader, for example because two candidates split the votes. There is no
+// leader to wait for any more, so it comes sooner than the first.
+func (n *Node) campaignAgainSoon() {
+	n.deadline = n.tick + uint64(n.cfg.HeartbeatTicks) + n.rng.Uint64N(uint64(n.cfg.ElectionTicks))
+}
+
 func (n *Node) becomeFollower(term uint64, leader NodeID) {
 	if term != n.term {
 		n.term = term
@@ -244,6 +251,8 @@
 		return n.handleSnapshot(m)
 	case MsgAppendReply:
 		return n.handleAppendReply(m)
+	case MsgHandover:
+		n.handleHandover(m)
 	}
 	return nil
 }
@@ -264,7 +273,7 @@
 func (n *Node) stepHigherTerm(m Message) bool {
 	switch m.Type {
 	case MsgPreVote, MsgVote:
-		if n.hearsLeader() {
+		if n.hearsLeader() && !m.Handover {
 			return false
 		}
 		if m.Type == MsgPreVote {
--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -275,6 +275,35 @@
 	assert.Equal(t, snapshots, 1)
 }
 
+func TestHandover(t *testing.T) {
+	n := leader(t)
+	ack(t, n, "c", n.LastIndex())
+	n.Tick()
+	ack(t, n, "b", n.LastIndex()-1)
+	n.Handover()
+	_, leased := n.Lease()
+	assert.Assert(t, !leased)
+	sent := settle(n)
+	assert.Equal(t, len(sent), 1)
+	assert.Equal(t, sent[0].Type, MsgHandover)
+	assert.Equal(t, sent[0].To, id("c"), "only c holds the whole log")
+
+	heir := follower(t)
+	step(t, heir, Message{Type: MsgAppend, From: id("b"), Term: 2, Index: 1, LogTerm: 1})
+	settle(heir)
+	step(t, heir, Message{Type: MsgHandover, From: id("c"), Term: 2})
+	assert.Equal(t, heir.Role(), RoleFollower, "c does not lead")
+	step(t, heir, Message{Type: MsgHandover, From: id("b"), Term: 2})
+	assert.Equal(t, heir.Role(), RoleCandidate)
+	for _, m := range settle(heir) {
+		assert.Assert(t, m.Type == MsgVote && m.Handover)
+	}
+	voter := follower(t)
+	hear(voter)
+	step(t, voter, Message{Type: MsgVote, From: id("b"), Term: 3, Index: 1, LogTerm: 1, Handover: true})
+	assert.Assert(t, !voter.Ready().Messages[0].Reject)
+}
+
 func TestCountersCannotRunOver(t *testing.T) {
 	m := Message{Type: MsgVote, From: id("b"), To: id("a"), Term: maxCounter}
 	encoded, err := m.AppendBinary(nil)
--- a/internal/consensus/schedule_test.go
+++ b/internal/consensus/schedule_test.go
@@ -189,6 +189,9 @@
 		s.links[link{other, m.id.Host}] = s.rng.IntN(4) > 0
 	case p < 54 && m.down == 0:
 		s.crash(m)
+	case p < 57 && m.node != nil && m.frozen == 0:
+		m.countTicks()
+		m.node.Handover()
 	case p < 62 && m.down == 0:
 		m.frozen = 1 + s.rng.IntN(3*electionTicks)
 	case p < 68 && s.mayWipe():
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -191,6 +191,8 @@
 	MsgAppend
 	MsgAppendReply
 	MsgSnapshot
+	// MsgHandover asks a voter to campaign at once, for its leader stops.
+	MsgHandover
 	messageTypeCount
 )
 
@@ -209,8 +211,11 @@
 	// Hint is the highest index at which a refusing follower may agree.
 	Hint uint64
 	// Stamp is the leader's tick at sending; the reply returns it.
-	Stamp    uint64
-	Reject   bool
+	Stamp  uint64
+	Reject bool
+	// Handover marks the votes that a leader asked for when it stopped: its
+	// lease is over, so nobody needs to wait for it.
+	Handover bool
 	Entries  []Entry
 	Snapshot *Snapshot
 }
--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -63,7 +63,8 @@
 	for i := range changes {
 		data, err := put(fmt.Sprint("s", i%8), uint64(i/8)+1, string(body)).encode()
 		assert.NilError(b, err)
-		r.propose(data, func(res Result, err error) { assert.NilError(b, err); assert.NilError(b, res.Err()) })
+		done := func(res Result, err error) { assert.NilError(b, err); assert.NilError(b, res.Err()) }
+		r.propose(proposal{data: data, done: done})
 		if i%50 == 49 || i == changes-1 {
 			assert.NilError(b, r.flush())
 			r.giveAnswers()
@@ -167,20 +168,31 @@
 	}
 }
 
-// TestLeaderGap crashes the leader 60 times and measures, in virtual time, how
+// TestLeaderGap ends the leader 60 times and measures, in virtual time, how
 // long no host may act as the leader.
 func TestLeaderGap(t *testing.T) {
 	const kills = 60
-	for _, election := range []int{15, DefaultElectionTicks, 60} {
+	cases := []struct {
+		election int
+		graceful bool
+		median   float64 // bound in ms
+		longest  float64 // bound in ms
+	}{
+		{15, false, 300, 900},
+		{DefaultElectionTicks, false, 600, 1800},
+		{60, false, 1200, 3600},
+		{DefaultElectionTicks, true, 50, 50},
+	}
+	for _, c := range cases {
 		synctest.Test(t, func(t *testing.T) {
 			n := newNetwork(3)
-			n.tune = func(c *ServerConfig) { c.ElectionTicks = election }
+			n.tune = func(cfg *ServerConfig) { cfg.ElectionTicks = c.election }
 			n.startAll(t)
 			defer n.stopAll(t)
 			var gaps []time.Duration
 			for range kills {
 				host := n.leader(t).cfg.Host
-				n.stop(t, host)
+				n.end(t, host, c.graceful)
 				begin := time.Now()
 				n.leader(t)
 				gaps = append(gaps, time.Since(begin))
@@ -188,10 +200,9 @@
 				time.Sleep(5 * time.Second)
 			}
 			slices.Sort(gaps)
-			name := fmt.Sprintf("control_leader_gap_election_%d_ms", election*10)
-			bound := float64(3 * election * 10)
-			report(t, name+"_p50", float64(gaps[kills/2].Milliseconds()), "ms", bound)
-			report(t, name+"_max", float64(gaps[kills-1].Milliseconds()), "ms", bound)
+			name := fmt.Sprintf("control_leader_gap_election_%d_ms_graceful_%t", c.election*10, c.graceful)
+			report(t, name+"_p50", float64(gaps[kills/2].Milliseconds()), "ms", c.median)
+			report(t, name+"_max", float64(gaps[kills-1].Milliseconds()), "ms", c.longest)
 		})
 	}
 }
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/amaranthweir/amaranthweir/internal/consensus"
+	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
@@ -117,6 +118,25 @@
 	}
 }
 
+func (r *replica) remove(p proposal) {
+	id, member := r.node.Members().Host(p.remove)
+	if !member && r.node.Role() == consensus.RoleLeader {
+		r.answer(p.done, Result{}, nil)
+		return
+	}
+	err := r.node.ProposeConfChange(consensus.ConfChange{Type: consensus.RemoveMember, Node: id})
+	switch {
+	case err == nil:
+		r.waiting[r.node.LastIndex()] = waiter{term: r.node.Term(), done: p.done}
+	case errors.Is(err, consensus.ErrNotLeader):
+		r.answer(p.done, Result{}, r.notLeader())
+	case errors.Is(err, consensus.ErrPendingChange):
+		r.answer(p.done, Result{}, errkind.Wrap(err, errkind.NoQuorum, "%v", err).WithEffect(errkind.NotRun))
+	default:
+		r.answer(p.done, Result{}, errkind.Wrap(err, errkind.BadRequest, "%v", err))
+	}
+}
+
 func (r *replica) change(kind consensus.ConfChangeType, id consensus.NodeID) bool {
 	err := r.node.ProposeConfChange(consensus.ConfChange{Type: kind, Node: id})
 	if err == nil {
--- a/internal/control/recovery_test.go
+++ b/internal/control/recovery_test.go
@@ -330,6 +330,44 @@
 	n.power = power
 }
 
+func TestRemovalNeedsAMajority(t *testing.T) {
+	started(t, func(t *testing.T, n *network, leader *Server) {
+		var others []table.HostID
+		for _, host := range n.voters {
+			if host != leader.cfg.Host {
+				others = append(others, host)
+			}
+		}
+		n.isolate(others[1], true)
+		err := leader.RemoveMember(t.Context(), others[0])
+		assert.Assert(t, errkind.Is(err, errkind.NoQuorum))
+		n.isolate(others[1], false)
+		n.persist(t, put("s", 1, "a"))
+	})
+}
+
+func TestRemoveMember(t *testing.T) {
+	started(t, func(t *testing.T, n *network, leader *Server) {
+		var others []table.HostID
+		for _, host := range n.voters {
+			if host != leader.cfg.Host {
+				others = append(others, host)
+			}
+		}
+		n.persist(t, put("s", 1, "a"))
+		assert.Assert(t, errkind.Is(leader.RemoveMember(t.Context(), leader.cfg.Host), errkind.BadRequest))
+		assert.Assert(t, errkind.Is(n.servers[others[0]].RemoveMember(t.Context(), others[1]), errkind.NotLeader))
+		for range 2 {
+			assert.NilError(t, leader.RemoveMember(t.Context(), others[0]))
+			assert.Assert(t, !leader.Members().Contains(n.servers[others[0]].replica.id))
+		}
+		time.Sleep(time.Minute)
+		assert.Equal(t, len(n.leader(t).Members().All()), 2, "a removed host does not come back by itself")
+		n.stop(t, others[0])
+		n.persist(t, put("s", 2, "b"))
+	})
+}
+
 // awaitVoter waits until the leader counts the identity that host has now.
 func (n *network) awaitVoter(t *testing.T, host table.HostID) {
 	t.Helper()
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -133,15 +133,19 @@
 	return nil
 }
 
-// propose appends a command to the log; done is called once by giveAnswers,
-// with the answer or the reason why there is none.
-func (r *replica) propose(data []byte, done func(Result, error)) {
-	index, term, err := r.node.Propose(data)
+// propose appends p to the log; done is called once by giveAnswers, with the
+// answer or the reason why there is none.
+func (r *replica) propose(p proposal) {
+	if p.remove != "" {
+		r.remove(p)
+		return
+	}
+	index, term, err := r.node.Propose(p.data)
 	if err != nil {
-		r.answer(done, Result{}, r.notLeader())
+		r.answer(p.done, Result{}, r.notLeader())
 		return
 	}
-	r.waiting[index] = waiter{term: term, done: done}
+	r.waiting[index] = waiter{term: term, done: p.done}
 }
 
 func (r *replica) notLeader() error {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -144,9 +144,11 @@
 	origin time.Duration
 }
 
+// proposal is a command, or the wish to remove a member.
 type proposal struct {
-	data []byte
-	done func(Result, error)
+	data   []byte
+	remove table.HostID
+	done   func(Result, error)
 }
 
 // status is what readers see; it is replaced as a whole.
@@ -168,7 +170,7 @@
 		return nil, err
 	}
 	cfg = cfg.withDefaults()
-	cfg.Voters = slices.Sorted(slices.Values(cfg.Voters))
+	cfg.Voters = slices.Compact(slices.Sorted(slices.Values(cfg.Voters)))
 	r, err := openReplica(cfg)
 	if err != nil {
 		return nil, err
@@ -211,12 +213,12 @@
 		var first func() error
 		select {
 		case <-ctx.Done():
-			return nil
+			return s.handOver()
 		case <-ticker.C:
 		case in := <-s.inbox:
 			first = func() error { return s.take(in) }
 		case p := <-s.proposals:
-			first = func() error { s.replica.propose(p.data, p.done); return nil }
+			first = func() error { s.replica.propose(p); return nil }
 		}
 		if err := s.round(first); err != nil {
 			s.replica.log.WithError(err).Error("the control host stops")
@@ -279,7 +281,7 @@
 				return err
 			}
 		case p := <-s.proposals:
-			s.replica.propose(p.data, p.done)
+			s.replica.propose(p)
 		default:
 			return nil
 		}
@@ -287,6 +289,13 @@
 	return nil
 }
 
+// handOver ends the lease for readers first, then asks another host to lead.
+func (s *Server) handOver() error {
+	s.replica.node.Handover()
+	s.publish()
+	return s.replica.flush()
+}
+
 func (s *Server) publish() {
 	old := s.status.Load()
 	r := s.replica
@@ -351,12 +360,24 @@
 	if len(data) > consensus.MaxProposalBytes {
 		return Result{}, errkind.New(errkind.TooLarge, "%d bytes, at most %d", len(data), consensus.MaxProposalBytes)
 	}
+	return s.submit(ctx, proposal{data: data})
+}
+
+// RemoveMember takes a host out of the membership for good and returns once a
+// majority of the others holds that durably. A host that is no member is no
+// error. The errors are those of Propose; the leader cannot remove itself.
+func (s *Server) RemoveMember(ctx context.Context, host table.HostID) error {
+	_, err := s.submit(ctx, proposal{remove: host})
+	return err
+}
+
+func (s *Server) submit(ctx context.Context, p proposal) (Result, error) {
 	type answer struct {
 		result Result
 		err    error
 	}
 	answers := make(chan answer, 1)
-	p := proposal{data: data, done: func(r Result, err error) { answers <- answer{r, err} }}
+	p.done = func(r Result, err error) { answers <- answer{r, err} }
 	select {
 	case s.proposals <- p:
 	case <-ctx.Done():
--- a/internal/control/server_test.go
+++ b/internal/control/server_test.go
@@ -113,13 +113,22 @@
 	}
 }
 
-// stop ends a server and crashes its folder; nothing unsynced survives.
+// stop crashes a server: it sends nothing more and nothing unsynced survives.
 func (n *network) stop(t *testing.T, host table.HostID) {
+	t.Helper()
+	n.end(t, host, false)
+}
+
+// end stops a server, with a handover of the leadership if it is graceful.
+func (n *network) end(t *testing.T, host table.HostID, graceful bool) {
 	t.Helper()
 	n.mu.Lock()
 	cancel, done := n.cancel[host], n.done[host]
 	n.servers[host] = nil
+	wasCut := n.cut[host]
+	n.cut[host] = !graceful
 	n.mu.Unlock()
+	defer n.isolate(host, wasCut)
 	cancel()
 	if err := <-done; !errors.Is(err, waltest.ErrPowerLoss) {
 		assert.NilError(t, err)
