Forget an instance that left, once the others hold what the primary holds

An instance that is gone for good counted in the size of its group, so a group whose instances had been replaced needed one position more than it could read. It is now forgotten when it said that it is leaving, has been silent and out of reach for 10 s, and every other instance was read at or beyond the position of the primary after that.

Ruled out: forgetting any silent instance. One that comes back could confirm a write before the leader hears of it; one that is leaving confirms none.

Shown failing first (TestDeparture): others not read: "left, another lags: the candidate to be promoted"; any silent instance: "silent without leaving"; not forgotten: "left: the positions of enough instances".

--- a/internal/system/failover/group.go
+++ b/internal/system/failover/group.go
@@ -25,7 +25,8 @@
 	readAt    time.Duration // the latest probe that succeeded began after this moment
 	readMark  table.Mark    // what it returned
 
-	fencedTerm table.Term // it answered a fence of this term
+	reachedAt  time.Duration // a report said reachable at this moment
+	fencedTerm table.Term    // it answered a fence of this term
 	fenceAt    time.Duration
 	fenceSent  bool
 	failedIn   table.Term // its promotion in this term was given up
@@ -115,7 +116,8 @@
 	primaryProposed table.Term
 	minTerm         table.Term // the next term is at least this
 
-	planned *switchOver
+	planned   *switchOver
+	departure *departure
 
 	wait      WaitReason
 	waitSince time.Duration
@@ -245,6 +247,7 @@
 	g.clearChange()
 	g.stable = false
 	g.planned = nil
+	g.departure = nil
 	g.termSeen = 0
 	g.proposal = proposal{}
 	for _, m := range g.members {
--- a/internal/system/failover/system.go
+++ b/internal/system/failover/system.go
@@ -30,6 +30,8 @@
 	owned      map[table.HostID]map[table.InstanceID]bool
 	hosts      []table.HostID // sorted
 	active     []*group
+	all        []*group
+	reviewAt   int
 	orders     map[table.HostID][]Order
 	told       map[toldKey]time.Duration
 	actions    []Action
@@ -145,7 +147,7 @@
 // caller drops a heartbeat that was sent before one it has already taken.
 func (s *System) Reported(now time.Duration, host table.HostID, reports []Report) {
 	for _, r := range reports {
-		g := s.byInstance[r.Instance]
+		g := s.reportedGroup(r)
 		if g == nil {
 			continue
 		}
@@ -163,6 +165,17 @@
 	}
 }
 
+// reportedGroup returns the group of the instance that is reported on. An owner
+// knows the group also where the leader has no announcement.
+func (s *System) reportedGroup(r Report) *group {
+	g := s.byInstance[r.Instance]
+	if o, ok := s.unplaced[r.Instance]; g == nil && ok && s.groups[r.Group] != nil {
+		s.SetOwner(r.Group, o)
+		g = s.byInstance[r.Instance]
+	}
+	return g
+}
+
 // AddHost names a host that may be asked to probe a primary. A host whose
 // heartbeats are missing is not asked.
 func (s *System) AddHost(host table.HostID) {
@@ -223,6 +236,7 @@
 	}
 	s.actions = nil
 	clear(s.orders)
+	s.reviewOne()
 	kept := s.active[:0]
 	for _, g := range s.active {
 		if s.visit(now, g) {
@@ -266,7 +280,7 @@
 		g.wait, g.waitSince = reason, now
 		s.act(Wait{Group: g.name(), Reason: reason})
 	}
-	return reason != WaitNothing || fencing || g.suspected || g.planned != nil
+	return reason != WaitNothing || fencing || g.suspected || g.planned != nil || g.departure != nil
 }
 
 func (s *System) decide(now time.Duration, g *group) WaitReason {
@@ -290,6 +304,7 @@
 		m.downSince = now - r.UnreachableFor
 		return
 	}
+	m.reachedAt = now
 	if r.After.Leadership == s.leadership && (!m.read || r.After.At >= m.readAt) {
 		m.read = true
 		m.readAt = r.After.At
@@ -309,6 +324,7 @@
 	if g == nil {
 		g = newGroup(name)
 		s.groups[name] = g
+		s.all = append(s.all, g)
 	}
 	return g
 }
--- a/internal/system/failover/system_test.go
+++ b/internal/system/failover/system_test.go
@@ -193,6 +193,48 @@
 	}
 }
 
+// TestDeparture has a fourth instance of a group of three go away, and then the
+// primary die. Two positions are enough once the fourth counts no more.
+func TestDeparture(t *testing.T) {
+	for _, r := range []struct {
+		name    string
+		leaving bool
+		seenAt  time.Duration // latest announcement of the fourth
+		others  table.Position
+		want    failover.WaitReason
+	}{
+		{"left", true, time.Second, 9, failover.WaitPromotion},
+		{"left a moment ago", true, 15 * time.Second, 9, failover.WaitPositions},
+		{"silent without leaving", false, time.Second, 9, failover.WaitPositions},
+		{"left, another lags", true, time.Second, 8, failover.WaitPositions},
+	} {
+		t.Run(r.name, func(t *testing.T) {
+			s := promoting()
+			s.SetOwner(groupName, table.Ownership{Instance: "i3", Host: "3", Epoch: 1})
+			s.Announced(table.Instance{ID: "i3", Group: groupName, Leaving: r.leaving, SeenAt: r.seenAt})
+			s.SetGroup(table.Group{Name: groupName, Term: 2, Primary: "i0", Candidate: "i0"})
+			for at := 2 * time.Second; at < 20*time.Second; at += 100 * ms {
+				served := report("i0", s.Stamp(at), 9, 2)
+				served.Role = table.RolePrimary
+				s.Reported(at, "0", []failover.Report{served})
+				s.Reported(at, "1", []failover.Report{report("i1", s.Stamp(at), r.others, 2)})
+				s.Reported(at, "2", []failover.Report{report("i2", s.Stamp(at), 9, 2)})
+				s.Step(at)
+			}
+			s.SetGroup(table.Group{Name: groupName, Term: 3, Phase: table.PhasePromoting, Primary: "i0", Candidate: "i2"})
+			gone := report("i0", failover.Stamp{}, 9, 3)
+			gone.Reachable = false
+			s.Reported(20*time.Second, "0", []failover.Report{gone})
+			s.Step(20 * time.Second)
+			s.Reported(20*time.Second, "1", []failover.Report{report("i1", s.Stamp(20*time.Second), r.others, 3)})
+			s.Reported(20*time.Second, "2", []failover.Report{report("i2", s.Stamp(20*time.Second), 9, 3)})
+			s.Step(21 * time.Second)
+			reason, _ := s.Waiting(groupName)
+			assert.Equal(t, reason, r.want)
+		})
+	}
+}
+
 // TestLaterReadsLowerTheFloor has the read of the old primary arrive late.
 func TestLaterReadsLowerTheFloor(t *testing.T) {
 	s := promoting()
--- a/internal/system/failover/watch.go
+++ b/internal/system/failover/watch.go
@@ -39,6 +39,7 @@
 		// The owner reaches the instance and it no longer serves as primary.
 		return s.begin(now, g, p)
 	}
+	s.dismiss(now, g, p)
 	return s.plan(now, g, p)
 }
 
