--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -119,8 +119,9 @@
 
 func TestReadYourWritesAcrossHosts(t *testing.T) {
 	t.Parallel()
-	c := start(t, 4, 300*time.Millisecond)
+	c := start(t, 4, 5*time.Millisecond)
 	ctx := t.Context()
+	c.group[2].SetLag(800 * time.Millisecond) // the other replica confirms writes
 	warm := c.connect(c.hosts[0])
 	for range 40 { // the replicas are read, so they can prove their age
 		count(t, warm, "report")
--- a/internal/owner/slots.go
+++ b/internal/owner/slots.go
@@ -17,6 +17,10 @@
 // instance.
 const maxQueued = 1000
 
+// idlePercent is the share of an instance's slots that may stay idle so that
+// urgent work finds one free.
+const idlePercent = 8
+
 // Declaration is what the documents in force say about the work of a group.
 type Declaration struct {
 	Floors  [config.RankCount]int // percent
@@ -40,6 +44,8 @@
 		Floors:    work.Floors,
 		Classes:   work.Classes,
 		MaxQueued: maxQueued,
+
+		IdlePercent: idlePercent,
 	})
 	if err != nil {
 		return nil, err
