Bring a listed host back that was removed or lost its place

A host that became a learner under a leader whose change was replaced holds entries and so was no blank host any more: nothing would have brought it in again. A listed host that is no member now joins whether blank or not; only a blank one displaces another identity of its host. A member that hears no leader for long asks too, since a leader stops sending to what it removes.

Failing first: only blank hosts join, and silent members never ask (h1 is no voter); an old disk displaces its successor (successor is no voter); a removed host is brought back by an old request (3 members, want 2).

--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -148,6 +148,14 @@
 // Now returns how many ticks the node has counted.
 func (n *Node) Now() uint64 { return n.tick }
 
+// Silence returns for how many ticks the node has heard no leader.
+func (n *Node) Silence() uint64 {
+	if n.role == RoleLeader {
+		return 0
+	}
+	return n.tick - n.contact
+}
+
 // CaughtUp reports whether the node, since its start, has committed an entry
 // of the term of a leader, and all that it may have applied before its start.
 func (n *Node) CaughtUp() bool { return n.caughtUp }
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -18,6 +18,13 @@
 
 func (r *replica) blank() bool { return r.node.LastIndex() == 0 }
 
+// asksAgain reports whether a member asks to be one, once for each election
+// timeout: after a long silence it may have been removed without being told.
+func (r *replica) asksAgain() bool {
+	election := uint64(r.cfg.ElectionTicks)
+	return r.node.Silence() >= stampTimeouts*election && r.node.Now()%election < uint64(r.cfg.HeartbeatTicks)
+}
+
 func (r *replica) sendHello(to table.HostID, ask bool) {
 	r.cfg.Transport.Send(to, encodeHello(hello{
 		From: r.id, To: to, Ask: ask, Blank: r.blank(),
@@ -42,7 +49,9 @@
 	if h.Ask {
 		r.sendHello(h.From.Host, false)
 	}
-	if h.Ask && h.Blank && r.freshEcho(h.Echo) {
+	now, member := r.node.Members().Host(h.From.Host)
+	joins := !member || h.Blank && now != h.From
+	if h.Ask && joins && r.freshEcho(h.Echo) {
 		r.joining[h.From.Host] = joiner{id: h.From, tick: r.node.Now()}
 	}
 	return nil
@@ -90,9 +99,10 @@
 	return nil
 }
 
-// arrangeMembers brings in hosts that came back without their disk: the old
-// identity goes, the new one becomes a learner and, once it has caught up, a
-// voter. One step is proposed at a time.
+// arrangeMembers brings in listed hosts that are no members, and those that
+// came back without their disk: the old identity goes, the new one becomes a
+// learner and, once it has caught up, a voter. Only a blank host displaces
+// another identity. One step is proposed at a time.
 func (r *replica) arrangeMembers() {
 	for _, id := range r.node.Members().Learners {
 		if r.change(consensus.PromoteLearner, id) {
@@ -119,6 +129,7 @@
 }
 
 func (r *replica) remove(p proposal) {
+	delete(r.joining, p.remove)
 	id, member := r.node.Members().Host(p.remove)
 	if !member && r.node.Role() == consensus.RoleLeader {
 		r.answer(p.done, Result{}, nil)
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -111,7 +111,7 @@
 		r.arrangeMembers()
 		return nil
 	}
-	if r.node.Members().Contains(r.id) {
+	if r.node.Members().Contains(r.id) && !r.asksAgain() {
 		return nil
 	}
 	for _, host := range r.cfg.Voters {
