Print the figures of the control systems as JSON lines with bounds

go test -run xxx -bench . -benchtime 200ms on lease, ownership, failover and membership prints {name, value, unit, bound, pass}; a figure above its bound fails the benchmark.

--- a/internal/system/failover/bench_test.go
+++ b/internal/system/failover/bench_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
-	"runtime"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/amaranthweir/amaranthweir/internal/system/failover"
+	"github.com/amaranthweir/amaranthweir/internal/system/figuretest"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
@@ -70,6 +72,7 @@
 	for b.Loop() {
 		s.Step(3 * time.Second)
 	}
+	figuretest.PerLoop(b, "failover_idle_step_8800_groups", 5000)
 }
 
 func BenchmarkReport(b *testing.B) {
@@ -79,6 +82,7 @@
 		s.Reported(3*time.Second, ownerOf(7, 1), reports)
 		s.Step(3 * time.Second)
 	}
+	figuretest.PerLoop(b, "failover_report_8800_groups", 10000)
 }
 
 func BenchmarkAnnouncement(b *testing.B) {
@@ -87,6 +91,7 @@
 	for b.Loop() {
 		s.Announced(i)
 	}
+	figuretest.PerLoop(b, "failover_announcement_8800_groups", 2000)
 }
 
 func BenchmarkNewLeader(b *testing.B) {
@@ -95,17 +100,29 @@
 		s.Lead(3*time.Second, 2)
 		s.Step(3 * time.Second)
 	}
+	figuretest.PerLoop(b, "failover_new_leader_8800_groups", 300000000)
 }
 
 func BenchmarkMemory(b *testing.B) {
-	var before, after runtime.MemStats
-	for b.Loop() {
-		runtime.GC()
-		runtime.ReadMemStats(&before)
-		s := largeSystem()
-		runtime.GC()
-		runtime.ReadMemStats(&after)
-		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), "MiB")
-		runtime.KeepAlive(s)
+	figuretest.Heap(b, "failover_memory_8800_groups", 64, largeSystem)
+}
+
+// BenchmarkGap is the time without an acknowledged write, in virtual time, by
+// scenario: the 99th percentile over 100 seeds.
+func BenchmarkGap(b *testing.B) {
+	const seeds = 100
+	for _, s := range scenarios {
+		b.Run(s.name, func(b *testing.B) {
+			var gaps []time.Duration
+			for b.Loop() {
+				gaps = nil
+				for seed := range uint64(seeds) {
+					gaps = append(gaps, s.run(b, seed))
+				}
+			}
+			slices.Sort(gaps)
+			name := "failover_model_gap_" + strings.ReplaceAll(strings.ReplaceAll(s.name, ",", ""), " ", "_")
+			figuretest.Report(b, name, float64(gaps[seeds-2].Milliseconds()), "ms", float64(s.bound.Milliseconds()))
+		})
 	}
 }
--- a/internal/system/failover/scenario_test.go
+++ b/internal/system/failover/scenario_test.go
@@ -118,13 +118,13 @@
 }
 
 // settled returns a world in good order some time after its start.
-func settled(t *testing.T, seed uint64, domains, leaderAt int, lag time.Duration) *world {
-	w := newWorld(t, seed, domains, lag)
+func settled(tb testing.TB, seed uint64, domains, leaderAt int, lag time.Duration) *world {
+	w := newWorld(tb, seed, domains, lag)
 	w.run(2 * time.Second)
 	w.elect(w.hosts[leaderAt])
 	w.run(2*time.Second + time.Duration(seed*37%500)*ms)
-	assert.Equal(t, w.log.group.Primary, table.InstanceID("i0"))
-	assert.Equal(t, w.owner(w.insts[0]), w.hosts[0])
+	assert.Equal(tb, w.log.group.Primary, table.InstanceID("i0"))
+	assert.Equal(tb, w.owner(w.insts[0]), w.hosts[0])
 	return w
 }
 
@@ -140,27 +140,32 @@
 	return longest
 }
 
+// run plays the scenario and returns the time without an acknowledged write.
+func (s scenario) run(tb testing.TB, seed uint64) time.Duration {
+	w := settled(tb, seed, s.domains, s.leaderAt, 10*ms)
+	from := w.now
+	s.fault(w)
+	w.run(2 * time.Second)
+	if s.later != nil {
+		s.later(w)
+	}
+	w.run(4 * time.Second)
+	gap := w.gap(from)
+	if changed := w.log.group.Term > 1; gap > s.bound || changed != s.promoted {
+		tb.Fatalf("seed %d: gap %v above %v or primary changed %t, waited for %v, %+v",
+			seed, gap, s.bound, changed, w.waits, w.log.group)
+	}
+	w.checkEnd()
+	return gap
+}
+
 func TestScenarios(t *testing.T) {
 	runs := *runsPerRow
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
 			var gaps []time.Duration
 			for seed := range uint64(runs) {
-				w := settled(t, seed, s.domains, s.leaderAt, 10*ms)
-				from := w.now
-				s.fault(w)
-				w.run(2 * time.Second)
-				if s.later != nil {
-					s.later(w)
-				}
-				w.run(4 * time.Second)
-				gap := w.gap(from)
-				gaps = append(gaps, gap)
-				if changed := w.log.group.Term > 1; gap > s.bound || changed != s.promoted {
-					t.Fatalf("seed %d: gap %v above %v or primary changed %t, waited for %v, %+v",
-						seed, gap, s.bound, changed, w.waits, w.log.group)
-				}
-				w.checkEnd()
+				gaps = append(gaps, s.run(t, seed))
 			}
 			slices.Sort(gaps)
 			t.Logf("gap median %v, longest %v, bound %v", gaps[runs/2], gaps[runs-1], s.bound)
--- a/internal/system/failover/world_test.go
+++ b/internal/system/failover/world_test.go
@@ -129,7 +129,7 @@
 }
 
 type world struct {
-	t        *testing.T
+	t        testing.TB
 	rng      *rand.Rand
 	now      time.Duration
 	hosts    []*host
@@ -150,7 +150,7 @@
 	straggle bool
 }
 
-func newWorld(t *testing.T, seed uint64, domains int, lag time.Duration) *world {
+func newWorld(t testing.TB, seed uint64, domains int, lag time.Duration) *world {
 	w := &world{
 		t: t, rng: rand.New(rand.NewPCG(seed, 7)), due: map[time.Duration][]func(){},
 		cut: map[[2]string]bool{}, lag: lag, promoted: map[table.Term]table.InstanceID{},
--- a/internal/system/lease/bench_test.go
+++ b/internal/system/lease/bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/amaranthweir/amaranthweir/internal/system/figuretest"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
@@ -23,6 +24,7 @@
 		n++
 		g.Grant(time.Duration(n), hosts[n%largeHosts], Beat{1, n})
 	}
+	figuretest.PerLoop(b, "lease_grant_4700_hosts", 1000)
 }
 
 func BenchmarkSweep(b *testing.B) {
@@ -34,4 +36,5 @@
 	for b.Loop() {
 		g.Sweep(1)
 	}
+	figuretest.PerLoop(b, "lease_sweep_4700_hosts", 2000)
 }
--- a/internal/system/membership/membership_test.go
+++ b/internal/system/membership/membership_test.go
@@ -3,13 +3,13 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"runtime"
 	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/amaranthweir/amaranthweir/internal/system/figuretest"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
@@ -22,7 +22,7 @@
 
 // network carries the messages of a number of nodes in virtual time.
 type network struct {
-	t       *testing.T
+	t       testing.TB
 	now     time.Duration
 	rng     *rand.Rand
 	nodes   []*Node
@@ -36,7 +36,7 @@
 	events  map[table.HostState]int
 }
 
-func newNetwork(t *testing.T, seed uint64, n, domains int) *network {
+func newNetwork(t testing.TB, seed uint64, n, domains int) *network {
 	t.Logf("seed %d", seed)
 	w := &network{
 		t: t, rng: rand.New(rand.NewPCG(seed, 5)), byAddr: map[string]int{}, down: map[int]bool{},
@@ -217,19 +217,24 @@
 	return true
 }
 
+// calmBytes returns the bytes per host and second while nothing happens.
+func calmBytes(tb testing.TB, n int) int {
+	w := newNetwork(tb, 7, n, 5)
+	w.run(2 * time.Minute) // the news of the start dies down
+	clear(w.bytes)
+	w.run(30 * time.Second)
+	total := 0
+	for _, b := range w.bytes {
+		total += b
+	}
+	return total / n / 30
+}
+
 // TestCostDoesNotGrow compares bytes per host and second.
 func TestCostDoesNotGrow(t *testing.T) {
 	per := map[int]int{}
 	for _, n := range []int{50, 100, 200, 400} {
-		w := newNetwork(t, 7, n, 5)
-		w.run(2 * time.Minute) // the news of the start dies down
-		clear(w.bytes)
-		w.run(30 * time.Second)
-		total := 0
-		for _, b := range w.bytes {
-			total += b
-		}
-		per[n] = total / n / 30
+		per[n] = calmBytes(t, n)
 		t.Logf("%d hosts, calm: %d bytes per host and second", n, per[n])
 	}
 	assert.Assert(t, 100*per[400] <= 110*per[50], "%d at 400 hosts, %d at 50", per[400], per[50])
@@ -299,18 +304,24 @@
 		n.Step(now, Message{Kind: Ping, Sender: n.members[7].Update})
 		n.Events()
 	}
+	figuretest.PerLoop(b, "membership_second_4700_hosts", 50000)
 }
 
 func BenchmarkMemory(b *testing.B) {
-	var before, after runtime.MemStats
-	for b.Loop() {
-		runtime.GC()
-		runtime.ReadMemStats(&before)
-		n := largeNode()
-		runtime.GC()
-		runtime.ReadMemStats(&after)
-		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), "MiB")
-		runtime.KeepAlive(n)
+	figuretest.Heap(b, "membership_memory_4700_hosts", 8, largeNode)
+}
+
+// BenchmarkBytes is what a host sends and receives a second in calm, against
+// the number of hosts.
+func BenchmarkBytes(b *testing.B) {
+	for _, n := range []int{50, 100, 200, 400} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			bytes := 0
+			for b.Loop() {
+				bytes = calmBytes(b, n)
+			}
+			figuretest.Report(b, fmt.Sprintf("membership_bytes_%d_hosts", n), float64(bytes), "B/s", 9000)
+		})
 	}
 }
 
--- a/internal/system/ownership/bench_test.go
+++ b/internal/system/ownership/bench_test.go
@@ -1,13 +1,13 @@
 package ownership
 
 import (
-	"runtime"
 	"testing"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 
+	"github.com/amaranthweir/amaranthweir/internal/system/figuretest"
 	"github.com/amaranthweir/amaranthweir/internal/system/lease"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
@@ -71,6 +71,7 @@
 	for b.Loop() {
 		f.Step(f.now)
 	}
+	figuretest.PerLoop(b, "ownership_idle_step_4700_hosts", 5000)
 }
 
 func BenchmarkHeartbeat(b *testing.B) {
@@ -79,6 +80,7 @@
 	for b.Loop() {
 		f.HostSeen(f.now, t)
 	}
+	figuretest.PerLoop(b, "ownership_heartbeat_4700_hosts", 1000)
 }
 
 func BenchmarkAnnouncement(b *testing.B) {
@@ -87,6 +89,7 @@
 	for b.Loop() {
 		f.Announced(t)
 	}
+	figuretest.PerLoop(b, "ownership_announcement_4700_hosts", 1000)
 }
 
 // BenchmarkHostLost is the loss of one host until its instances have moved,
@@ -101,20 +104,15 @@
 		f.beat(2, n)
 	}
 	b.ReportMetric(float64(f.moves)/float64(b.N), "moves/op")
+	figuretest.PerLoop(b, "ownership_host_lost_and_back_4700_hosts", 200000)
 }
 
 func BenchmarkMemory(b *testing.B) {
-	var before, after runtime.MemStats
-	for b.Loop() {
-		runtime.GC()
-		runtime.ReadMemStats(&before)
+	figuretest.Heap(b, "ownership_memory_4700_hosts", 32, func() *fixture {
 		f := largeFixture()
 		f.owners = nil
-		runtime.GC()
-		runtime.ReadMemStats(&after)
-		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), "MiB")
-		runtime.KeepAlive(f)
-	}
+		return f
+	})
 }
 
 // BenchmarkChoice compares the choice among a few hosts with rendezvous hashing
