Add amaranthweir bench: load with a ledger and verdicts

A team should be able to try its own service: under its own document, with floods, and with an answer to "did the promises hold". Arrivals are open-loop Poisson, for closed-loop callers stop asking while the system stalls, and the stall then vanishes from the percentiles. Answer times count from the intended arrival.

Weighed: reading the rows back from the primaries themselves. It trusts the system less, but a team's tool knows no primary and may not reach one; the demo goes on doing that. Weighed: heartbeats in a repeatable class. A repeat that arrives late could set the counter back without a broken promise, so a class that is not repeatable is preferred, and a heartbeat in doubt begins a new row.

--- /dev/null
+++ b/internal/bench/arrivals.go
@@ -0,0 +1,98 @@
+package bench
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Flood multiplies the arrivals of a class for a while.
+type Flood struct {
+	Class  string        `json:"class"`
+	Factor float64       `json:"factor"`
+	From   time.Duration `json:"from"`
+	To     time.Duration `json:"to"`
+}
+
+// ParseFlood reads class=FACTOR@FROM-TO, such as stock-report=10@5s-15s.
+func ParseFlood(text string) (Flood, error) {
+	wrong := fmt.Errorf("flood %q: expected class=FACTOR@FROM-TO, such as stock-report=10@5s-15s", text)
+	class, rest, ok := strings.Cut(text, "=")
+	factor, window, ok2 := strings.Cut(rest, "@")
+	from, to, ok3 := strings.Cut(window, "-")
+	if !ok || !ok2 || !ok3 {
+		return Flood{}, wrong
+	}
+	f := Flood{Class: class}
+	var errs [3]error
+	f.Factor, errs[0] = strconv.ParseFloat(factor, 64)
+	f.From, errs[1] = time.ParseDuration(from)
+	f.To, errs[2] = time.ParseDuration(to)
+	for _, err := range errs {
+		if err != nil {
+			return Flood{}, wrong
+		}
+	}
+	if f.Factor <= 0 || f.From < 0 || f.To <= f.From {
+		return Flood{}, wrong
+	}
+	return f, nil
+}
+
+// arrivals draws the times of a Poisson process whose rate changes with the
+// floods of its class.
+type arrivals struct {
+	random *rand.Rand
+	rate   float64 // per second, without a flood
+	floods []Flood
+	at     time.Duration
+}
+
+func newArrivals(rate float64, class string, floods []Flood, seed, stream uint64) *arrivals {
+	a := &arrivals{random: rand.New(rand.NewPCG(seed, stream)), rate: rate}
+	for _, f := range floods {
+		if f.Class == class {
+			a.floods = append(a.floods, f)
+		}
+	}
+	return a
+}
+
+// next returns the time of the next arrival. It spends an exponential amount
+// of expected arrivals over the pieces of constant rate.
+func (a *arrivals) next() time.Duration {
+	left := a.random.ExpFloat64()
+	for {
+		rate, until := a.rateAt(a.at)
+		need := time.Duration(left / rate * float64(time.Second))
+		if until < 0 || a.at+need < until {
+			a.at += need
+			return a.at
+		}
+		left -= rate * (until - a.at).Seconds()
+		a.at = until
+	}
+}
+
+// rateAt returns the rate at t and when it changes next, or -1 for never.
+func (a *arrivals) rateAt(t time.Duration) (rate float64, until time.Duration) {
+	rate, until = a.rate, -1
+	for _, f := range a.floods {
+		change := f.From
+		if t >= f.From {
+			change = f.To
+		}
+		if t >= f.To {
+			continue
+		}
+		if t >= f.From {
+			rate *= f.Factor
+		}
+		if until < 0 || change < until {
+			until = change
+		}
+	}
+	return rate, until
+}
--- a/internal/bench/ledger/ledger.go
+++ b/internal/bench/ledger/ledger.go
@@ -120,6 +120,7 @@
 	records  []Record
 	refusals map[string]int
 	repeats  Repeats
+	counts   Counts
 }
 
 // Repeats counts the writes that were sent again under their request id.
@@ -138,6 +139,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.records = append(l.records, r)
+	l.counts.add(r.Outcome)
 }
 
 // Refused counts a refusal that belongs to no request, such as a connection
@@ -181,3 +183,24 @@
 	}
 	return writes
 }
+
+// Counts are the requests so far by what their callers know.
+type Counts struct{ OK, NotRun, Unknown int }
+
+// Count counts the requests so far.
+func (l *Ledger) Count() Counts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.counts
+}
+
+func (c *Counts) add(o Outcome) {
+	switch {
+	case o.OK():
+		c.OK++
+	case o.NotRun():
+		c.NotRun++
+	default:
+		c.Unknown++
+	}
+}
--- a/internal/bench/ledger/verdict.go
+++ b/internal/bench/ledger/verdict.go
@@ -92,9 +92,11 @@
 	return j.verdict("each acknowledged write is there exactly once")
 }
 
-// NotRunTrue checks that no write that was said not to have run is there.
+// NotRunTrue checks that no write that was said not to have run is there, and
+// that no read shows the counter of such a heartbeat.
 func (h *History) NotRunTrue() Verdict {
 	var j judge
+	h.notRunHeartbeats(&j)
 	for _, r := range h.Records {
 		if r.Op != OpWrite || !r.Outcome.NotRun() {
 			continue
@@ -107,6 +109,28 @@
 	return j.verdict("nothing said to be \"not run\" is there")
 }
 
+func (h *History) notRunHeartbeats(j *judge) {
+	type beat struct {
+		row     Row
+		counter int64
+	}
+	refused := map[beat]Record{}
+	for _, r := range h.Records {
+		if r.Op == OpHeartbeat && r.Outcome.NotRun() {
+			refused[beat{r.Row, r.Counter}] = r
+			j.v.Checked++
+		}
+	}
+	for _, r := range h.Records {
+		if r.Op != OpHeartbeatRead || !r.Outcome.OK() {
+			continue
+		}
+		if w, ok := refused[beat{r.Row, r.Counter}]; ok {
+			j.fail("heartbeat refused at %v as not run (%s): a read at %v shows %d", w.End, w.Outcome.Kind, r.Begin, r.Counter)
+		}
+	}
+}
+
 // ReadYourWrites checks that each read shows the row that it looked for, if
 // its own session had the write of that row acknowledged before.
 func (h *History) ReadYourWrites() Verdict {
--- a/internal/bench/ledger/verdict_test.go
+++ b/internal/bench/ledger/verdict_test.go
@@ -58,6 +58,8 @@
 		{"refused and not there", (*History).NotRunTrue, []Record{wrote(refused)}, 0, Kept},
 		{"refused and there", (*History).NotRunTrue, []Record{wrote(refused)}, 1, Broken},
 		{"in doubt and there", (*History).NotRunTrue, []Record{wrote(inDoubt)}, 1, NotChecked},
+		{"refused heartbeat not shown", (*History).NotRunTrue, []Record{heartbeat(refused, 2, 1), shows(1, 2, 0)}, 0, Kept},
+		{"refused heartbeat shown", (*History).NotRunTrue, []Record{heartbeat(refused, 2, 1), shows(2, 2, 0)}, 0, Broken},
 		{"own write seen", (*History).ReadYourWrites, []Record{wrote(Acknowledged), read(100*ms, true)}, 1, Kept},
 		{"own write missed", (*History).ReadYourWrites, []Record{wrote(Acknowledged), read(100*ms, false)}, 1, Broken},
 		{"read before the acknowledgement", (*History).ReadYourWrites, []Record{wrote(Acknowledged), read(99*ms, false)}, 1, NotChecked},
@@ -163,6 +165,7 @@
 	l.Repeated(inDoubt, Acknowledged)
 	l.Repeated(Acknowledged, Acknowledged)
 	assert.Equal(t, len(l.Writes()), 1)
+	assert.Equal(t, l.Count(), Counts{OK: 1, NotRun: 1})
 	l.Add(wrote(inDoubt))
 	h := l.History(map[Row]int{row: 1})
 	assert.DeepEqual(t, h.Repeats, Repeats{Sent: 2, Settled: 1, AfterAck: 1})
--- /dev/null
+++ b/internal/bench/plot.go
@@ -0,0 +1,147 @@
+package bench
+
+import (
+	"fmt"
+	"image/color"
+	"math"
+	"slices"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	_ "gonum.org/v1/plot/vg/vgimg" // draws PNG
+
+	"github.com/amaranthweir/amaranthweir/internal/bench/ledger"
+	"github.com/amaranthweir/amaranthweir/internal/config"
+)
+
+const (
+	plotWidth  = 24 * vg.Centimeter
+	plotHeight = 13 * vg.Centimeter
+	// plotSteps is how many pieces of time the chart has.
+	plotSteps = 40
+	// plotFloor is the shortest answer time that the chart tells apart, in
+	// milliseconds.
+	plotFloor = 0.01
+)
+
+// The colours tell ranks apart also without colour vision.
+var rankColors = [config.RankCount]color.RGBA{
+	{R: 0xD5, G: 0x5E, B: 0x00, A: 0xFF},
+	{R: 0x00, G: 0x72, B: 0xB2, A: 0xFF},
+	{R: 0x55, G: 0x55, B: 0x55, A: 0xFF},
+}
+
+var floodColor = color.RGBA{R: 0xF6, G: 0xE3, B: 0xA8, A: 0xFF}
+
+// Plot writes a PNG chart of the answer times by rank over time, the median
+// and the 99th percentile, with the floods shaded.
+func (r *Report) Plot(file string) error {
+	p := plot.New()
+	p.Title.Text = fmt.Sprintf("%s: answer time by rank, from the intended arrival", r.Service)
+	p.X.Label.Text = "seconds since the start of the load"
+	p.Y.Label.Text = "answer time in ms"
+	p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
+	p.X.Min, p.X.Max = 0, r.Seconds
+	p.Legend.Top, p.Legend.Left = false, false
+	p.Legend.XOffs, p.Legend.YOffs = -vg.Points(6), vg.Points(6)
+	p.Legend.TextStyle.Font.Size, p.Legend.Padding = vg.Points(9), vg.Points(3)
+
+	lines := r.lines()
+	p.Y.Min, p.Y.Max = span(lines)
+	if err := r.shadeFloods(p); err != nil {
+		return err
+	}
+	grid := plotter.NewGrid()
+	grid.Horizontal.Color, grid.Vertical.Color = color.Gray{Y: 0xDD}, color.Gray{Y: 0xEE}
+	p.Add(grid)
+	for _, l := range lines {
+		p.Add(l.line)
+		p.Legend.Add(l.name, l.line)
+	}
+	return p.Save(plotWidth, plotHeight, file)
+}
+
+// shadeFloods fills the time of each flood.
+func (r *Report) shadeFloods(p *plot.Plot) error {
+	for _, f := range r.Floods {
+		from, to := f.From.Seconds(), min(f.To.Seconds(), r.Seconds)
+		area, err := plotter.NewPolygon(plotter.XYs{{X: from, Y: p.Y.Min}, {X: to, Y: p.Y.Min}, {X: to, Y: p.Y.Max}, {X: from, Y: p.Y.Max}})
+		if err != nil {
+			return err
+		}
+		area.Color, area.LineStyle.Width = floodColor, 0
+		p.Add(area)
+		p.Legend.Add(fmt.Sprintf("flood: %s x%v", f.Class, f.Factor), area)
+	}
+	return nil
+}
+
+// plotLine is one line of the chart and its name.
+type plotLine struct {
+	name string
+	line *plotter.Line
+}
+
+// lines returns the lines of each rank.
+func (r *Report) lines() (lines []plotLine) {
+	const median, p99 = 50, 99
+	for rank := range config.RankCount {
+		for _, q := range []int{p99, median} {
+			points := r.points(rank, q)
+			if len(points) == 0 {
+				continue
+			}
+			line := &plotter.Line{XYs: points, LineStyle: draw.LineStyle{Color: rankColors[rank], Width: vg.Points(1.8)}}
+			name := rank.String() + ", p99"
+			if q == median {
+				line.Width, line.Dashes = vg.Points(1), []vg.Length{vg.Points(4), vg.Points(3)}
+				name = rank.String() + ", median"
+			}
+			lines = append(lines, plotLine{name, line})
+		}
+	}
+	return lines
+}
+
+// span returns the powers of ten that the lines lie between, with room for
+// the legend below.
+func span(lines []plotLine) (low, high float64) {
+	low, high = math.Inf(1), plotFloor
+	for _, l := range lines {
+		for _, p := range l.line.XYs {
+			low, high = min(low, p.Y), max(high, p.Y)
+		}
+	}
+	if math.IsInf(low, 1) {
+		return plotFloor, 1
+	}
+	return math.Pow(10, math.Floor(math.Log10(low))-1), math.Pow(10, math.Ceil(math.Log10(high)))
+}
+
+// points returns a percentile of the answer times of a rank, in milliseconds,
+// for each piece of the time. A piece without an answer has no point.
+func (r *Report) points(rank config.Rank, percent int) plotter.XYs {
+	step := seconds(r.Seconds) / plotSteps
+	var pieces [plotSteps][]time.Duration
+	for _, rec := range r.history.Records {
+		if rec.Op == ledger.OpHeartbeat || rec.Rank != rank || !rec.Outcome.OK() {
+			continue
+		}
+		i := min(int(rec.Intended/step), plotSteps-1)
+		pieces[i] = append(pieces[i], rec.End-rec.Intended)
+	}
+	var points plotter.XYs
+	for i, times := range pieces {
+		if len(times) == 0 {
+			continue
+		}
+		slices.Sort(times)
+		at := times[min(len(times)*percent/100, len(times)-1)]
+		middle := (time.Duration(i)*step + step/2).Seconds()
+		points = append(points, plotter.XY{X: middle, Y: max(at.Seconds()*1000, plotFloor)})
+	}
+	return points
+}
--- /dev/null
+++ b/internal/bench/print.go
@@ -0,0 +1,75 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/amaranthweir/amaranthweir/internal/bench/ledger"
+)
+
+// Print writes the report as tables.
+func (r *Report) Print(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "service %s, version %d, %v, seed %d\n", r.Service, r.Version, seconds(r.Seconds), r.Seed)
+	for _, f := range r.Floods {
+		fmt.Fprintf(w, "flood: %s at %v times its rate from %v to %v\n", f.Class, f.Factor, f.From, f.To)
+	}
+	printRows(w, "CLASS", r.Classes)
+	printRows(w, "RANK", r.Ranks)
+	fmt.Fprintln(w, "\nREFUSED OR FAILED\tCOUNT")
+	for _, c := range r.Refusals {
+		fmt.Fprintf(w, "%s\t%d\n", c.Kind, c.Count)
+	}
+	fmt.Fprintln(w, "\nGROUP\tLONGEST GAP IN ACKNOWLEDGED WRITES")
+	for _, group := range slices.Sorted(maps.Keys(r.GapsMillis)) {
+		fmt.Fprintf(w, "%s\t%v\n", group, time.Duration(r.GapsMillis[group])*time.Millisecond)
+	}
+	fmt.Fprintln(w)
+	r.printReads(w)
+	fmt.Fprintf(w, "writes sent again\t%d, unknown outcomes settled by it %d\n", r.Repeats.Sent, r.Repeats.Settled)
+	fmt.Fprintf(w, "writes whose outcome stayed unknown\t%d there, %d not\n", r.UnknownHere, r.UnknownGone)
+	PrintVerdicts(w, r.Verdicts)
+	return w.Flush()
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func printRows(w io.Writer, head string, rows []Row) {
+	fmt.Fprintf(w, "\n%s\tSENT\tOK\tIN TIME\tNOT RUN\tUNKNOWN\tMEDIAN\tP99\tP99.9\tMAX\n", head)
+	for _, row := range rows {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%v\t%v\t%v\t%v\n", row.Name, row.Sent, row.OK, row.InTime, row.NotRun, row.Unknown,
+			micros(row.MedianMicros), micros(row.P99Micros), micros(row.P999Micros), micros(row.MaxMicros))
+	}
+}
+
+func micros(n int64) time.Duration {
+	return (time.Duration(n) * time.Microsecond).Round(10 * time.Microsecond)
+}
+
+func (r *Report) printReads(w io.Writer) {
+	if len(r.ReadsByRole) == 0 || r.StaleReads == 0 {
+		fmt.Fprintln(w, "reads served by replicas\tnot measured")
+		return
+	}
+	if n := r.ReadsByRole["replica"]; n > r.StaleReads {
+		fmt.Fprintf(w, "reads served by replicas\tnot measured: %d, but %d were sent here; others read too\n", n, r.StaleReads)
+		return
+	}
+	fmt.Fprintf(w, "reads served by replicas\t%.1f %% of those that may be old (%d of %d)\n",
+		100*r.StaleShare, r.ReadsByRole["replica"], r.StaleReads)
+}
+
+// PrintVerdicts writes the verdicts and their evidence as a table.
+func PrintVerdicts(w io.Writer, verdicts []ledger.Verdict) {
+	fmt.Fprintln(w, "\nPROMISE\tVERDICT\tCHECKED\tBROKEN BY")
+	for _, v := range verdicts {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\n", v.Promise, v.Result, v.Checked, v.Failed)
+		for _, e := range v.Evidence {
+			fmt.Fprintf(w, "  %s\n", e)
+		}
+	}
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -40,6 +40,7 @@
 	Status     statusCommand     `cmd:"" help:"Print what a host knows of the system: documents, hosts, groups, instances."`
 	Explain    explainCommand    `cmd:"" help:"Print what a host would do with a request now, and why."`
 	Switchover switchOverCommand `cmd:"" help:"Begin a planned change of the primary of a group."`
+	Bench      benchCommand      `cmd:"" help:"Drive the classes of a service with load and judge the promises by what callers saw."`
 	Version    versionCommand    `cmd:"" help:"Print the version of this build."`
 }
 
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -136,6 +136,12 @@
 		{"explain --host HOST --service shop --output json", nil, ExitOK, `"proven_age_ms": 120`, ""},
 		{"explain --host HOST --service shop", errkind.New(errkind.UnknownClass, ""), ExitFailed, "", "unknown_class"},
 		{"explain --host HOST", nil, ExitUsage, "", "--service"},
+		{"bench --host HOST " + document, nil, ExitUsage, "", "--entry"},
+		{"bench --host HOST --entry " + closed + " " + document, nil, ExitFailed, "", "no group of the document has a primary"},
+		{"bench --host HOST --entry " + closed + " --flood x " + document, nil, ExitFailed, "", "expected class=FACTOR@FROM-TO"},
+		{"bench --host HOST --entry " + closed + " --rate x=1 " + document, nil, ExitFailed, "", "rate x=1"},
+		{"bench --host HOST --entry " + closed + " " + bad, nil, ExitInvalid, "", "version: found 0"},
+		{"bench --host HOST --entry " + closed + " --workload " + noJSON + " " + document, nil, ExitFailed, "", "line 1"},
 	} {
 		t.Run(c.args, func(t *testing.T) {
 			code, out, errOut := run(t, &fakeHost{err: c.err}, nil, strings.Fields(c.args)...)
