Let the demo judge by the shared ledger; move its deployment to a package

The order of a run, the fault and the exit code are as before. The cases of TestVerdict and TestGapCountsWritesSentAfterTheFault stay; the tests of the outcome and of the metrics page moved with what they test.

"own writes" is stricter now: it is judged from the recorded times, and a report after a settlement looks for that settlement too, where it was skipped before.

standin/deploy starts and stops hosts and stand-ins as processes. The runner of the measurements needs the same.

--- a/internal/bench/ledger/ledger.go
+++ b/internal/bench/ledger/ledger.go
@@ -139,7 +139,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.records = append(l.records, r)
-	l.counts.add(r.Outcome)
+	l.counts.Add(r.Outcome)
 }
 
 // Refused counts a refusal that belongs to no request, such as a connection
@@ -194,7 +194,8 @@
 	return l.counts
 }
 
-func (c *Counts) add(o Outcome) {
+// Add counts one request.
+func (c *Counts) Add(o Outcome) {
 	switch {
 	case o.OK():
 		c.OK++
--- a/standin/cmd/demo/demo_test.go
+++ b/standin/cmd/demo/demo_test.go
@@ -1,53 +1,52 @@
 package main
 
 import (
-	"errors"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/jackc/pgx/v5/pgconn"
 	"gotest.tools/v3/assert"
 
+	"github.com/amaranthweir/amaranthweir/internal/bench/ledger"
+	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/standin"
+	"github.com/amaranthweir/amaranthweir/standin/deploy"
 )
 
 var (
-	acknowledged = outcome{}
-	refused      = outcome{"no_primary", notRun}
-	inDoubt      = outcome{"outcome_unknown", unknown}
-	duplicate    = outcome{kindRanTwice, unknown}
+	refused   = ledger.Outcome{Kind: "no_primary", Effect: errkind.NotRun}
+	inDoubt   = ledger.Outcome{Kind: "outcome_unknown", Effect: errkind.Unknown}
+	duplicate = ledger.Outcome{Kind: ledger.KindRanTwice, Effect: errkind.Unknown}
 )
 
 func TestVerdict(t *testing.T) {
-	r := row{"g", tickets, "r"}
-	base := row{"g", tickets, "base"} // an acknowledged write that is there
+	r := ledger.Row{Group: "g", Table: tickets, Key: "r"}
+	base := ledger.Row{Group: "g", Table: tickets, Key: "base"} // an acknowledged write that is there
 	cases := map[string]struct {
-		outcome outcome
-		there   bool
+		outcome ledger.Outcome
+		there   int
 		missed  bool
 		want    string // part of the error, or empty
 	}{
-		"acknowledged and there":      {acknowledged, true, false, ""},
-		"acknowledged and lost":       {acknowledged, false, false, "acknowledged, but lost"},
-		"refused and not there":       {refused, false, false, ""},
-		"refused and there":           {refused, true, false, "said not to have run, but there"},
-		"in doubt and there":          {inDoubt, true, false, ""},
-		"in doubt and not there":      {inDoubt, false, false, ""},
-		"sent once and run twice":     {duplicate, true, false, "run twice"},
-		"not seen by its own session": {acknowledged, true, true, "not seen by its own session"},
+		"acknowledged and there":      {ledger.Acknowledged, 1, false, ""},
+		"acknowledged and lost":       {ledger.Acknowledged, 0, false, "there exactly once: broken"},
+		"refused and not there":       {refused, 0, false, ""},
+		"refused and there":           {refused, 1, false, `"not run" is there: broken`},
+		"in doubt and there":          {inDoubt, 1, false, ""},
+		"in doubt and not there":      {inDoubt, 0, false, ""},
+		"sent once and run twice":     {duplicate, 1, false, "there exactly once: broken"},
+		"not seen by its own session": {ledger.Acknowledged, 1, true, "its own writes: broken"},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			j := newJournal()
-			j.wrote(classTicket, base, acknowledged, time.Time{}, time.Time{})
-			j.wrote(classTicket, r, c.outcome, time.Time{}, time.Time{})
-			if c.missed {
-				j.missedOwnWrite(r)
-			}
-			rep := newReport(j, map[row]bool{base: true, r: c.there}, nil, nil)
-			once := !strings.Contains(c.want, "lost") && !strings.Contains(c.want, "twice")
-			assert.Equal(t, rep.exactlyOnce() == "yes", once)
+			l := ledger.New()
+			l.Add(ledger.Record{Class: classTicket, Row: base, Outcome: ledger.Acknowledged})
+			l.Add(ledger.Record{Class: classTicket, Row: r, Outcome: c.outcome})
+			l.Add(ledger.Record{Op: ledger.OpRead, Class: classLookup, Row: r, Outcome: ledger.Acknowledged, Found: !c.missed})
+			rep := newReport(l.History(map[ledger.Row]int{base: 1, r: c.there}), nil, nil)
+			var text strings.Builder
+			rep.print(&text)
+			assert.Equal(t, strings.Contains(text.String(), string(ledger.Broken)), c.want != "", text.String())
 			err := rep.verdict()
 			if c.want == "" {
 				assert.NilError(t, err)
@@ -56,28 +55,34 @@
 			assert.ErrorContains(t, err, c.want)
 		})
 	}
-	assert.ErrorContains(t, newReport(newJournal(), nil, nil, nil).verdict(), "no write was acknowledged")
+	assert.ErrorContains(t, newReport(ledger.New().History(nil), nil, nil).verdict(), "no write was acknowledged")
 }
 
 func TestGapCountsWritesSentAfterTheFault(t *testing.T) {
-	at := time.Unix(100, 0)
+	const at = 100 * time.Second
 	f := fault{"kill", "g", at}
 	cases := map[string]struct {
 		group      string
-		outcome    outcome
+		outcome    ledger.Outcome
 		begin, end time.Duration // after the fault
 		found      bool
 	}{
-		"sent before":   {"g", acknowledged, -time.Second, time.Second, false},
-		"another group": {"h", acknowledged, time.Second, 2 * time.Second, false},
+		"sent before":   {"g", ledger.Acknowledged, -time.Second, time.Second, false},
+		"another group": {"h", ledger.Acknowledged, time.Second, 2 * time.Second, false},
 		"refused":       {"g", refused, time.Second, 2 * time.Second, false},
-		"acknowledged":  {"g", acknowledged, time.Second, 2 * time.Second, true},
+		"acknowledged":  {"g", ledger.Acknowledged, time.Second, 2 * time.Second, true},
 	}
 	for name, c := range cases {
-		j := newJournal()
-		r := row{c.group, tickets, "r"}
-		j.wrote(classTicket, r, c.outcome, at.Add(c.begin), at.Add(c.end))
-		rep := newReport(j, map[row]bool{r: true}, nil, &f)
+		l := ledger.New()
+		r := ledger.Row{Group: c.group, Table: tickets, Key: "r"}
+		before := ledger.Row{Group: "g", Table: tickets, Key: "before"}
+		l.Add(ledger.Record{Class: classTicket, Row: before, Outcome: ledger.Acknowledged})
+		l.Add(ledger.Record{Class: classTicket, Row: r, Outcome: c.outcome, Begin: at + c.begin, End: at + c.end})
+		there := map[ledger.Row]int{before: 1}
+		if c.outcome.OK() {
+			there[r] = 1
+		}
+		rep := newReport(l.History(there), nil, &f)
 		assert.Equal(t, rep.healed, c.found, name)
 		assert.Equal(t, rep.verdict() == nil, c.found, name)
 		if c.found {
@@ -86,43 +91,18 @@
 	}
 }
 
-func TestOutcomeOf(t *testing.T) {
-	for _, c := range []struct {
-		err  error
-		want outcome
-	}{
-		{nil, acknowledged},
-		{errors.New("connection reset"), outcome{"no_answer", unknown}},
-		{&pgconn.PgError{Code: "57P03", Detail: "kind: no_primary; effect: not run"}, refused},
-		{&pgconn.PgError{Code: "08007", Detail: "kind: outcome_unknown; effect: unknown"}, inDoubt},
-		{&pgconn.PgError{Code: "23505"}, duplicate},
-		{&pgconn.PgError{Code: "25006"}, outcome{"sqlstate_25006", unknown}},
-	} {
-		assert.Equal(t, outcomeOf(c.err), c.want)
-	}
-}
-
-func TestAddReads(t *testing.T) {
-	page := "# TYPE amaranthweir_reads_total counter\n" +
-		"amaranthweir_reads_total{role=\"primary\"} 3\namaranthweir_reads_total{role=\"replica\"} 1.2e+03\nother 9\n"
-	sum := map[string]int{"primary": 1}
-	assert.NilError(t, addReads(sum, strings.NewReader(page)))
-	assert.DeepEqual(t, sum, map[string]int{"primary": 4, "replica": 1200})
-	assert.Assert(t, addReads(sum, strings.NewReader("amaranthweir_reads_total{role=\"replica\"} x\n")) != nil)
-}
-
 func TestEveryFaultIsASwitchOfTheStandIn(t *testing.T) {
 	in, err := standin.Start(standin.DefaultConfig("g", "a"))
 	assert.NilError(t, err)
 	defer in.Close()
-	c := &cluster{upstreams: []upstream{{name: "a", control: in.ControlAddress()}}}
+	c := &deploy.Cluster{Upstreams: []deploy.Upstream{{Name: "a", Control: in.ControlAddress()}}}
 	for kind, switches := range faults {
 		for _, s := range []string{switches.begin, switches.end} {
 			if s != "" {
-				assert.NilError(t, c.switchFault(t.Context(), "a", s), kind)
+				assert.NilError(t, c.SwitchFault(t.Context(), "a", s), kind)
 			}
 		}
 	}
-	assert.ErrorContains(t, c.switchFault(t.Context(), "a", "explode=true"), "400")
-	assert.ErrorContains(t, c.switchFault(t.Context(), "b", "lose=1"), "no stand-in")
+	assert.ErrorContains(t, c.SwitchFault(t.Context(), "a", "explode=true"), "400")
+	assert.ErrorContains(t, c.SwitchFault(t.Context(), "b", "lose=1"), "no stand-in")
 }
--- a/standin/cmd/demo/load.go
+++ b/standin/cmd/demo/load.go
@@ -6,12 +6,15 @@
 	"fmt"
 	"math/rand/v2"
 	"net/url"
-	"strings"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/jackc/pgx/v5"
-	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/amaranthweir/amaranthweir/internal/bench"
+	"github.com/amaranthweir/amaranthweir/internal/bench/ledger"
+	"github.com/amaranthweir/amaranthweir/standin/deploy"
 )
 
 // The classes of the document that the load uses.
@@ -37,26 +40,26 @@
 	maxRepeats = 5
 	// repeatOneIn is the share of acknowledged writes that are repeated.
 	repeatOneIn = 20
-	// tokenParameter carries the session to another host.
-	tokenParameter = "amaranthweir.session"
 )
 
 // load is the callers and what they saw.
 type load struct {
 	flags   flags
-	cluster *cluster
-	yards   []yard
-	journal *journal
+	cluster *deploy.Cluster
+	yards   []deploy.Key
+	ledger  *ledger.Ledger
+	begin   time.Time
 	callers sync.WaitGroup
 }
 
-func newLoad(f flags, c *cluster, yards []yard) *load {
-	return &load{flags: f, cluster: c, yards: yards, journal: newJournal()}
+func newLoad(f flags, c *deploy.Cluster, yards []deploy.Key) *load {
+	return &load{flags: f, cluster: c, yards: yards, ledger: ledger.New()}
 }
 
 // start starts the callers; they end by themselves.
 func (l *load) start(ctx context.Context) {
-	end := time.Now().Add(l.flags.Duration)
+	l.begin = time.Now()
+	end := l.begin.Add(l.flags.Duration)
 	for i := range l.flags.Callers {
 		c := &caller{load: l, number: i, host: i, random: rand.New(rand.NewPCG(l.flags.Seed, uint64(i)))}
 		l.callers.Go(func() { c.run(ctx, end) })
@@ -65,6 +68,9 @@
 
 func (l *load) wait() { l.callers.Wait() }
 
+// since returns the time since the start of the load.
+func (l *load) since() time.Duration { return time.Since(l.begin) }
+
 // caller is one session that roams from host to host.
 type caller struct {
 	load    *load
@@ -75,11 +81,11 @@
 	token   string
 	written int
 	// last is the latest row of each yard whose write was acknowledged.
-	last map[yard]row
+	last map[deploy.Key]ledger.Row
 }
 
 func (c *caller) run(ctx context.Context, end time.Time) {
-	c.last = map[yard]row{}
+	c.last = map[deploy.Key]ledger.Row{}
 	defer c.hangUp(ctx)
 	for n := 1; time.Now().Before(end) && ctx.Err() == nil; n++ {
 		if n%roamEvery == 0 {
@@ -88,7 +94,7 @@
 		if c.connected(ctx) {
 			c.request(ctx)
 		}
-		if pause(ctx, c.load.flags.Pause) != nil {
+		if deploy.Pause(ctx, c.load.flags.Pause) != nil {
 			return
 		}
 	}
@@ -103,12 +109,12 @@
 	defer stop()
 	query := url.Values{"sslmode": {"disable"}, "default_query_exec_mode": {"exec"}}
 	if c.token != "" {
-		query.Set(tokenParameter, c.token)
+		query.Set(bench.TokenParameter, c.token)
 	}
-	h := c.load.cluster.hosts[c.host%hostCount]
-	conn, err := pgx.Connect(ctx, fmt.Sprintf("postgres://caller-%d@%s/%s?%s", c.number, h.caller, service, query.Encode()))
+	h := c.load.cluster.Hosts[c.host%len(c.load.cluster.Hosts)]
+	conn, err := pgx.Connect(ctx, fmt.Sprintf("postgres://caller-%d@%s/%s?%s", c.number, h.Caller, service, query.Encode()))
 	if err != nil {
-		c.load.journal.refused("connect: " + outcomeOf(err).kind)
+		c.load.ledger.Refused("connect: " + ledger.OutcomeOf(err).Kind)
 		c.host++
 		return false
 	}
@@ -148,142 +154,90 @@
 // write inserts a row that no other request inserts. While its outcome is
 // unknown it is repeated at other hosts under its request id, and so are some
 // that were acknowledged, as after a lost answer.
-func (c *caller) write(ctx context.Context, class, table string, y yard) {
+func (c *caller) write(ctx context.Context, class, table string, y deploy.Key) {
 	c.written++
-	r := row{y.group, table, fmt.Sprintf("%s/%d-%d", y.name, c.number, c.written)}
-	begin := time.Now()
-	o := c.insert(ctx, class, r, y)
-	took := time.Since(begin)
+	r := c.record(ledger.OpWrite, class, ledger.Row{Group: y.Group, Table: table, Key: fmt.Sprintf("%s/%d-%d", y.Name, c.number, c.written)})
+	r.Outcome = c.insert(ctx, class, r.Row, y)
+	r.End = c.load.since()
 	for range maxRepeats {
-		if o.ok() || o.effect != unknown || o.kind == kindRanTwice {
+		if !r.Outcome.Unsettled() {
 			break
 		}
-		o = c.repeat(ctx, o, func() outcome { return c.insert(ctx, class, r, y) })
-		took = time.Since(begin)
+		r.Outcome = c.repeat(ctx, r.Outcome, func() ledger.Outcome { return c.insert(ctx, class, r.Row, y) })
+		r.End = c.load.since()
 	}
-	if o.ok() && c.random.IntN(repeatOneIn) == 0 {
-		o = c.repeat(ctx, o, func() outcome { return c.insert(ctx, class, r, y) })
+	if r.Outcome.OK() && c.random.IntN(repeatOneIn) == 0 {
+		r.Outcome = c.repeat(ctx, r.Outcome, func() ledger.Outcome { return c.insert(ctx, class, r.Row, y) })
 	}
-	c.load.journal.wrote(class, r, o, begin, begin.Add(took))
-	if o.ok() {
-		c.last[y] = r
+	c.load.ledger.Add(r)
+	if r.Outcome.OK() {
+		c.last[y] = r.Row
 	}
 }
 
-// repeat sends a request again, at the next host. A write that was
-// acknowledged stays so, unless the repeat shows that it ran twice. A repeat
-// that was not run says nothing about the first attempt.
-func (c *caller) repeat(ctx context.Context, first outcome, send func() outcome) outcome {
+// record begins the record of a request.
+func (c *caller) record(op ledger.Op, class string, row ledger.Row) ledger.Record {
+	now := c.load.since()
+	return ledger.Record{Op: op, Class: class, Session: c.number, Row: row, Intended: now, Begin: now}
+}
+
+// repeat sends a request again, at the next host.
+func (c *caller) repeat(ctx context.Context, first ledger.Outcome, send func() ledger.Outcome) ledger.Outcome {
 	c.roam(ctx)
-	if pause(ctx, c.load.flags.Pause) != nil || !c.connected(ctx) {
+	if deploy.Pause(ctx, c.load.flags.Pause) != nil || !c.connected(ctx) {
 		return first
 	}
 	again := send()
-	c.load.journal.repeated(first, again)
-	if again.kind != kindRanTwice && (first.ok() || again.effect == notRun) {
-		return first
-	}
-	return again
+	c.load.ledger.Repeated(first, again)
+	return ledger.Settle(first, again)
 }
 
-func (c *caller) insert(ctx context.Context, class string, r row, y yard) outcome {
-	query := fmt.Sprintf("/* class=%s key=%s request_id=%s */ INSERT INTO %s (key, value) VALUES ($1, $2)", class, y.name, r.key, r.table)
-	_, err := c.conn.Exec(ctx, query, r.key, "1")
+func (c *caller) insert(ctx context.Context, class string, r ledger.Row, y deploy.Key) ledger.Outcome {
+	query := fmt.Sprintf("/* class=%s key=%s request_id=%s */ INSERT INTO %s (key, value) VALUES ($1, $2)", class, y.Name, r.Key, r.Table)
+	_, err := c.conn.Exec(ctx, query, r.Key, "1")
 	if err == nil {
 		c.keepToken()
 	}
-	return outcomeOf(err)
+	return ledger.OutcomeOf(err)
 }
 
 // lookup reads the caller's latest row of the yard, which it must find.
-func (c *caller) lookup(ctx context.Context, y yard) {
-	r, ok := c.last[y]
-	if !ok {
-		r = row{y.group, tickets, "none"}
-	}
-	query := fmt.Sprintf("/* class=%s key=%s */ SELECT value FROM %s WHERE key=$1", classLookup, y.name, r.table)
-	begin := time.Now()
+func (c *caller) lookup(ctx context.Context, y deploy.Key) {
+	r := c.record(ledger.OpRead, classLookup, c.latest(y))
+	query := fmt.Sprintf("/* class=%s key=%s */ SELECT value FROM %s WHERE key=$1", classLookup, y.Name, r.Row.Table)
 	var value string
-	err := c.conn.QueryRow(ctx, query, r.key).Scan(&value)
-	missing := errors.Is(err, pgx.ErrNoRows)
-	if missing {
+	err := c.conn.QueryRow(ctx, query, r.Row.Key).Scan(&value)
+	r.Found = err == nil
+	if errors.Is(err, pgx.ErrNoRows) {
 		err = nil
 	}
-	c.load.journal.read(classLookup, outcomeOf(err), begin, time.Now())
-	if missing && ok {
-		c.load.journal.missedOwnWrite(r)
+	r.End, r.Outcome = c.load.since(), ledger.OutcomeOf(err)
+	c.load.ledger.Add(r)
+}
+
+// latest returns the caller's latest row of a yard, or one that nobody writes.
+func (c *caller) latest(y deploy.Key) ledger.Row {
+	if r, ok := c.last[y]; ok {
+		return r
 	}
+	return ledger.Row{Group: y.Group, Table: tickets, Key: "none"}
 }
 
 // report reads what may be old, but not older than the session's own writes.
-func (c *caller) report(ctx context.Context, y yard) {
-	query := fmt.Sprintf("/* class=%s key=%s */ SELECT key FROM %s", classReport, y.name, tickets)
-	begin := time.Now()
+func (c *caller) report(ctx context.Context, y deploy.Key) {
+	r := c.record(ledger.OpRead, classReport, c.latest(y))
+	query := fmt.Sprintf("/* class=%s key=%s */ SELECT key FROM %s", classReport, y.Name, r.Row.Table)
 	result, err := c.conn.Query(ctx, query)
 	var keys []string
 	if err == nil {
 		keys, err = pgx.CollectRows(result, pgx.RowTo[string])
 	}
-	c.load.journal.read(classReport, outcomeOf(err), begin, time.Now())
-	r, ok := c.last[y]
-	if err != nil || !ok || r.table != tickets {
-		return
-	}
-	for _, key := range keys {
-		if key == r.key {
-			return
-		}
-	}
-	c.load.journal.missedOwnWrite(r)
+	r.End, r.Outcome, r.Found = c.load.since(), ledger.OutcomeOf(err), slices.Contains(keys, r.Row.Key)
+	c.load.ledger.Add(r)
 }
 
 func (c *caller) keepToken() {
-	if token := c.conn.PgConn().ParameterStatus(tokenParameter); token != "" {
+	if token := c.conn.PgConn().ParameterStatus(bench.TokenParameter); token != "" {
 		c.token = token
 	}
 }
-
-// effect says what a caller knows of a request.
-type effect uint8
-
-const (
-	ran effect = iota
-	notRun
-	unknown
-)
-
-// outcome is how a request ended.
-type outcome struct {
-	kind   string // of the error, or empty
-	effect effect
-}
-
-func (o outcome) ok() bool { return o.kind == "" }
-
-// kindRanTwice is the kind of the error for a row that is there already: its
-// request ran twice, for no other request inserts it.
-const kindRanTwice = "duplicate_key"
-
-// outcomeOf reads the kind and the effect from the detail of an error answer.
-// An error without them, or no answer, leaves the effect unknown.
-func outcomeOf(err error) outcome {
-	if err == nil {
-		return outcome{}
-	}
-	var pg *pgconn.PgError
-	if !errors.As(err, &pg) {
-		return outcome{"no_answer", unknown}
-	}
-	if pg.Code == "23505" {
-		return outcome{kindRanTwice, unknown}
-	}
-	text, ok := strings.CutPrefix(pg.Detail, "kind: ")
-	kind, what, _ := strings.Cut(text, "; effect: ")
-	if !ok {
-		return outcome{"sqlstate_" + pg.Code, unknown}
-	}
-	if what == "not run" {
-		return outcome{kind, notRun}
-	}
-	return outcome{kind, unknown}
-}
--- a/standin/cmd/demo/main.go
+++ b/standin/cmd/demo/main.go
@@ -23,8 +23,19 @@
 	"time"
 
 	"github.com/alecthomas/kong"
+
+	"github.com/amaranthweir/amaranthweir/internal/bench"
+	"github.com/amaranthweir/amaranthweir/standin/deploy"
 )
 
+const service = "ledger"
+
+// groups are those that run, of the groups in the document.
+var groups = []string{"ledger-1", "ledger-2"}
+
+// yardsPerGroup is how many yards the load uses in each group.
+const yardsPerGroup = 6
+
 // flags are the command line.
 type flags struct {
 	Bin      string        `help:"Folder of the binaries; by default that of the demo itself."`
@@ -69,50 +80,60 @@
 	if err := os.MkdirAll(f.Logs, 0o700); err != nil {
 		return err
 	}
-	c, err := newCluster(f, work)
+	c, err := deploy.New(f.config(work))
 	if err != nil {
 		return err
 	}
 	defer func() {
-		err = errors.Join(err, c.stop())
+		err = errors.Join(err, c.Stop())
 		if err != nil && f.Logs == work {
 			fmt.Fprintln(os.Stderr, "the logs are in", work)
 			return
 		}
 		err = errors.Join(err, os.RemoveAll(work))
 	}()
-	if err := c.start(ctx); err != nil {
+	if err := c.Start(ctx); err != nil {
 		return err
 	}
 	return show(ctx, f, c)
 }
 
+// config lays out the deployment of the demo.
+func (f flags) config(work string) deploy.Config {
+	return deploy.Config{
+		Bin: f.Bin, Work: work, Logs: f.Logs, Document: f.Document, Service: service,
+		Domains: []string{"coventry", "leicester", "derby"}, Groups: groups,
+		Hosts: 6, Controls: 3, Slots: 3, Connections: 45,
+		Lag: f.Lag, StatementTime: 2 * time.Millisecond, PortBase: f.PortBase,
+	}
+}
+
 // show runs the load and the fault, and prints the report.
-func show(ctx context.Context, f flags, c *cluster) error {
-	yards, err := c.yards(ctx)
+func show(ctx context.Context, f flags, c *deploy.Cluster) error {
+	yards, err := c.Keys(ctx, classTicket, "yard-", yardsPerGroup)
 	if err != nil {
 		return err
 	}
 	fmt.Printf("load: %d callers for %v, seed %d\n", f.Callers, f.Duration, f.Seed)
 	l := newLoad(f, c, yards)
 	l.start(ctx)
-	happened, faultErr := faultInTheMiddle(ctx, f, c)
+	happened, faultErr := faultInTheMiddle(ctx, f, c, l.since)
 	l.wait()
 	if err := errors.Join(faultErr, ctx.Err()); err != nil {
 		return err
 	}
-	if err := c.settled(ctx); err != nil {
+	if err := c.Settled(ctx); err != nil {
 		return err
 	}
-	rows, err := c.rows(ctx)
+	rows, err := c.Rows(ctx, tickets, settlements)
 	if err != nil {
 		return err
 	}
-	reads, err := c.readsByRole(ctx)
+	reads, err := bench.ReadsByRole(ctx, c.HTTPAddresses())
 	if err != nil {
 		return err
 	}
-	r := newReport(l.journal, rows, reads, happened)
+	r := newReport(l.ledger.History(rows), reads, happened)
 	r.print(os.Stdout)
 	return r.verdict()
 }
@@ -121,7 +142,7 @@
 type fault struct {
 	kind  string
 	group string
-	at    time.Time
+	at    time.Duration // since the start of the load
 }
 
 // faultNone leaves the fault out.
@@ -143,40 +164,29 @@
 
 // faultInTheMiddle waits for half of the load and then lets the fault happen to
 // the primary of the first group.
-func faultInTheMiddle(ctx context.Context, f flags, c *cluster) (*fault, error) {
+func faultInTheMiddle(ctx context.Context, f flags, c *deploy.Cluster, since func() time.Duration) (*fault, error) {
 	if f.Fault == faultNone {
 		return nil, nil
 	}
-	if err := pause(ctx, f.Duration/2); err != nil {
+	if err := deploy.Pause(ctx, f.Duration/2); err != nil {
 		return nil, err
 	}
-	name, err := c.primaryOf(ctx, groups[0])
+	primary, err := c.PrimaryOf(ctx, groups[0])
 	if err != nil {
 		return nil, err
 	}
+	name := string(primary.Instance)
 	fmt.Printf("%s: %s, the primary of %s\n", f.Fault, name, groups[0])
-	happened := &fault{f.Fault, groups[0], time.Now()}
+	happened := &fault{f.Fault, groups[0], since()}
 	if f.Fault == "kill" {
-		return happened, c.kill(name)
+		return happened, c.Kill(name)
 	}
 	switches := faults[f.Fault]
-	if err := c.switchFault(ctx, name, switches.begin); err != nil || switches.end == "" {
+	if err := c.SwitchFault(ctx, name, switches.begin); err != nil || switches.end == "" {
 		return happened, err
 	}
-	if err := pause(ctx, f.Duration/4); err != nil {
+	if err := deploy.Pause(ctx, f.Duration/4); err != nil {
 		return nil, err
 	}
-	return happened, c.switchFault(ctx, name, switches.end)
-}
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return happened, c.SwitchFault(ctx, name, switches.end)
 }
--- a/standin/cmd/demo/report.go
+++ b/standin/cmd/demo/report.go
@@ -8,22 +8,44 @@
 	"slices"
 	"text/tabwriter"
 	"time"
+
+	"github.com/amaranthweir/amaranthweir/internal/bench"
+	"github.com/amaranthweir/amaranthweir/internal/bench/ledger"
 )
 
 // report is what the demo shows in the end.
 type report struct {
-	journal *journal
-	check   check
-	reads   map[string]int
-	fault   *fault
-	gap     time.Duration
-	healed  bool
+	history  *ledger.History
+	verdicts []ledger.Verdict
+	classes  map[string]*answers
+	reads    map[string]int
+	fault    *fault
+	gap      time.Duration
+	healed   bool
+}
+
+// answers counts the answers of one class.
+type answers struct {
+	ledger.Counts
+	took []time.Duration // of those that are ok
 }
 
-func newReport(j *journal, there map[row]bool, reads map[string]int, f *fault) *report {
-	r := &report{journal: j, check: j.check(there), reads: reads, fault: f}
+func newReport(h *ledger.History, reads map[string]int, f *fault) *report {
+	r := &report{history: h, classes: map[string]*answers{}, reads: reads, fault: f}
+	r.verdicts = []ledger.Verdict{h.ExactlyOnce(), h.NotRunTrue(), h.ReadYourWrites()}
+	for _, rec := range h.Records {
+		a := r.classes[rec.Class]
+		if a == nil {
+			a = &answers{}
+			r.classes[rec.Class] = a
+		}
+		a.Add(rec.Outcome)
+		if rec.Outcome.OK() {
+			a.took = append(a.took, rec.End-rec.Begin)
+		}
+	}
 	if f != nil {
-		r.gap, r.healed = j.gap(*f)
+		r.gap, r.healed = h.GapAfter(f.at, f.group)
 	}
 	return r
 }
@@ -32,40 +54,31 @@
 func (r *report) print(out io.Writer) {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "\nclass\tok\tnot run\tunknown\tmedian\t99th percentile")
-	for _, class := range slices.Sorted(maps.Keys(r.journal.classes)) {
-		a := r.journal.classes[class]
+	for _, class := range slices.Sorted(maps.Keys(r.classes)) {
+		a := r.classes[class]
 		slices.Sort(a.took)
-		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%v\t%v\n", class, a.ok, a.notRun, a.unknown, percentile(a.took, 50), percentile(a.took, 99))
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%v\t%v\n", class, a.OK, a.NotRun, a.Unknown, percentile(a.took, 50), percentile(a.took, 99))
 	}
 	fmt.Fprintln(w, "\nrefusals by kind\tcount")
-	for _, kind := range slices.Sorted(maps.Keys(r.journal.refusals)) {
-		fmt.Fprintf(w, "%s\t%d\n", kind, r.journal.refusals[kind])
+	refusals := r.history.RefusalsByKind()
+	for _, kind := range slices.Sorted(maps.Keys(refusals)) {
+		fmt.Fprintf(w, "%s\t%d\n", kind, refusals[kind])
 	}
-	if len(r.journal.refusals) == 0 {
+	if len(refusals) == 0 {
 		fmt.Fprintln(w, "none\t")
 	}
 	fmt.Fprintln(w)
+	there, gone := r.history.Unknown()
+	repeats := r.history.Repeats
 	fmt.Fprintf(w, "stock reports served by replicas\t%s\n", r.replicaShare())
 	fmt.Fprintf(w, "failover gap (fault to next acknowledged write)\t%s\n", r.gapText())
-	fmt.Fprintf(w, "acknowledged writes\t%d\n", r.check.acknowledged)
-	fmt.Fprintf(w, "  each there exactly once\t%s\n", r.exactlyOnce())
-	fmt.Fprintf(w, "  lost\t%d\n", len(r.check.lost))
-	fmt.Fprintf(w, "  run twice\t%d\n", len(r.check.ranTwice))
-	fmt.Fprintf(w, "\"not run\", but there\t%d\n", len(r.check.falseNotRun))
-	fmt.Fprintf(w, "outcome unknown\t%d there, %d not\n", r.check.unknownThere, r.check.unknownGone)
 	fmt.Fprintf(w, "writes sent again\t%d (%d after an acknowledgement; %d unknown outcomes settled)\n",
-		r.journal.repeats, r.journal.acked, r.journal.settled)
-	fmt.Fprintf(w, "own writes that a session did not see\t%d\n", len(r.journal.missed))
+		repeats.Sent, repeats.AfterAck, repeats.Settled)
+	fmt.Fprintf(w, "outcome unknown\t%d there, %d not\n", there, gone)
+	bench.PrintVerdicts(w, r.verdicts)
 	_ = w.Flush() // what can't be printed can't be told
 }
 
-func (r *report) exactlyOnce() string {
-	if len(r.check.lost)+len(r.check.ranTwice) > 0 {
-		return "no"
-	}
-	return "yes"
-}
-
 func percentile(sorted []time.Duration, p int) time.Duration {
 	if len(sorted) == 0 {
 		return 0
@@ -76,11 +89,11 @@
 // replicaShare relates the reads that replicas served to the stock reports:
 // nothing else may be served by a replica.
 func (r *report) replicaShare() string {
-	a := r.journal.classes[classReport]
-	if a == nil || a.ok == 0 {
+	a := r.classes[classReport]
+	if a == nil || a.OK == 0 {
 		return "no report was answered"
 	}
-	return fmt.Sprintf("%.1f %% (%d of %d)", 100*float64(r.reads["replica"])/float64(a.ok), r.reads["replica"], a.ok)
+	return fmt.Sprintf("%.1f %% (%d of %d)", 100*float64(r.reads["replica"])/float64(a.OK), r.reads["replica"], a.OK)
 }
 
 func (r *report) gapText() string {
@@ -96,17 +109,12 @@
 // verdict returns an error unless all went as it must.
 func (r *report) verdict() error {
 	var errs []error
-	for what, rows := range map[string][]row{
-		"acknowledged, but lost":                   r.check.lost,
-		"run twice":                                r.check.ranTwice,
-		"said not to have run, but there":          r.check.falseNotRun,
-		"written, but not seen by its own session": r.journal.missed,
-	} {
-		if len(rows) > 0 {
-			errs = append(errs, fmt.Errorf("%d rows were %s: %v", len(rows), what, rows[:min(len(rows), 5)]))
+	for _, v := range r.verdicts {
+		if v.Result == ledger.Broken {
+			errs = append(errs, fmt.Errorf("%s: broken %d times: %v", v.Promise, v.Failed, v.Evidence))
 		}
 	}
-	if r.check.acknowledged == 0 {
+	if r.verdicts[0].Checked == 0 {
 		errs = append(errs, errors.New("no write was acknowledged"))
 	}
 	if r.fault != nil && !r.healed {
--- /dev/null
+++ b/standin/deploy/cluster.go
@@ -0,0 +1,344 @@
+// Package deploy runs a whole deployment on this machine: hosts and stand-in
+// upstreams as processes of their own on loopback addresses. It serves the demo
+// and the measurements.
+package deploy
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/amaranthweir/amaranthweir/internal/api"
+)
+
+const (
+	// readyTimeout bounds the wait for the whole system.
+	readyTimeout = 30 * time.Second
+	// askInterval is the pause between two looks at the system.
+	askInterval = 50 * time.Millisecond
+	// apiTimeout bounds one question to a host.
+	apiTimeout = 3 * time.Second
+)
+
+// Config says what a deployment consists of.
+type Config struct {
+	Bin      string // folder of the binaries
+	Work     string // folder for settings and data
+	Logs     string // folder for the output of the processes
+	Document string // file of the service document
+	Service  string // that the document describes
+	Domains  []string
+	// Groups have one instance in each failure domain.
+	Groups []string
+	Hosts  int
+	// Controls is how many of the hosts, the first ones, are control hosts.
+	Controls int
+	// Slots, Connections, Lag and StatementTime are those of each instance.
+	Slots, Connections int
+	Lag, StatementTime time.Duration
+	// PortBase is the first port to use; 0 finds free ones.
+	PortBase int
+}
+
+func (c *Config) validate() error {
+	switch {
+	case c.Hosts < 1 || c.Controls < 1 || c.Controls > c.Hosts:
+		return fmt.Errorf("%d control hosts among %d hosts", c.Controls, c.Hosts)
+	case len(c.Domains) == 0 || len(c.Groups) == 0:
+		return errors.New("no failure domain or no group")
+	}
+	return nil
+}
+
+// Host is one host of the system and where it listens.
+type Host struct {
+	Name, Domain       string
+	Caller, Peer, HTTP string
+	API                *api.Client
+}
+
+// Upstream is one stand-in and where it listens.
+type Upstream struct {
+	Group, Name, Domain string
+	Address, Control    string
+	Primary             bool // at first
+}
+
+// Cluster is the whole system.
+type Cluster struct {
+	Config
+	Hosts     []Host
+	Upstreams []Upstream
+	key       string
+	processes map[string]*process
+}
+
+// New lays the system out. Nothing runs yet.
+func New(cfg Config) (*Cluster, error) {
+	if err := cfg.validate(); err != nil {
+		return nil, err
+	}
+	count := 3*cfg.Hosts + 2*len(cfg.Groups)*len(cfg.Domains)
+	addresses, err := freeAddresses(count, cfg.PortBase)
+	if err != nil {
+		return nil, err
+	}
+	next := func() string {
+		a := addresses[0]
+		addresses = addresses[1:]
+		return a
+	}
+	key := make([]byte, 32)
+	_, _ = rand.Read(key) // never fails
+	c := &Cluster{Config: cfg, key: hex.EncodeToString(key), processes: map[string]*process{}}
+	for i := range cfg.Hosts {
+		domain := cfg.Domains[i%len(cfg.Domains)]
+		h := Host{
+			Name: fmt.Sprintf("%s-%d", domain, 1+i/len(cfg.Domains)), Domain: domain,
+			Caller: next(), Peer: next(), HTTP: next(),
+		}
+		h.API = api.NewClient(h.HTTP, apiTimeout)
+		c.Hosts = append(c.Hosts, h)
+	}
+	for g, group := range cfg.Groups {
+		for d, domain := range cfg.Domains {
+			c.Upstreams = append(c.Upstreams, Upstream{
+				Group: group, Name: group + "-" + domain, Domain: domain,
+				Address: next(), Control: next(), Primary: d == g%len(cfg.Domains),
+			})
+		}
+	}
+	return c, nil
+}
+
+// settings returns the settings file of a host.
+func (c *Cluster) settings(i int) ([]byte, error) {
+	type peer struct {
+		Host        string `json:"host"`
+		PeerAddress string `json:"peer_address"`
+	}
+	type control struct {
+		DataFolder string `json:"data_folder"`
+		Voters     []peer `json:"voters"`
+	}
+	h := c.Hosts[i]
+	s := struct {
+		Host          string   `json:"host"`
+		Domain        string   `json:"failure_domain"`
+		CallerAddress string   `json:"caller_address"`
+		PeerAddress   string   `json:"peer_address"`
+		HTTPAddress   string   `json:"http_address"`
+		Join          []string `json:"join"`
+		Control       *control `json:"control,omitempty"`
+		SessionKeys   []string `json:"session_keys"`
+		LogLevel      string   `json:"log_level"`
+	}{h.Name, h.Domain, h.Caller, h.Peer, h.HTTP, nil, nil, []string{c.key}, "info"}
+	var voters []peer
+	for _, v := range c.Hosts[:c.Controls] {
+		voters = append(voters, peer{v.Name, v.Peer})
+		if v.Name != h.Name {
+			s.Join = append(s.Join, v.Peer)
+		}
+	}
+	if i < c.Controls {
+		s.Control = &control{filepath.Join(c.Work, h.Name), voters}
+	}
+	return json.MarshalIndent(s, "", "  ")
+}
+
+// Start starts all processes, applies the document, and returns once the
+// system is ready.
+func (c *Cluster) Start(ctx context.Context) error {
+	fmt.Printf("starting %d hosts and %d stand-ins in %d failure domains\n", len(c.Hosts), len(c.Upstreams), len(c.Domains))
+	for i := range c.Hosts {
+		if err := c.startHost(i); err != nil {
+			return err
+		}
+	}
+	for _, u := range c.Upstreams {
+		if err := c.startUpstream(u); err != nil {
+			return err
+		}
+	}
+	if err := c.Apply(ctx); err != nil {
+		return err
+	}
+	begin := time.Now()
+	if err := c.Settled(ctx); err != nil {
+		return err
+	}
+	fmt.Printf("ready %v after the document was applied\n", time.Since(begin).Round(time.Millisecond))
+	return nil
+}
+
+func (c *Cluster) startHost(i int) error {
+	h := c.Hosts[i]
+	settings, err := c.settings(i)
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(c.Work, h.Name+".jsonc")
+	if err := os.WriteFile(file, settings, 0o600); err != nil {
+		return err
+	}
+	if i < c.Controls {
+		if err := os.Mkdir(filepath.Join(c.Work, h.Name), 0o700); err != nil {
+			return err
+		}
+	}
+	return c.spawn(h.Name, "amaranthweir", "serve", "--settings", file)
+}
+
+func (c *Cluster) startUpstream(u Upstream) error {
+	args := []string{
+		"--group", u.Group, "--instance", u.Name, "--domain", u.Domain,
+		"--address", u.Address, "--control-address", u.Control, "--lag", c.Lag.String(), "--work", c.StatementTime.String(),
+		"--slots", strconv.Itoa(c.Slots), "--connections", strconv.Itoa(c.Connections),
+	}
+	if u.Primary {
+		args = append(args, "--primary")
+	}
+	for _, o := range c.Upstreams {
+		if o.Group == u.Group && o.Name != u.Name {
+			args = append(args, "--peers", o.Control)
+		}
+	}
+	for _, h := range c.Hosts {
+		args = append(args, "--entries", h.HTTP)
+	}
+	return c.spawn(u.Name, "standin", args...)
+}
+
+func (c *Cluster) spawn(name, program string, args ...string) error {
+	p, err := startProcess(c.Logs, name, filepath.Join(c.Bin, program), args...)
+	if err != nil {
+		return err
+	}
+	c.processes[name] = p
+	return nil
+}
+
+// Apply applies the document with the command that operators use.
+func (c *Cluster) Apply(ctx context.Context) error {
+	return c.until(ctx, "the document is applied", func(context.Context) error {
+		return c.Command("apply", "--host", c.Hosts[len(c.Hosts)-1].HTTP, c.Document)
+	})
+}
+
+// Command runs amaranthweir with a command that ends by itself.
+func (c *Cluster) Command(args ...string) error {
+	p, err := startProcess(c.Logs, args[0], filepath.Join(c.Bin, "amaranthweir"), args...)
+	if err != nil {
+		return err
+	}
+	<-p.done
+	return errors.Join(p.err, p.log.Close())
+}
+
+// until tries until the attempt succeeds, a process that should run has ended,
+// or time is up.
+func (c *Cluster) until(ctx context.Context, what string, attempt func(context.Context) error) error {
+	ctx, stop := context.WithTimeout(ctx, readyTimeout)
+	defer stop()
+	for {
+		err := attempt(ctx)
+		if err == nil {
+			return nil
+		}
+		for name, p := range c.processes {
+			if p.ended() {
+				return fmt.Errorf("%s ended by itself: %w", name, p.err)
+			}
+		}
+		if Pause(ctx, askInterval) != nil {
+			return fmt.Errorf("waited for: %s: %w", what, err)
+		}
+	}
+}
+
+// Kill kills the process of an instance.
+func (c *Cluster) Kill(name string) error {
+	p := c.processes[name]
+	if p == nil {
+		return fmt.Errorf("no process runs %q", name)
+	}
+	delete(c.processes, name)
+	return errors.Join(p.kill(), p.log.Close())
+}
+
+// Restart starts an instance that was killed, as a replica.
+func (c *Cluster) Restart(name string) error {
+	for _, u := range c.Upstreams {
+		if u.Name == name {
+			u.Primary = false
+			return c.startUpstream(u)
+		}
+	}
+	return fmt.Errorf("no stand-in is called %q", name)
+}
+
+// Signal sends a signal to the process of a host or an instance.
+func (c *Cluster) Signal(name string, s os.Signal) error {
+	p := c.processes[name]
+	if p == nil {
+		return fmt.Errorf("no process runs %q", name)
+	}
+	return p.signal(s)
+}
+
+// SwitchFault sets fault switches of an instance.
+func (c *Cluster) SwitchFault(ctx context.Context, name, switches string) error {
+	for _, u := range c.Upstreams {
+		if u.Name != name {
+			continue
+		}
+		body, err := request(ctx, http.MethodPost, "http://"+u.Control+"/fault?"+switches)
+		if err != nil {
+			return err
+		}
+		return body.Close()
+	}
+	return fmt.Errorf("no stand-in is called %q", name)
+}
+
+// Stop stops all processes: the hosts that are no control hosts, the control
+// hosts, then the stand-ins. The members of each of the three stop at once.
+func (c *Cluster) Stop() error {
+	var names [3][]string
+	for i, h := range c.Hosts {
+		if i < c.Controls {
+			names[1] = append(names[1], h.Name)
+		} else {
+			names[0] = append(names[0], h.Name)
+		}
+	}
+	for _, u := range c.Upstreams {
+		names[2] = append(names[2], u.Name)
+	}
+	var err error
+	for _, n := range names {
+		err = errors.Join(err, c.stopAll(n))
+	}
+	return err
+}
+
+func (c *Cluster) stopAll(names []string) error {
+	errs := make([]error, len(names))
+	var wait sync.WaitGroup
+	for i, name := range names {
+		if p := c.processes[name]; p != nil {
+			wait.Go(func() { errs[i] = p.stop() })
+		}
+	}
+	wait.Wait()
+	return errors.Join(errs...)
+}
--- a/standin/cmd/demo/inspect.go
+++ b/standin/deploy/inspect.go
@@ -1,58 +1,56 @@
-package main
+package deploy
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
-	"strings"
+	"time"
 
 	"github.com/jackc/pgx/v5"
 
 	"github.com/amaranthweir/amaranthweir/internal/api"
+	"github.com/amaranthweir/amaranthweir/internal/bench/ledger"
 	"github.com/amaranthweir/amaranthweir/standin"
 )
 
-// yardsPerGroup is how many yards the load uses in each group.
-const yardsPerGroup = 6
-
-// settled waits until every host is ready and every group has a primary that
+// Settled waits until every host is ready and every group has a primary that
 // accepts writes.
-func (c *cluster) settled(ctx context.Context) error {
+func (c *Cluster) Settled(ctx context.Context) error {
 	return c.until(ctx, "every host and every group is ready", func(ctx context.Context) error {
-		for _, h := range c.hosts {
+		for _, h := range c.Hosts {
 			if err := getReady(ctx, h); err != nil {
 				return err
 			}
 		}
-		st, err := c.hosts[0].api.Status(ctx)
+		st, err := c.Hosts[0].API.Status(ctx)
 		if err != nil {
 			return err
 		}
-		for _, group := range groups {
+		for _, group := range c.Groups {
 			if _, err := primaryIn(st, group); err != nil {
 				return err
 			}
 		}
-		return errors.Join(c.allOwned(st), inForceEverywhere(st))
+		return errors.Join(c.allOwned(st), c.inForceEverywhere(st))
 	})
 }
 
-func getReady(ctx context.Context, h host) error {
-	body, err := request(ctx, http.MethodGet, "http://"+h.http+api.PathReady)
+func getReady(ctx context.Context, h Host) error {
+	body, err := request(ctx, http.MethodGet, "http://"+h.HTTP+api.PathReady)
 	if err != nil {
-		return fmt.Errorf("%s: %w", h.name, err)
+		return fmt.Errorf("%s: %w", h.Name, err)
 	}
 	return body.Close()
 }
 
 // inForceEverywhere checks that every host has the document in force.
-func inForceEverywhere(st api.Status) error {
+func (c *Cluster) inForceEverywhere(st api.Status) error {
 	for _, d := range st.Documents {
-		if d.Service != service {
+		if d.Service != c.Service {
 			continue
 		}
 		count := 0
@@ -61,8 +59,8 @@
 				count++
 			}
 		}
-		if count < hostCount {
-			return fmt.Errorf("the document is in force at %d of %d hosts", count, hostCount)
+		if count < c.Config.Hosts {
+			return fmt.Errorf("the document is in force at %d of %d hosts", count, c.Config.Hosts)
 		}
 		return nil
 	}
@@ -70,14 +68,14 @@
 }
 
 // allOwned checks that every instance that runs has an owner.
-func (c *cluster) allOwned(st api.Status) error {
+func (c *Cluster) allOwned(st api.Status) error {
 	owned := 0
 	for _, in := range st.Instances {
 		if in.Owner != "" {
 			owned++
 		}
 	}
-	running := len(c.processes) - len(c.hosts)
+	running := len(c.processes) - len(c.Hosts)
 	if owned < running {
 		return fmt.Errorf("%d of %d instances have an owner", owned, running)
 	}
@@ -99,54 +97,52 @@
 	return api.InstanceStatus{}, fmt.Errorf("group %s has no primary", group)
 }
 
-func (c *cluster) primaryOf(ctx context.Context, group string) (string, error) {
-	st, err := c.hosts[0].api.Status(ctx)
+// PrimaryOf returns the primary of a group.
+func (c *Cluster) PrimaryOf(ctx context.Context, group string) (api.InstanceStatus, error) {
+	st, err := c.Hosts[0].API.Status(ctx)
 	if err != nil {
-		return "", err
+		return api.InstanceStatus{}, err
 	}
-	in, err := primaryIn(st, group)
-	return string(in.Instance), err
+	return primaryIn(st, group)
 }
 
-// yard is a weighbridge yard. Its name is the key that selects the group.
-type yard struct{ name, group string }
+// Key is a routing key and the group that it selects.
+type Key struct{ Name, Group string }
 
-// yards finds yards whose group runs here. The document may have more groups.
-func (c *cluster) yards(ctx context.Context) ([]yard, error) {
+// Keys finds routing keys of a class, so many in each group that runs here.
+// The document may have more groups.
+func (c *Cluster) Keys(ctx context.Context, class, prefix string, perGroup int) ([]Key, error) {
 	found := map[string]int{}
-	var list []yard
-	for i := 0; len(list) < yardsPerGroup*len(groups); i++ {
-		name := "yard-" + strconv.Itoa(i)
-		x, err := c.hosts[0].api.Explain(ctx, api.ExplainQuery{Service: service, Class: classTicket, Key: name})
+	var list []Key
+	for i := 0; len(list) < perGroup*len(c.Groups); i++ {
+		name := prefix + strconv.Itoa(i)
+		x, err := c.Hosts[0].API.Explain(ctx, api.ExplainQuery{Service: c.Service, Class: class, Key: name})
 		if err != nil {
 			return nil, err
 		}
 		group := string(x.Group)
-		if !strings.Contains(strings.Join(groups, " "), group) || found[group] == yardsPerGroup {
+		if !slices.Contains(c.Groups, group) || found[group] == perGroup {
 			continue
 		}
 		found[group]++
-		list = append(list, yard{name, group})
+		list = append(list, Key{name, group})
 	}
 	return list, nil
 }
 
-// row names a row that is in a group.
-type row struct{ group, table, key string }
-
-// rows reads, from each group's primary itself, what the load has written.
-func (c *cluster) rows(ctx context.Context) (map[row]bool, error) {
-	st, err := c.hosts[0].api.Status(ctx)
+// Rows counts, at each group's primary itself, the rows of tables.
+func (c *Cluster) Rows(ctx context.Context, tables ...string) (map[ledger.Row]int, error) {
+	st, err := c.Hosts[0].API.Status(ctx)
 	if err != nil {
 		return nil, err
 	}
-	rows := map[row]bool{}
-	for _, group := range groups {
+	rows := map[ledger.Row]int{}
+	for _, group := range c.Groups {
 		in, err := primaryIn(st, group)
 		if err != nil {
 			return nil, err
 		}
-		if err := readGroup(ctx, rows, group, in.Address); err != nil {
+		if err := c.readGroup(ctx, rows, group, in.Address, tables); err != nil {
 			return nil, err
 		}
 	}
@@ -154,24 +150,30 @@
 }
 
 // readGroup adds the rows of the instance at address.
-func readGroup(ctx context.Context, rows map[row]bool, group, address string) error {
-	conn, err := pgx.Connect(ctx, "postgres://demo@"+address+"/"+service+"?sslmode=disable&application_name="+standin.PlatformName)
+func (c *Cluster) readGroup(ctx context.Context, rows map[ledger.Row]int, group, address string, tables []string) error {
+	conn, err := c.Direct(ctx, address)
 	if err != nil {
 		return err
 	}
 	defer conn.Close(ctx)
-	for _, table := range []string{tickets, settlements} {
+	for _, table := range tables {
 		keys, err := readKeys(ctx, conn, table)
 		if err != nil {
 			return err
 		}
 		for _, key := range keys {
-			rows[row{group, table, key}] = true
+			rows[ledger.Row{Group: group, Table: table, Key: key}]++
 		}
 	}
 	return nil
 }
 
+// Direct connects to an instance itself, past the system.
+func (c *Cluster) Direct(ctx context.Context, address string) (*pgx.Conn, error) {
+	return pgx.Connect(ctx, "postgres://demo@"+address+"/"+c.Service+
+		"?sslmode=disable&default_query_exec_mode=exec&application_name="+standin.PlatformName)
+}
+
 func readKeys(ctx context.Context, conn *pgx.Conn, table string) ([]string, error) {
 	result, err := conn.Query(ctx, "SELECT key FROM "+table)
 	if err != nil {
@@ -180,39 +182,13 @@
 	return pgx.CollectRows(result, pgx.RowTo[string])
 }
 
-// readsByRole adds up the reads of all hosts by the role of the instance that
-// served them.
-func (c *cluster) readsByRole(ctx context.Context) (map[string]int, error) {
-	sum := map[string]int{}
-	for _, h := range c.hosts {
-		body, err := request(ctx, http.MethodGet, "http://"+h.http+api.PathMetrics)
-		if err != nil {
-			return nil, err
-		}
-		err = addReads(sum, body)
-		if err := errors.Join(err, body.Close()); err != nil {
-			return nil, err
-		}
+// HTTPAddresses returns those of all hosts.
+func (c *Cluster) HTTPAddresses() []string {
+	var list []string
+	for _, h := range c.Hosts {
+		list = append(list, h.HTTP)
 	}
-	return sum, nil
-}
-
-// addReads adds the counter amaranthweir_reads_total of a metrics page to sum.
-func addReads(sum map[string]int, page io.Reader) error {
-	lines := bufio.NewScanner(page)
-	for lines.Scan() {
-		text, ok := strings.CutPrefix(lines.Text(), `amaranthweir_reads_total{role="`)
-		if !ok {
-			continue
-		}
-		role, number, _ := strings.Cut(text, `"} `)
-		n, err := strconv.ParseFloat(number, 64)
-		if err != nil {
-			return err
-		}
-		sum[role] += int(n)
-	}
-	return lines.Err()
+	return list
 }
 
 // request sends a request without a body and returns the body of its answer.
@@ -246,3 +222,15 @@
 	defer b.stop()
 	return b.ReadCloser.Close()
 }
+
+// Pause waits for d or until ctx ends.
+func Pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/standin/cmd/demo/process.go
+++ b/standin/deploy/process.go
@@ -1,4 +1,4 @@
-package main
+package deploy
 
 import (
 	"errors"
@@ -15,7 +15,7 @@
 // the bound that a host sets itself.
 const stopTimeout = 40 * time.Second
 
-// process is one child of the demo.
+// process is one child.
 type process struct {
 	name string
 	cmd  *exec.Cmd
@@ -76,6 +76,9 @@
 	}
 }
 
+// signal sends a signal to the process.
+func (p *process) signal(s os.Signal) error { return p.cmd.Process.Signal(s) }
+
 // freeAddresses returns n loopback addresses: from the port base on, or on
 // ports that are free now.
 func freeAddresses(n, base int) ([]string, error) {
