Add make bench: figures as JSON lines, with bounds and a comparison

The figures stood in several tests and benchmarks, each in a format of its own, and none came from whole processes. The runner collects those of the tests (admission policies, gaps in virtual time, idle traffic and leader gap of the control hosts) and of the benchmarks, then measures a deployment of 9 hosts and 6 stand-ins: added latency, apply to in force everywhere, planned change, killed primaries, and a primary cut off together with its owner (the host is stopped by SIGSTOP and the instance cut, so that their connections stay open and silent). Every write of the run is judged by the verdicts of the ledger.

Ruled out: go's own benchmark comparison, which has no bounds and knows nothing of gaps. A bound whose figure is missing is an error, so a renamed benchmark can't lose its bound.

make bench-same runs only what gives the same verdict on any machine: counts and virtual time.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 export CGO_ENABLED = 1
 GOFILES = $(shell git ls-files --cached --others --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: setup build lint test generate demo
+.PHONY: setup build lint test generate demo bench bench-same
 
 setup: ## fetch the declared modules and build the pinned tools
 	$(GO) mod download
@@ -28,5 +28,11 @@
 demo: build ## the whole system on this machine for a short while, with a primary killed
 	bin/demo --bin bin --document examples/ledger.jsonc
 
+bench: build ## all figures as JSON lines, compared with the committed ones; BENCH="--kills 5" runs fewer
+	bin/figures --bin bin --out bin/figures.jsonl $(BENCH)
+
+bench-same: build ## only the figures that are the same each time, as in CI
+	bin/figures --only same
+
 generate: ## regenerate the peer protocol (needs protoc from Debian's protobuf-compiler)
 	cd internal/peer/peerpb && protoc --plugin=protoc-gen-go="$$($(GO) tool -n protoc-gen-go)" --plugin=protoc-gen-go-drpc="$$($(GO) tool -n protoc-gen-go-drpc)" --go_out=. --go_opt=paths=source_relative --go-drpc_out=. --go-drpc_opt=paths=source_relative peer.proto
--- a/internal/bench/ledger/ledger.go
+++ b/internal/bench/ledger/ledger.go
@@ -5,6 +5,8 @@
 
 import (
 	"errors"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -163,12 +165,12 @@
 	}
 }
 
-// History returns what was collected, with the number of times each written
-// row was found at the end. The ledger must not be added to after that.
+// History returns what was collected so far, with the number of times each
+// written row was found at the end.
 func (l *Ledger) History(there map[Row]int) *History {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return &History{Records: l.records, There: there, Refusals: l.refusals, Repeats: l.repeats}
+	return &History{Records: slices.Clip(l.records), There: there, Refusals: maps.Clone(l.refusals), Repeats: l.repeats}
 }
 
 // Writes returns the records of OpWrite so far.
--- a/standin/cmd/demo/main.go
+++ b/standin/cmd/demo/main.go
@@ -104,7 +104,7 @@
 		Bin: f.Bin, Work: work, Logs: f.Logs, Document: f.Document, Service: service,
 		Domains: []string{"coventry", "leicester", "derby"}, Groups: groups,
 		Hosts: 6, Controls: 3, Slots: 3, Connections: 45,
-		Lag: f.Lag, StatementTime: 2 * time.Millisecond, PortBase: f.PortBase,
+		Lag: f.Lag, StatementTime: 2 * time.Millisecond, PortBase: f.PortBase, Progress: os.Stdout,
 	}
 }
 
--- /dev/null
+++ b/standin/cmd/figures/figures_test.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const output = `=== RUN   TestScenarios
+=== RUN   TestScenarios/primary_killed,_leader_beside_it
+    scenario_test.go:166: gap median 212ms, longest 1.6s, bound 1.5s
+{"name":"control_idle_leader","value":40,"unit":"1/s","bound":42,"pass":true}
+PASS: {"name":"kept","value":0.9,"unit":"share","bound":">= 0.95","pass":false}
+pkg: example.org/internal/system/routing
+BenchmarkChoose
+BenchmarkChoose/groups=3-10         	 2262642	       108.6 ns/op	       0 B/op	       2 allocs/op
+BenchmarkHostLost-10        	   17193	     15924 ns/op	         6.828 moves/op
+ok  	example.org	0.1s
+`
+
+func TestReadOutput(t *testing.T) {
+	figures, err := readOutput([]byte(output), map[string]float64{"routing_choose_groups_3_ns": 2000, "routing_choose_groups_3_allocs": 0})
+	assert.NilError(t, err)
+	const gap = "virtual_gap_scenarios_primary_killed_leader_beside_it"
+	assert.DeepEqual(t, figures, []figure{
+		{gap + "_median", 212, "ms", "<= 1500", true},
+		{gap + "_longest", 1600, "ms", "<= 1500", false},
+		{"control_idle_leader", 40, "1/s", "<= 42", true},
+		{"kept", 0.9, "share", ">= 0.95", false},
+		{"routing_choose_groups_3_ns", 108.6, "ns/op", "<= 2000", true},
+		{"routing_choose_groups_3_b", 0, "B/op", "", true},
+		{"routing_choose_groups_3_allocs", 2, "allocs/op", "<= 0", false},
+		{"routing_host_lost_ns", 15924, "ns/op", "", true},
+		{"routing_host_lost_moves", 6.828, "moves/op", "", true},
+	})
+	_, err = readOutput([]byte(`{"name":1}`), nil)
+	assert.ErrorContains(t, err, "name")
+}
+
+func TestABoundNeedsItsFigure(t *testing.T) {
+	s := suite{bounds: map[string]float64{"a": 1}}
+	assert.ErrorContains(t, s.complete(nil), "no figure")
+	assert.ErrorContains(t, s.complete([]figure{atMost("b", 0, 1, "n")}), "no figure a, which has a bound")
+	assert.NilError(t, s.complete([]figure{atMost("b", 0, 1, "n"), atMost("a", 0, 1, "n")}))
+}
+
+func TestRecordAndComparison(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "figures.jsonl")
+	before := record{Commit: "abc", Machine: "m", figures: []figure{
+		atMost("slower", 100, 200, "ms"), atMost("broken", 100, 200, "ms"), unbounded("gone", 7, "n"), atMost("zero", 0, 0, "n"),
+	}}
+	assert.NilError(t, before.write(file))
+	earlier, err := readRecord(file)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, earlier.figures, before.figures)
+	var out strings.Builder
+	compare(&out, earlier, []figure{atMost("slower", 150, 200, "ms"), atMost("broken", 300, 200, "ms"), unbounded("fresh", 1, "n"), atMost("zero", 0, 0, "n")})
+	for _, want := range []string{"figures of abc on m", "+50%", "WORSE", "the bound is <= 200", "new ", "not run  gone", "same"} {
+		assert.Assert(t, strings.Contains(out.String(), want), "%q in\n%s", want, out.String())
+	}
+	w := &writer{out: &out, figures: []figure{atMost("a", 2, 1, "n"), atMost("b", 1, 1, "n")}}
+	assert.Equal(t, w.failed(), 1)
+}
+
+func TestPercentile(t *testing.T) {
+	var list []time.Duration
+	assert.Equal(t, percentile(list, percentile99), time.Duration(0))
+	for i := range 50 {
+		list = append(list, time.Duration(50-i))
+	}
+	assert.Equal(t, percentile(list, percentileMedian), time.Duration(25))
+	assert.Equal(t, percentile(list, percentile99), time.Duration(50))
+	assert.Equal(t, percentile(list, percentileLargest), time.Duration(50))
+	assert.Equal(t, percentile(list[:1], percentileMedian), time.Duration(50))
+}
--- a/standin/deploy/cluster.go
+++ b/standin/deploy/cluster.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -45,6 +46,8 @@
 	// Slots, Connections, Lag and StatementTime are those of each instance.
 	Slots, Connections int
 	Lag, StatementTime time.Duration
+	// Progress gets a line for each step of the start; nil for none.
+	Progress io.Writer
 	// PortBase is the first port to use; 0 finds free ones.
 	PortBase int
 }
@@ -158,7 +161,7 @@
 // Start starts all processes, applies the document, and returns once the
 // system is ready.
 func (c *Cluster) Start(ctx context.Context) error {
-	fmt.Printf("starting %d hosts and %d stand-ins in %d failure domains\n", len(c.Hosts), len(c.Upstreams), len(c.Domains))
+	c.progress("starting %d hosts and %d stand-ins in %d failure domains\n", len(c.Hosts), len(c.Upstreams), len(c.Domains))
 	for i := range c.Hosts {
 		if err := c.startHost(i); err != nil {
 			return err
@@ -176,10 +179,16 @@
 	if err := c.Settled(ctx); err != nil {
 		return err
 	}
-	fmt.Printf("ready %v after the document was applied\n", time.Since(begin).Round(time.Millisecond))
+	c.progress("ready %v after the document was applied\n", time.Since(begin).Round(time.Millisecond))
 	return nil
 }
 
+func (c *Cluster) progress(format string, args ...any) {
+	if c.Progress != nil {
+		fmt.Fprintf(c.Progress, format, args...)
+	}
+}
+
 func (c *Cluster) startHost(i int) error {
 	h := c.Hosts[i]
 	settings, err := c.settings(i)
--- a/standin/deploy/inspect.go
+++ b/standin/deploy/inspect.go
@@ -67,6 +67,18 @@
 	return errors.New("the document is not known yet")
 }
 
+// InForce reports whether every host has that version of the document in
+// force.
+func (c *Cluster) InForce(ctx context.Context, version uint64) bool {
+	st, err := c.Hosts[0].API.Status(ctx)
+	if err != nil || c.inForceEverywhere(st) != nil {
+		return false
+	}
+	return slices.ContainsFunc(st.Documents, func(d api.DocumentStatus) bool {
+		return d.Service == c.Service && d.Version == version
+	})
+}
+
 // allOwned checks that every instance that runs has an owner.
 func (c *Cluster) allOwned(st api.Status) error {
 	owned := 0
