--- a/internal/api/client.go
+++ b/internal/api/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -25,15 +26,26 @@
 
 // Client calls the interface of one host. It is safe for concurrent use.
 type Client struct {
-	host string // ip:port
-	http *http.Client
+	host   string // ip:port
+	scheme string
+	token  string
+	http   *http.Client
+}
+
+// UseToken makes the client send a bearer token.
+func (c *Client) UseToken(token string) { c.token = token }
+
+// UseTLS makes the client use TLS.
+func (c *Client) UseTLS(cfg *tls.Config) {
+	c.scheme = "https"
+	c.http.Transport.(*http.Transport).TLSClientConfig = cfg
 }
 
 // NewClient returns a client of the host at ip:port whose calls end after
 // timeout.
 func NewClient(host string, timeout time.Duration) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{host: host, http: &http.Client{
+	return &Client{host: host, scheme: "http", http: &http.Client{
 		Timeout:   timeout,
 		Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
@@ -86,10 +98,13 @@
 // when the host answered one, and an *UnreachableError when no whole answer
 // came.
 func (c *Client) call(ctx context.Context, method, path string, body []byte, reply any) error {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.host+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, c.scheme+"://"+c.host+path, bytes.NewReader(body))
 	if err != nil {
 		return &UnreachableError{Host: c.host, Cause: err}
 	}
+	if c.token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.token)
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return &UnreachableError{Host: c.host, Cause: err}
--- a/internal/api/handler.go
+++ b/internal/api/handler.go
@@ -70,15 +70,15 @@
 }
 
 // NewHandler returns the handler of the interface. It serves metrics at
-// PathMetrics.
-func NewHandler(b Backend, metrics http.Handler) http.Handler {
+// PathMetrics. PathHealth, PathReady and PathMetrics are open to anyone.
+func NewHandler(b Backend, metrics http.Handler, a Access) http.Handler {
 	h := &handler{backend: b}
 	mux := http.NewServeMux()
-	mux.Handle("POST "+PathAnnounce, endpoint(AnnounceTimeout, h.announce))
-	mux.Handle("POST "+PathDocuments, endpoint(ApplyTimeout, h.apply))
-	mux.Handle("POST "+PathSwitchOver, endpoint(ApplyTimeout, h.switchOver))
-	mux.Handle("GET "+PathStatus, endpoint(QueryTimeout, h.status))
-	mux.Handle("GET "+PathExplain, endpoint(QueryTimeout, h.explain))
+	mux.Handle("POST "+PathAnnounce, a.announcer(endpoint(AnnounceTimeout, h.announce)))
+	mux.Handle("POST "+PathDocuments, a.operator(endpoint(ApplyTimeout, h.apply)))
+	mux.Handle("POST "+PathSwitchOver, a.operator(endpoint(ApplyTimeout, h.switchOver)))
+	mux.Handle("GET "+PathStatus, a.operator(endpoint(QueryTimeout, h.status)))
+	mux.Handle("GET "+PathExplain, a.operator(endpoint(QueryTimeout, h.explain)))
 	mux.Handle("GET "+PathHealth, endpoint(QueryTimeout, h.health))
 	mux.HandleFunc("GET "+PathReady, h.ready)
 	mux.Handle("GET "+PathMetrics, metrics)
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -27,6 +27,8 @@
 	Entries []string
 	// HTTP is the HTTP address of one host, which is asked where keys live.
 	HTTP string
+	// Client asks HTTP; nil is a client without TLS and token.
+	Client *api.Client
 	// MetricsFrom are the HTTP addresses whose counters of reads are added up.
 	MetricsFrom []string
 	// ConnString holds further settings of the connections, as key=value
@@ -184,4 +186,9 @@
 }
 
 // client returns a client of the host that is asked.
-func (c *Config) client() *api.Client { return api.NewClient(c.HTTP, apiTimeout) }
+func (c *Config) client() *api.Client {
+	if c.Client != nil {
+		return c.Client
+	}
+	return api.NewClient(c.HTTP, apiTimeout)
+}
--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -77,6 +77,10 @@
 		Duration: c.Duration, Rates: c.Rate, DefaultRate: c.DefaultRate, Seed: c.Seed,
 		SessionsPerClass: c.Sessions, RoamEvery: c.RoamEvery, KeysPerGroup: c.KeysPerGroup, HeartbeatEvery: c.HeartbeatEvery,
 	}
+	var err error
+	if cfg.Client, err = c.client(); err != nil {
+		return cfg, err
+	}
 	src, err := os.ReadFile(c.File)
 	if err != nil {
 		return cfg, err
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 
 	"github.com/alecthomas/kong"
 
@@ -34,14 +35,15 @@
 
 // commands is the grammar of the command line.
 type commands struct {
-	Serve      serveCommand      `cmd:"" help:"Run a host. Its settings make it an entry host, and a control host too if they say so."`
-	Check      checkCommand      `cmd:"" help:"Check a settings file or a service document and print every problem with its place."`
-	Apply      applyCommand      `cmd:"" help:"Hand a service document to the system. Sending the same document again is safe."`
-	Status     statusCommand     `cmd:"" help:"Print what a host knows of the system: documents, hosts, groups, instances."`
-	Explain    explainCommand    `cmd:"" help:"Print what a host would do with a request now, and why."`
-	Switchover switchOverCommand `cmd:"" help:"Begin a planned change of the primary of a group."`
-	Bench      benchCommand      `cmd:"" help:"Drive the classes of a service with load and judge the promises by what callers saw."`
-	Version    versionCommand    `cmd:"" help:"Print the version of this build."`
+	Serve        serveCommand        `cmd:"" help:"Run a host. Its settings make it an entry host, and a control host too if they say so."`
+	Check        checkCommand        `cmd:"" help:"Check a settings file or a service document and print every problem with its place."`
+	Apply        applyCommand        `cmd:"" help:"Hand a service document to the system. Sending the same document again is safe."`
+	Status       statusCommand       `cmd:"" help:"Print what a host knows of the system: documents, hosts, groups, instances."`
+	Explain      explainCommand      `cmd:"" help:"Print what a host would do with a request now, and why."`
+	Switchover   switchOverCommand   `cmd:"" help:"Begin a planned change of the primary of a group."`
+	Bench        benchCommand        `cmd:"" help:"Drive the classes of a service with load and judge the promises by what callers saw."`
+	HashPassword hashPasswordCommand `cmd:"" help:"Read a password from standard input and print its verifier for the users of the settings."`
+	Version      versionCommand      `cmd:"" help:"Print the version of this build."`
 }
 
 const description = `A PostgreSQL proxy with session consistency.
@@ -53,6 +55,7 @@
 	ctx    context.Context
 	out    io.Writer
 	errOut io.Writer
+	in     io.Reader
 	serve  ServeFunc
 }
 
@@ -79,7 +82,7 @@
 		fmt.Fprintf(errOut, "amaranthweir: %v\nSee amaranthweir --help.\n", err)
 		return ExitUsage
 	}
-	env := &environment{ctx: ctx, out: out, errOut: errOut, serve: serve}
+	env := &environment{ctx: ctx, out: out, errOut: errOut, in: os.Stdin, serve: serve}
 	if err := command.Run(env); err != nil {
 		report(errOut, err)
 		return exitCodeOf(err)
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -12,9 +13,11 @@
 	"strings"
 	"testing"
 
+	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
 	"github.com/amaranthweir/amaranthweir/internal/api"
+	"github.com/amaranthweir/amaranthweir/internal/auth"
 	"github.com/amaranthweir/amaranthweir/internal/config"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/platform"
@@ -22,7 +25,10 @@
 )
 
 // fakeHost is the backend of a host whose answers the tests choose.
-type fakeHost struct{ err error }
+type fakeHost struct {
+	err   error
+	token string // of the only operator; empty admits anyone
+}
 
 func (f *fakeHost) Announce(context.Context, platform.Announcement) (platform.AnnounceReply, error) {
 	return platform.AnnounceReply{}, f.err
@@ -60,10 +66,45 @@
 
 func (f *fakeHost) SwitchOver(context.Context, api.SwitchOver) error { return f.err }
 
+// access admits the operator of the tests, where the fake host has one.
+func (f *fakeHost) access() api.Access {
+	if f == nil || f.token == "" {
+		return api.Access{}
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return api.Access{Operators: []auth.Operator{{Name: "alex", Token: auth.HashToken(f.token)}}, Log: log}
+}
+
+func TestTokenOfTheOperator(t *testing.T) {
+	file := writeFile(t, "secret\n")
+	args := func(more ...string) []string { return append([]string{"status", "--host", "HOST"}, more...) }
+	code, _, errOut := run(t, &fakeHost{token: "secret"}, nil, args()...)
+	assert.Equal(t, code, ExitFailed)
+	assert.Assert(t, strings.Contains(errOut, "unauthenticated"), errOut)
+	code, _, errOut = run(t, &fakeHost{token: "secret"}, nil, args("--token-file", file)...)
+	assert.Equal(t, code, ExitOK, errOut)
+	assert.NilError(t, os.Chmod(file, 0o644))
+	code, _, errOut = run(t, &fakeHost{token: "secret"}, nil, args("--token-file", file)...)
+	assert.Equal(t, code, ExitFailed)
+	assert.Assert(t, strings.Contains(errOut, "0644") && !strings.Contains(errOut, "secret"), errOut)
+	t.Setenv("AMARANTHWEIR_TOKEN", "secret")
+	code, _, errOut = run(t, &fakeHost{token: "secret"}, nil, args()...)
+	assert.Equal(t, code, ExitOK, errOut)
+}
+
+func TestHashPassword(t *testing.T) {
+	var out bytes.Buffer
+	assert.NilError(t, (&hashPasswordCommand{}).Run(&environment{in: strings.NewReader("pencil\n"), out: &out}))
+	_, err := auth.ParseVerifier(strings.TrimSpace(out.String()))
+	assert.NilError(t, err)
+	assert.Assert(t, (&hashPasswordCommand{}).Run(&environment{in: strings.NewReader("\n"), out: &out}) != nil)
+}
+
 // run executes one command line against the fake host.
 func run(t *testing.T, f *fakeHost, serve ServeFunc, args ...string) (code int, out, errOut string) {
 	t.Helper()
-	server := httptest.NewServer(api.NewHandler(f, http.NotFoundHandler()))
+	server := httptest.NewServer(api.NewHandler(f, http.NotFoundHandler(), f.access()))
 	defer server.Close()
 	for i := range args {
 		args[i] = strings.ReplaceAll(args[i], "HOST", server.Listener.Addr().String())
--- a/internal/cli/files.go
+++ b/internal/cli/files.go
@@ -118,7 +118,11 @@
 	if _, err := config.ParseDocument(c.File, src); err != nil {
 		return err
 	}
-	reply, err := c.client().Apply(env.ctx, src)
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	reply, err := client.Apply(env.ctx, src)
 	if err != nil {
 		return c.failed(env, err)
 	}
--- a/internal/cli/flags.go
+++ b/internal/cli/flags.go
@@ -5,17 +5,27 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"os"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/amaranthweir/amaranthweir/internal/api"
+	"github.com/amaranthweir/amaranthweir/internal/certs"
 )
 
+// tokenVariable holds the token of the operator where no file is named.
+const tokenVariable = "AMARANTHWEIR_TOKEN"
+
 const outputJSON = "json"
 
 // hostFlags name the host that a command talks to.
 type hostFlags struct {
 	Host    string        `required:"" env:"AMARANTHWEIR_HOST" placeholder:"IP:PORT" help:"The HTTP address of any host."`
 	Timeout time.Duration `default:"15s" help:"How long to wait for the answer."`
+
+	TokenFile string `placeholder:"FILE" help:"A file with the token of the operator, which only its owner may read. AMARANTHWEIR_TOKEN in the environment does as well."`
+	CA        string `placeholder:"FILE" env:"AMARANTHWEIR_CA" help:"Certificates that the host is verified against. With it, TLS is used."`
 }
 
 // Validate checks the flags before the command runs.
@@ -30,7 +40,37 @@
 }
 
 // client returns a client of the host.
-func (f *hostFlags) client() *api.Client { return api.NewClient(f.Host, f.Timeout) }
+func (f *hostFlags) client() (*api.Client, error) {
+	client := api.NewClient(f.Host, f.Timeout)
+	if err := f.secure(client); err != nil {
+		return nil, err
+	}
+	return client, nil
+}
+
+// secure gives a client the token and the certificates.
+func (f *hostFlags) secure(client *api.Client) error {
+	token := os.Getenv(tokenVariable)
+	if f.TokenFile != "" {
+		var err error
+		if token, err = certs.ReadSecret(f.TokenFile); err != nil {
+			return err
+		}
+	}
+	client.UseToken(token)
+	if f.CA == "" {
+		return nil
+	}
+	started := time.Now()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	l, err := certs.NewLoader(certs.Files{CA: f.CA}, func() time.Duration { return time.Since(started) }, log)
+	if err != nil {
+		return err
+	}
+	client.UseTLS(l.Client())
+	return nil
+}
 
 // outputFlag chooses how data is printed.
 type outputFlag struct {
--- a/internal/cli/queries.go
+++ b/internal/cli/queries.go
@@ -19,7 +19,11 @@
 
 // Run asks the host and prints its answer.
 func (c *statusCommand) Run(env *environment) error {
-	s, err := c.client().Status(env.ctx)
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	s, err := client.Status(env.ctx)
 	if err != nil {
 		return c.failed(env, err)
 	}
@@ -80,7 +84,11 @@
 // Run asks the host and prints its answer.
 func (c *explainCommand) Run(env *environment) error {
 	q := api.ExplainQuery{Service: c.Service, Class: c.Class, Key: c.Key}
-	e, err := c.client().Explain(env.ctx, q)
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	e, err := client.Explain(env.ctx, q)
 	if err != nil {
 		return c.failed(env, err)
 	}
--- a/internal/cli/switchover.go
+++ b/internal/cli/switchover.go
@@ -18,7 +18,11 @@
 // Run asks the host to begin the change.
 func (c *switchOverCommand) Run(env *environment) error {
 	s := api.SwitchOver{Group: table.GroupName(c.Group), To: table.InstanceID(c.To)}
-	reply, err := c.client().SwitchOver(env.ctx, s)
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	reply, err := client.SwitchOver(env.ctx, s)
 	if err != nil {
 		return c.failed(env, err)
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -142,6 +142,7 @@
 func TestParseSettingsNamesEveryProblem(t *testing.T) {
 	parse := func(src []byte) error { _, err := ParseSettings("f", src); return err }
 	const key = `"000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f"`
+	const users = `[{"name": "u", "scram": "SCRAM-SHA-256$4096:AAECAwQFBgcICQoLDA0ODw==$AAECAwQFBgcICQoLDA0ODwABAgMEBQYHCAkKCwwNDg8=:AAECAwQFBgcICQoLDA0ODwABAgMEBQYHCAkKCwwNDg8="}]`
 	withKeys := func(list string) string { return `"failure_domain": "d1", "session_keys": ` + list }
 	runFaults(t, goodSettings, parse, []fault{
 		{"host name", `"127.0.0.1:1"`, `"localhost:1"`, []string{`localhost | caller_address | not a host name`}},
@@ -149,10 +150,25 @@
 		{"port zero", `"127.0.0.1:1"`, `"127.0.0.1:0"`, []string{`127.0.0.1:0 | caller_address | ip:port`}},
 		{"same address", `"127.0.0.1:3"`, `"127.0.0.1:1"`, []string{`127.0.0.1:1" | http_address | also stands at caller_address`}},
 		{"unreachable peer address", `"peer_address": "127.0.0.1:2", "http`, `"peer_address": "0.0.0.0:2", "http`, []string{
-			`0.0.0.0:2 | peer_address | that other hosts can reach`, `0.0.0.0:2 | peer_address | is no loopback address`,
+			`0.0.0.0:2 | peer_address | that other hosts can reach`, `0.0.0.0:2 | peer_address | expected "session_keys"`,
+			`0.0.0.0:2 | peer_address | expected "peer_tls"`,
 			`127.0.0.1:2"}]} | control.voters[0].peer_address | of this host`,
 		}},
-		{"keys missing", `"127.0.0.1:1"`, `"10.0.0.1:1"`, []string{`10.0.0.1:1 | caller_address | expected "session_keys"`}},
+		{"keys missing", `"127.0.0.1:1"`, `"10.0.0.1:1"`, []string{
+			`10.0.0.1:1 | caller_address | expected "session_keys"`, `10.0.0.1:1 | caller_address | expected "users", "tls_certificate" and "tls_key", or "allow_plain_text": true`,
+		}},
+		{"trust beyond loopback", `"127.0.0.1:1"`, `"10.0.0.1:1", "session_keys": [` + key + `], "tls_certificate": "c", "tls_key": "k"`, []string{`10.0.0.1:1 | caller_address | expected "users"`}},
+		{"plain text beyond loopback", `"127.0.0.1:1"`, `"10.0.0.1:1", "session_keys": [` + key + `], "users": ` + users, []string{`10.0.0.1:1 | caller_address | expected "users", "tls_certificate"`}},
+		{"operators beyond loopback", `"127.0.0.1:3"`, `"10.0.0.1:3", "session_keys": [` + key + `]`, []string{`10.0.0.1:3 | http_address | expected "operators"`}},
+		{"TLS without certificate", `"failure_domain": "d1"`, `"failure_domain": "d1", "require_tls": true`, []string{"true | require_tls | expected \"tls_certificate\""}},
+		{"verifier", `"failure_domain": "d1"`, `"failure_domain": "d1", "users": [{"name": "a", "scram": "secret"}]`, []string{"secret | users[0].scram | as PostgreSQL stores it"}},
+		{"user twice", `"failure_domain": "d1"`, `"failure_domain": "d1", "users": ` + strings.Replace(users, "]", ", "+users[1:], 1), []string{`u", | users[1].name | stands twice`}},
+		{"no users", `"failure_domain": "d1"`, `"failure_domain": "d1", "users": []`, []string{"[] | users | at least one user"}},
+		{"token", `"failure_domain": "d1"`, `"failure_domain": "d1", "announce_token_sha256": "secret"`, []string{"secret | announce_token_sha256 | 64 hexadecimal digits"}},
+		{"token twice", `"failure_domain": "d1"`, `"failure_domain": "d1", "operators": [{"name": "a", "token_sha256": ` + key + `}, {"name": "b", "token_sha256": ` + key + `}]`, []string{"0001 | operators[1].token_sha256 | one for each"}},
+		{"no operators", `"failure_domain": "d1"`, `"failure_domain": "d1", "operators": []`, []string{"[] | operators | at least one operator"}},
+		{"half a peer certificate", `"failure_domain": "d1"`, `"failure_domain": "d1", "peer_tls": {"key": "k", "ca": "c"}`, []string{`{"key" | peer_tls | "certificate" is missing`}},
+		{"upstream password", `"failure_domain": "d1"`, `"failure_domain": "d1", "upstream": {"password": "p"}`, []string{`password | upstream.password | unknown field`}},
 		{"short key", `"failure_domain": "d1"`, withKeys(`["00ff"]`), []string{"00ff | session_keys[0] | found 4 characters, expected at least 64"}},
 		{"key not hexadecimal", `"failure_domain": "d1"`, withKeys(`["` + strings.Repeat("x", 64) + `"]`), []string{"xxx | session_keys[0] | hexadecimal"}},
 		{"key twice", `"failure_domain": "d1"`, withKeys("[" + key + "," + key + "]"), []string{"000102 | session_keys[1] | stands twice"}},
@@ -182,6 +198,19 @@
 	assert.Assert(t, !s.DevelopmentKeys)
 }
 
+func TestPlainTextBeyondLoopbackIsStated(t *testing.T) {
+	src := strings.ReplaceAll(goodSettings, "127.0.0.1", "10.0.0.1")
+	src = strings.Replace(src, "{", `{"session_keys": ["`+strings.Repeat("ab", 32)+`"], "allow_plain_text": true,`, 1)
+	s, err := ParseSettings("f", []byte(src))
+	assert.NilError(t, err)
+	assert.Assert(t, s.AllowPlainText && !s.RequireTLS)
+	example, err := os.ReadFile("../../examples/control-host.jsonc")
+	assert.NilError(t, err)
+	s, err = ParseSettings("f", example)
+	assert.NilError(t, err)
+	assert.Assert(t, s.RequireTLS, "callers on any address may use plain text")
+}
+
 func TestDigestIgnoresCommentsAndWhiteSpaceOnly(t *testing.T) {
 	base := DocumentDigest([]byte(`{"a": 1, "b": [2]}`))
 	assert.Equal(t, len(base), 64)
@@ -225,7 +254,7 @@
 			func(src []byte) error { _, err := ParseDocument("f", src); return err },
 		},
 		{
-			"settings.md", `{"x": 1, "control": {"x": 1, "voters": [{"x": 1}]}}`,
+			"settings.md", `{"x": 1, "control": {"x": 1, "voters": [{"x": 1}]}, "users": [{"x": 1}], "upstream": {"x": 1}, "peer_tls": {"x": 1}, "operators": [{"x": 1}]}`,
 			func(src []byte) error { _, err := ParseSettings("f", src); return err },
 		},
 	} {
--- a/internal/config/parse_settings.go
+++ b/internal/config/parse_settings.go
@@ -56,13 +56,15 @@
 // settingsParser fills settings and remembers the places that checks across
 // fields report.
 type settingsParser struct {
-	s         Settings
-	root      node
-	addresses []listenAddress
-	joined    bool
-	tlsCert   node
-	tlsKey    node
-	voters    []voterPlace
+	s                        Settings
+	root                     node
+	addresses                []listenAddress
+	joined                   bool
+	tlsCert                  node
+	tlsKey                   node
+	requireTLS               node
+	callerAt, peerAt, httpAt node
+	voters                   []voterPlace
 }
 
 // voterPlace is the place of one voter.
@@ -79,12 +81,14 @@
 func (p *settingsParser) read() {
 	s := &p.s
 	s.MaxCallers, s.MaxMessageBytes, s.LogLevel = DefaultMaxCallers, DefaultMaxMessageBytes, DefaultLogLevel
-	ok := p.root.object(
+	s.Upstream = Upstream{User: DefaultUpstreamUser, Database: DefaultUpstreamDatabase}
+	ok := p.root.object(append(
+		p.securityFields(),
 		field{"host", true, func(n node) { s.Host = readHost(n) }},
 		field{"failure_domain", true, func(n node) { d, _ := n.name(); s.Domain = table.Domain(d) }},
-		field{"caller_address", true, func(n node) { s.CallerAddress = p.listen(n) }},
-		field{"peer_address", true, func(n node) { s.PeerAddress = p.listenForPeers(n) }},
-		field{"http_address", true, func(n node) { s.HTTPAddress = p.listen(n) }},
+		field{"caller_address", true, func(n node) { p.callerAt = n; s.CallerAddress = p.listen(n) }},
+		field{"peer_address", true, func(n node) { p.peerAt = n; s.PeerAddress = p.listenForPeers(n) }},
+		field{"http_address", true, func(n node) { p.httpAt = n; s.HTTPAddress = p.listen(n) }},
 		field{"join", false, p.readJoin},
 		field{"control", false, p.readControl},
 		field{"session_keys", false, p.readKeys},
@@ -95,7 +99,7 @@
 		field{"log_level", false, p.readLogLevel},
 		field{"tls_certificate", false, func(n node) { p.tlsCert = n; s.TLSCertificate = readFile(n) }},
 		field{"tls_key", false, func(n node) { p.tlsKey = n; s.TLSKey = readFile(n) }},
-	)
+	)...)
 	if ok {
 		p.check()
 	}
@@ -215,6 +219,7 @@
 		p.root.problem("expected both \"tls_certificate\" and \"tls_key\", or neither")
 	}
 	p.checkKeys()
+	p.checkPlainText()
 	p.checkVoters()
 }
 
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -1,6 +1,9 @@
 package config
 
-import "github.com/amaranthweir/amaranthweir/internal/table"
+import (
+	"github.com/amaranthweir/amaranthweir/internal/auth"
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
 
 // ControlSettings makes a host a control host.
 type ControlSettings struct {
@@ -43,7 +46,49 @@
 	MaxMessageBytes int
 	// LogLevel is a logrus level name.
 	LogLevel string
-	// TLSCertificate and TLSKey are files; empty means plain text to callers.
+	// TLSCertificate and TLSKey are files, for callers and operators; empty
+	// means plain text to them.
 	TLSCertificate string
 	TLSKey         string
+	// RequireTLS refuses callers in plain text. It is set for an address that
+	// is no loopback address, too, unless AllowPlainText is.
+	RequireTLS bool
+	// AllowPlainText states that plain text and trust are meant, on any
+	// address.
+	AllowPlainText bool
+	// Users may log in; empty means that each caller is trusted.
+	Users []User
+	// Upstream is how hosts log in to instances.
+	Upstream Upstream
+	// PeerTLS is nil for plain text between hosts.
+	PeerTLS *PeerTLS
+	// Operators may use the HTTP interface; empty means anyone.
+	Operators []auth.Operator
+	// AnnounceToken is nil where announcements need no token.
+	AnnounceToken *auth.TokenHash
+}
+
+// User is a caller that may log in.
+type User struct {
+	Name     string
+	Verifier auth.Verifier
+}
+
+// Upstream is how hosts log in to instances.
+type Upstream struct {
+	User     string
+	Database string
+	// PasswordFile is a file that only its owner may read; empty means no
+	// password.
+	PasswordFile string
+	// CA is a file with the certificates that instances are verified against;
+	// empty means plain text.
+	CA string
+}
+
+// PeerTLS names the files for the traffic between hosts.
+type PeerTLS struct {
+	Certificate string
+	Key         string
+	CA          string
 }
--- a/internal/control/hello.go
+++ b/internal/control/hello.go
@@ -48,6 +48,14 @@
 	hello   *hello
 }
 
+// from returns the host that the message says it is from.
+func (in inbound) from() table.HostID {
+	if in.hello != nil {
+		return in.hello.From.Host
+	}
+	return in.message.From.Host
+}
+
 func decodeFrame(b []byte) (inbound, error) {
 	if len(b) == 0 {
 		return inbound{}, consensus.ErrMalformed
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -336,10 +336,19 @@
 // Receive takes a message that a peer's Transport sent. Malformed bytes give
 // an error. A message may be dropped when too many wait.
 func (s *Server) Receive(msg []byte) error {
+	return s.ReceiveFrom(func(table.HostID) error { return nil }, msg)
+}
+
+// ReceiveFrom is Receive for a message whose sender is checked: the error of
+// check for the host that the message names is returned.
+func (s *Server) ReceiveFrom(check func(table.HostID) error, msg []byte) error {
 	in, err := decodeFrame(bytes.Clone(msg))
 	if err != nil {
 		return err
 	}
+	if err := check(in.from()); err != nil {
+		return err
+	}
 	select {
 	case s.inbox <- in:
 	default:
--- a/internal/host/act.go
+++ b/internal/host/act.go
@@ -157,16 +157,17 @@
 	}
 	ctx, stop := context.WithTimeout(l.ctx, nudgeTimeout)
 	defer stop()
-	_ = peer.Call(ctx, h.PeerAddress, methodNudge, struct{}{}, &struct{}{})
+	_ = peer.Call(ctx, l.host.dir.dial, h.PeerAddress, methodNudge, struct{}{}, &struct{}{})
 }
 
 // apply hands a document to the replicated log.
 func (l *leader) apply(ctx context.Context, in *applyRequest) (applyReply, error) {
 	res, err := l.server.Propose(ctx, control.Command{PutDocument: &control.PutDocument{
-		Service: in.Service,
-		Version: in.Version,
-		Digest:  in.Digest,
-		Body:    in.Body,
+		Service:  in.Service,
+		Version:  in.Version,
+		Digest:   in.Digest,
+		Body:     in.Body,
+		Operator: in.Operator,
 	}})
 	if err != nil {
 		return applyReply{}, err
--- a/internal/host/backend.go
+++ b/internal/host/backend.go
@@ -72,7 +72,7 @@
 func (b *backend) Apply(ctx context.Context, doc *config.Document, src []byte) (api.ApplyReply, error) {
 	digest := config.DocumentDigest(src)
 	before := b.host.dir.view.Load().Documents[doc.Service].Version
-	in := applyRequest{Service: doc.Service, Version: doc.Version, Digest: digest, Body: src}
+	in := applyRequest{Service: doc.Service, Version: doc.Version, Digest: digest, Body: src, Operator: api.OperatorOf(ctx)}
 	var out applyReply
 	if err := b.host.askLeader(ctx, methodApply, in, &out); err != nil {
 		return api.ApplyReply{}, err
@@ -80,6 +80,7 @@
 	inForce := api.DocumentVersion{Version: out.Version, Digest: out.Digest}
 	b.host.log.WithFields(logrus.Fields{
 		"service": doc.Service, "version": doc.Version, "digest": digest, "accepted": out.Accepted,
+		"operator": api.OperatorOf(ctx),
 	}).Info("audit: apply")
 	if !out.Accepted {
 		return api.ApplyReply{}, api.NewConflict(doc.Service, inForce)
@@ -99,7 +100,7 @@
 	for {
 		err = errkind.New(errkind.NotLeader, "no leader is known")
 		if address := h.beats.target(); address != "" {
-			err = peer.Call(ctx, address, method, in, out)
+			err = peer.Call(ctx, h.dir.dial, address, method, in, out)
 		}
 		if err == nil || !errkind.Of(err).Kind.Answer().Repeat {
 			return err
@@ -183,7 +184,7 @@
 
 // SwitchOver implements api.Backend.
 func (b *backend) SwitchOver(ctx context.Context, s api.SwitchOver) error {
-	b.host.log.WithFields(logrus.Fields{"group": s.Group, "to": s.To}).Info("audit: switch-over")
+	b.host.log.WithFields(logrus.Fields{"group": s.Group, "to": s.To, "operator": api.OperatorOf(ctx)}).Info("audit: switch-over")
 	return b.host.askLeader(ctx, methodSwitchOver, s, &struct{}{})
 }
 
--- a/internal/host/beats.go
+++ b/internal/host/beats.go
@@ -49,6 +49,7 @@
 func newBeats(h *Host) *beats {
 	return &beats{
 		host:    h,
+		conn:    peer.Caller{Dial: h.dir.dial},
 		log:     h.log,
 		now:     make(chan struct{}, 1),
 		heard:   map[table.InstanceID]platform.Announcement{},
@@ -321,11 +322,15 @@
 }
 
 // takeHeartbeat answers the heartbeat of a host.
-func (h *Host) takeHeartbeat(_ context.Context, body []byte) (any, error) {
+func (h *Host) takeHeartbeat(ctx context.Context, body []byte) (any, error) {
 	var hb heartbeat
 	if err := json.Unmarshal(body, &hb); err != nil {
 		return nil, badMessage(err)
 	}
+	if err := peer.CheckSpeaker(ctx, hb.Host); err != nil {
+		h.log.WithError(err).WithField("host", hb.Host).Warn("heartbeat refused")
+		return nil, err
+	}
 	if h.leader == nil {
 		return heartbeatReply{Leader: h.beats.leaderAddress()}, nil
 	}
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -28,6 +28,7 @@
 	clock func() time.Duration
 	log   logrus.FieldLogger
 	peers peer.Timing
+	dial  peer.DialFunc
 
 	groups    routing.Table
 	view      atomic.Pointer[control.View]
@@ -221,7 +222,7 @@
 		if r != nil {
 			r.executor.Close()
 		}
-		d.remotes[h.ID] = &remote{address: h.PeerAddress, executor: peer.NewRemote(h.PeerAddress, d.peers)}
+		d.remotes[h.ID] = &remote{address: h.PeerAddress, executor: peer.NewRemote(h.PeerAddress, d.peers, d.dial)}
 	}
 	for id, r := range d.remotes {
 		if !seen[id] {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -41,6 +40,7 @@
 	log         *logrus.Logger
 	metrics     *metrics.Metrics
 	dir         *directory
+	security    *security
 	platform    *pgplatform.Platform
 	owner       *owner.Owner
 	gateway     *gateway.Gateway
@@ -74,10 +74,16 @@
 	if err := h.timing.Validate(); err != nil {
 		return nil, err
 	}
-	if h.platform, err = pgplatform.New(pgplatform.DefaultConfig()); err != nil {
+	if h.security, err = newSecurity(s, h.clock, log); err != nil {
+		return nil, eris.Wrap(err, "security")
+	}
+	platformConfig := pgplatform.DefaultConfig()
+	platformConfig.Login = h.security.upstream
+	if h.platform, err = pgplatform.New(platformConfig); err != nil {
 		return nil, eris.Wrap(err, "platform")
 	}
 	h.dir = newDirectory(s.Host, h.clock, log)
+	h.dir.dial = h.security.dialPeer()
 	if err := h.build(); err != nil {
 		return nil, err
 	}
@@ -116,18 +122,15 @@
 		Stamp:     func() failover.Stamp { return h.beats.latestStamp() },
 		Changed:   func() { h.beats.soon() },
 		Log:       h.log,
-		User:      "amaranthweir",
-		Database:  "postgres",
+		Login:     h.security.upstream,
 		Timing:    owner.DefaultTiming(),
 	})
 	h.dir.local = h.owner
-	tlsConfig, err := loadTLS(h.settings)
-	if err != nil {
-		return err
-	}
 	h.callers = pg.NewListener(pg.Config{
 		Gateway:         h.gateway,
-		TLS:             tlsConfig,
+		TLS:             h.security.callers,
+		RequireTLS:      h.settings.RequireTLS,
+		Users:           callerUsers(h.settings, secrets[0]),
 		Log:             h.log,
 		MaxCallers:      h.settings.MaxCallers,
 		MaxMessageBytes: h.settings.MaxMessageBytes,
@@ -143,17 +146,6 @@
 	return nil
 }
 
-func loadTLS(s *config.Settings) (*tls.Config, error) {
-	if s.TLSCertificate == "" {
-		return nil, nil
-	}
-	pair, err := tls.LoadX509KeyPair(s.TLSCertificate, s.TLSKey)
-	if err != nil {
-		return nil, eris.Wrap(err, "certificate for callers")
-	}
-	return &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12}, nil
-}
-
 // bind opens the sockets, so that an address in use is known at once.
 func (h *Host) bind() error {
 	var err error
@@ -175,6 +167,7 @@
 		"host": h.settings.Host, "failure_domain": h.settings.Domain, "control": h.leader != nil,
 		"callers": h.settings.CallerAddress, "tls": h.settings.TLSCertificate != "",
 	}).Info("host started")
+	warnPlainText(h.log, h.settings)
 	// The parts outlive ctx: they are needed until the shutdown is over.
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -213,20 +206,21 @@
 	s.Methods[methodStatus] = h.takeStatus
 	s.Methods[methodSwitchOver] = h.takeSwitchOver
 	if h.leader != nil {
-		s.Deliver = h.leader.server.Receive
+		s.Deliver = h.takeConsensus
 	}
-	if err := s.Serve(ctx, h.peerSocket); err != nil && ctx.Err() == nil {
+	if err := s.Serve(ctx, h.security.listenPeers(h.peerSocket)); err != nil && ctx.Err() == nil {
 		return fmt.Errorf("peers: %w", err)
 	}
 	return nil
 }
 
 func (h *Host) serveHTTP(ctx context.Context) error {
-	handler := api.NewHandler(&backend{host: h}, promhttp.HandlerFor(h.metrics.Registry(), promhttp.HandlerOpts{}))
+	handler := api.NewHandler(&backend{host: h}, promhttp.HandlerFor(h.metrics.Registry(), promhttp.HandlerOpts{}),
+		api.Access{Operators: h.settings.Operators, AnnounceToken: h.settings.AnnounceToken, Log: h.log})
 	srv := api.NewServer(handler)
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 	defer stop()
-	if err := srv.Serve(h.httpSocket); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := srv.Serve(h.security.listenHTTP(h.httpSocket)); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("http: %w", err)
 	}
 	return nil
--- a/internal/host/leader.go
+++ b/internal/host/leader.go
@@ -105,7 +105,7 @@
 	l.ctx = ctx
 	l.mu.Unlock()
 	l.sender.mu.Lock()
-	l.sender.sender = peer.NewSender(ctx, others, l.host.dir.peers)
+	l.sender.sender = peer.NewSender(ctx, others, l.host.dir.peers, l.host.dir.dial)
 	l.sender.mu.Unlock()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return l.server.Run(ctx) })
--- /dev/null
+++ b/internal/host/security.go
@@ -0,0 +1,119 @@
+package host
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/amaranthweir/amaranthweir/internal/auth"
+	"github.com/amaranthweir/amaranthweir/internal/certs"
+	"github.com/amaranthweir/amaranthweir/internal/config"
+	"github.com/amaranthweir/amaranthweir/internal/peer"
+	"github.com/amaranthweir/amaranthweir/internal/table"
+	"github.com/amaranthweir/amaranthweir/internal/upstream"
+)
+
+// security is what the settings say about certificates and logins. Where a
+// part is nil, that traffic is in plain text.
+type security struct {
+	callers     *tls.Config // and operators
+	peersServer *tls.Config
+	peersClient *tls.Config
+	upstream    upstream.Login
+}
+
+func newSecurity(s *config.Settings, clock func() time.Duration, log logrus.FieldLogger) (*security, error) {
+	out := &security{upstream: upstream.Login{User: s.Upstream.User, Database: s.Upstream.Database}}
+	load := func(f certs.Files) (*certs.Loader, error) { return certs.NewLoader(f, clock, log) }
+	if s.TLSCertificate != "" {
+		l, err := load(certs.Files{Certificate: s.TLSCertificate, Key: s.TLSKey})
+		if err != nil {
+			return nil, err
+		}
+		out.callers = l.Server()
+	}
+	if t := s.PeerTLS; t != nil {
+		l, err := load(certs.Files{Certificate: t.Certificate, Key: t.Key, CA: t.CA})
+		if err != nil {
+			return nil, err
+		}
+		out.peersServer, out.peersClient = l.MutualServer(), l.Client()
+	}
+	if s.Upstream.CA != "" {
+		l, err := load(certs.Files{CA: s.Upstream.CA})
+		if err != nil {
+			return nil, err
+		}
+		out.upstream.TLS = l.Client()
+	}
+	if s.Upstream.PasswordFile == "" {
+		return out, nil
+	}
+	var err error
+	out.upstream.Password, err = certs.ReadSecret(s.Upstream.PasswordFile)
+	return out, err
+}
+
+// dialPeer returns how other hosts are dialled; nil is plain TCP.
+func (s *security) dialPeer() peer.DialFunc {
+	if s.peersClient == nil {
+		return nil
+	}
+	return peer.DialTLS(s.peersClient)
+}
+
+func (s *security) listenPeers(l net.Listener) net.Listener {
+	if s.peersServer == nil {
+		return l
+	}
+	return peer.ListenTLS(l, s.peersServer)
+}
+
+func (s *security) listenHTTP(l net.Listener) net.Listener {
+	if s.callers == nil {
+		return l
+	}
+	return tls.NewListener(l, s.callers)
+}
+
+// callerUsers returns the callers that may log in, or nil where each is
+// trusted.
+func callerUsers(s *config.Settings, secret []byte) *auth.Users {
+	if len(s.Users) == 0 {
+		return nil
+	}
+	verifiers := make(map[string]auth.Verifier, len(s.Users))
+	for _, u := range s.Users {
+		verifiers[u.Name] = u.Verifier
+	}
+	return auth.NewUsers(verifiers, s.Users[0].Name, secret)
+}
+
+// warnPlainText says at the start what is not protected.
+func warnPlainText(log logrus.FieldLogger, s *config.Settings) {
+	for _, w := range []struct {
+		open bool
+		text string
+	}{
+		{len(s.Users) == 0, "callers are trusted: no users are set"},
+		{!s.RequireTLS, "callers may use plain text"},
+		{s.PeerTLS == nil, "hosts speak plain text with each other and trust each other's names"},
+		{s.Upstream.CA == "", "instances are reached in plain text"},
+		{len(s.Operators) == 0, "anyone who reaches the HTTP address is an operator"},
+		{s.TLSCertificate == "", "the HTTP address serves plain text"},
+		{s.AnnounceToken == nil, "announcements need no token"},
+	} {
+		if w.open {
+			log.WithField("allow_plain_text", s.AllowPlainText).Warn("not protected: " + w.text)
+		}
+	}
+}
+
+// takeConsensus takes a message of the replicated log. Its sender is the host
+// that the certificate names.
+func (h *Host) takeConsensus(ctx context.Context, body []byte) error {
+	return h.leader.server.ReceiveFrom(func(id table.HostID) error { return peer.CheckSpeaker(ctx, id) }, body)
+}
--- /dev/null
+++ b/internal/host/security_test.go
@@ -0,0 +1,282 @@
+package host
+
+import (
+	"bytes"
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/amaranthweir/amaranthweir/internal/api"
+	"github.com/amaranthweir/amaranthweir/internal/auth"
+	"github.com/amaranthweir/amaranthweir/internal/certs"
+	"github.com/amaranthweir/amaranthweir/internal/certs/certtest"
+	"github.com/amaranthweir/amaranthweir/internal/config"
+	"github.com/amaranthweir/amaranthweir/internal/consensus"
+	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/peer"
+	"github.com/amaranthweir/amaranthweir/internal/platform"
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
+
+const (
+	// patience bounds every wait; nothing is measured by it.
+	patience = 20 * time.Second
+
+	// The secrets of the tests; none may stand in a log or an error.
+	callerPassword   = "caller-pencil"
+	upstreamPassword = "upstream-pencil"
+	operatorToken    = "operator-pencil"
+	announceToken    = "announce-pencil"
+)
+
+// lockedBuffer takes the log of hosts.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// deployment is a control host h1 and a host h2 with everything protected.
+type deployment struct {
+	t     *testing.T
+	ca    *certtest.CA
+	hosts []*config.Settings
+	log   lockedBuffer
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func startProtected(t *testing.T) *deployment {
+	t.Helper()
+	d := &deployment{t: t, ca: certtest.NewCA(t)}
+	control := freeAddress(t)
+	for _, name := range []string{"h1", "h2"} {
+		peerAddress := control
+		if name != "h1" {
+			peerAddress = freeAddress(t)
+		}
+		s := d.settings(name, peerAddress, control)
+		h, err := New(s)
+		assert.NilError(t, err)
+		h.log.SetOutput(&d.log)
+		h.log.SetLevel(logrus.TraceLevel)
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- h.Run(ctx) }()
+		t.Cleanup(func() {
+			stop()
+			assert.NilError(t, <-done)
+			for _, secret := range []string{callerPassword, upstreamPassword, operatorToken, announceToken} {
+				assert.Assert(t, !strings.Contains(d.log.String(), secret), "a secret is in the log")
+			}
+			if t.Failed() {
+				t.Log(d.log.String())
+			}
+		})
+		d.hosts = append(d.hosts, s)
+	}
+	return d
+}
+
+// settings goes through the file of settings, as an operator's would.
+func (d *deployment) settings(name, peerAddress, control string) *config.Settings {
+	verifier, err := auth.HashPassword(callerPassword)
+	assert.NilError(d.t, err)
+	hash := func(token string) string { h := auth.HashToken(token); return hex.EncodeToString(h[:]) }
+	f := d.ca.Issue(d.t, name)
+	password := filepath.Join(d.t.TempDir(), "password")
+	assert.NilError(d.t, os.WriteFile(password, []byte(upstreamPassword), 0o600))
+	m := map[string]any{
+		"host": name, "failure_domain": "coventry", "caller_address": freeAddress(d.t), "peer_address": peerAddress,
+		"http_address": freeAddress(d.t), "join": []string{control}, "require_tls": true,
+		"tls_certificate": f.Certificate, "tls_key": f.Key,
+		"users":                 []any{map[string]string{"name": "ann", "scram": verifier.Text()}},
+		"upstream":              map[string]string{"password_file": password, "ca": f.CA},
+		"peer_tls":              map[string]string{"certificate": f.Certificate, "key": f.Key, "ca": f.CA},
+		"operators":             []any{map[string]string{"name": "alex", "token_sha256": hash(operatorToken)}},
+		"announce_token_sha256": hash(announceToken),
+	}
+	if name == "h1" {
+		m["control"] = map[string]any{
+			"data_folder": d.t.TempDir(), "voters": []any{map[string]string{"host": "h1", "peer_address": peerAddress}},
+		}
+	}
+	src, err := json.Marshal(m)
+	assert.NilError(d.t, err)
+	s, err := config.ParseSettings(name, src)
+	assert.NilError(d.t, err)
+	return s
+}
+
+func (d *deployment) loader(f certs.Files) *certs.Loader {
+	l, err := certs.NewLoader(f, func() time.Duration { return 0 }, logrus.New())
+	assert.NilError(d.t, err)
+	return l
+}
+
+// client returns a client of h2 with a token.
+func (d *deployment) client(token string) *api.Client {
+	c := api.NewClient(d.hosts[1].HTTPAddress, patience)
+	c.UseToken(token)
+	c.UseTLS(d.loader(certs.Files{CA: d.ca.File}).Client())
+	return c
+}
+
+const testDocument = `{
+  "service": "shop", "version": 1, "groups": [{"name": "g1"}],
+  "classes": [{"name": "look", "access": "read", "group": "g1"}], "default_class": "look",
+}`
+
+// apply hands in the document until it is in force at h2.
+func (d *deployment) apply() {
+	c := d.client(operatorToken)
+	poll.WaitOn(d.t, func(poll.LogT) poll.Result {
+		if _, err := c.Apply(d.t.Context(), []byte(testDocument)); err != nil {
+			return poll.Continue("apply: %v", err)
+		}
+		s, err := c.Status(d.t.Context())
+		if err != nil || len(s.Documents) != 1 || !s.Ready || len(s.Hosts) != 2 {
+			return poll.Continue("status: %v %+v", err, s)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(patience), poll.WithDelay(30*time.Millisecond))
+}
+
+func (d *deployment) connect(user, password, ssl string) error {
+	ctx, stop := context.WithTimeout(d.t.Context(), patience)
+	defer stop()
+	u := url.URL{
+		Scheme: "postgres", User: url.UserPassword(user, password), Host: d.hosts[1].CallerAddress, Path: "/shop",
+		RawQuery: url.Values{"sslmode": {ssl}, "sslrootcert": {d.ca.File}}.Encode(),
+	}
+	conn, err := pgx.Connect(ctx, u.String())
+	if err == nil {
+		err = conn.Close(ctx)
+	}
+	return err
+}
+
+func TestProtectedDeployment(t *testing.T) {
+	d := startProtected(t)
+	d.apply() // hosts speak with each other by mutual TLS
+	t.Run("callers", d.testCallers)
+	t.Run("operators", d.testOperators)
+	t.Run("hosts", d.testHosts)
+}
+
+func (d *deployment) testCallers(t *testing.T) {
+	assert.NilError(t, d.connect("ann", callerPassword, "verify-ca"))
+	assert.NilError(t, d.connect("ann", callerPassword, "verify-full"))
+	wrong, unknown := d.connect("ann", "x", "verify-ca"), d.connect("bob", callerPassword, "verify-ca")
+	var first *pgconn.PgError
+	assert.Assert(t, errors.As(wrong, &first), "%v", wrong)
+	for name, err := range map[string]error{"ann": wrong, "bob": unknown} {
+		var refused *pgconn.PgError
+		assert.Assert(t, errors.As(err, &refused), "%v", err)
+		assert.Equal(t, refused.Code, "28P01")
+		assert.Equal(t, refused.Message, strings.ReplaceAll(first.Message, `"ann"`, fmt.Sprintf("%q", name)))
+	}
+	assert.ErrorContains(t, d.connect("ann", callerPassword, "disable"), "requires TLS")
+	distrusting := &deployment{t: t, ca: certtest.NewCA(t), hosts: d.hosts}
+	assert.ErrorContains(t, distrusting.connect("ann", callerPassword, "verify-ca"), "certificate")
+}
+
+func (d *deployment) testOperators(t *testing.T) {
+	assert.Assert(t, strings.Contains(d.log.String(), `"msg":"audit: apply","operator":"alex"`), "no operator in the audit line")
+	assert.Assert(t, strings.Contains(d.log.String(), `"msg":"put document: accepted","operator":"alex"`), "no operator in the agreed command")
+	a := platform.Announcement{Group: "g1", Instance: "g1-a", Address: "127.0.0.1:1", Domain: "coventry", Role: "replica", Term: 1, Slots: 1, Connections: 3}
+	for _, c := range []struct {
+		token              string
+		operator, announce bool
+	}{
+		{operatorToken, true, false},
+		{announceToken, false, true},
+		{"", false, false},
+		{operatorToken + "x", false, false},
+	} {
+		client := d.client(c.token)
+		_, err := client.Status(t.Context())
+		assert.Equal(t, err == nil, c.operator, "%v", err)
+		_, err = client.Explain(t.Context(), api.ExplainQuery{Service: "shop"})
+		assert.Equal(t, err == nil, c.operator, "%v", err)
+		_, err = client.Apply(t.Context(), []byte(testDocument))
+		assert.Equal(t, err == nil, c.operator, "%v", err)
+		_, err = client.SwitchOver(t.Context(), api.SwitchOver{Group: "g1"})
+		assert.Equal(t, err != nil && strings.Contains(err.Error(), "unauthenticated"), !c.operator, "%v", err)
+		_, err = client.Announce(t.Context(), a)
+		assert.Equal(t, err == nil, c.announce, "%v", err)
+	}
+	plain := api.NewClient(d.hosts[1].HTTPAddress, patience)
+	_, err := plain.Status(t.Context())
+	assert.Assert(t, err != nil, "plain text was served")
+}
+
+// testHosts lets a host with a good certificate speak as another one.
+func (d *deployment) testHosts(t *testing.T) {
+	control := d.hosts[0].PeerAddress
+	beat := func(dial peer.DialFunc, as string) error {
+		ctx, stop := context.WithTimeout(t.Context(), 5*time.Second)
+		defer stop()
+		return peer.Call(ctx, dial, control, methodHeartbeat, heartbeat{Host: "h9", Domain: "coventry", PeerAddress: as}, &heartbeatReply{})
+	}
+	own := peer.DialTLS(d.loader(d.ca.Issue(t, "h9")).Client())
+	assert.NilError(t, beat(own, "127.0.0.1:9"))
+	other := peer.DialTLS(d.loader(d.ca.Issue(t, "h8")).Client())
+	err := beat(other, "127.0.0.1:9")
+	assert.Assert(t, errkind.Is(err, errkind.Unauthenticated), "%v", err)
+	stranger := certtest.NewCA(t).Issue(t, "h9")
+	stranger.CA = d.ca.File
+	assert.Assert(t, beat(peer.DialTLS(d.loader(stranger).Client()), "127.0.0.1:9") != nil, "a stranger was heard")
+	assert.Assert(t, beat(nil, "127.0.0.1:9") != nil, "plain text was served")
+	d.testConsensus(t, other)
+}
+
+// testConsensus sends a message of the replicated log under another's name.
+func (d *deployment) testConsensus(t *testing.T, dial peer.DialFunc) {
+	m := consensus.Message{From: consensus.NodeID{Host: "h1"}, To: consensus.NodeID{Host: "h1"}}
+	frame, err := m.AppendBinary([]byte{1})
+	assert.NilError(t, err)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	s := peer.NewSender(ctx, map[table.HostID]string{"h1": d.hosts[0].PeerAddress}, peer.DefaultTiming(), dial)
+	s.Send("h1", frame)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if strings.Contains(d.log.String(), `the certificate does not name the host \"h1\"`) {
+			return poll.Success()
+		}
+		return poll.Continue("the message was not refused")
+	}, poll.WithTimeout(patience), poll.WithDelay(20*time.Millisecond))
+}
--- a/internal/host/wire.go
+++ b/internal/host/wire.go
@@ -84,6 +84,8 @@
 	Version uint64
 	Digest  string
 	Body    []byte
+	// Operator is who applied the document; empty without operators.
+	Operator string
 }
 
 // applyReply says what is in force.
--- a/internal/owner/instance.go
+++ b/internal/owner/instance.go
@@ -64,9 +64,7 @@
 	}
 	p, err := pool.New(pool.Config{
 		Address:     desc.Address,
-		User:        cfg.User,
-		Password:    cfg.Password,
-		Database:    cfg.Database,
+		Login:       cfg.Login,
 		Epoch:       epoch,
 		Max:         max(1, desc.Connections-reservedConnections),
 		Warm:        min(desc.Slots, max(1, desc.Connections-reservedConnections)),
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -15,6 +15,7 @@
 	"github.com/amaranthweir/amaranthweir/internal/request"
 	"github.com/amaranthweir/amaranthweir/internal/system/failover"
 	"github.com/amaranthweir/amaranthweir/internal/table"
+	"github.com/amaranthweir/amaranthweir/internal/upstream"
 )
 
 // Authority says what this host may do. It is asked before a request runs and
@@ -66,10 +67,8 @@
 	// Changed is called when the reachability of an instance changed.
 	Changed func()
 	Log     logrus.FieldLogger
-	// User, Password are what upstream connections log in with.
-	User     string
-	Password string
-	Database string
+	// Login is how upstream connections log in.
+	Login upstream.Login
 	// Timing holds the intervals and time-outs.
 	Timing Timing
 }
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -19,6 +19,7 @@
 	"github.com/amaranthweir/amaranthweir/internal/request"
 	"github.com/amaranthweir/amaranthweir/internal/system/failover"
 	"github.com/amaranthweir/amaranthweir/internal/table"
+	"github.com/amaranthweir/amaranthweir/internal/upstream"
 	"github.com/amaranthweir/amaranthweir/standin"
 )
 
@@ -89,7 +90,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	o := New(Config{
-		Authority: a, Peers: p, Prober: platform, Fencer: platform, Log: log, User: "u", Database: "d",
+		Authority: a, Peers: p, Prober: platform, Fencer: platform, Log: log, Login: upstream.Login{User: "u", Database: "d"},
 		Timing:  DefaultTiming(),
 		Declare: func(table.GroupName) Declaration { return Declaration{} },
 		Stamp:   func() failover.Stamp { return failover.Stamp{} },
--- a/internal/peer/caller.go
+++ b/internal/peer/caller.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"sync"
 
 	"storj.io/drpc/drpcconn"
@@ -15,6 +14,9 @@
 // Caller does control calls one after the other over one connection, which it
 // keeps while the calls succeed. The zero value is ready for use.
 type Caller struct {
+	// Dial opens connections; nil is plain TCP.
+	Dial DialFunc
+
 	mu      sync.Mutex
 	address string
 	conn    *drpcconn.Conn
@@ -49,8 +51,7 @@
 		return nil
 	}
 	c.drop()
-	var d net.Dialer
-	nc, err := d.DialContext(ctx, "tcp", address)
+	nc, err := c.Dial.dial(ctx, address)
 	if err != nil {
 		return err
 	}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"sync"
 	"time"
 
@@ -72,11 +71,10 @@
 }
 
 // openLink dials a host and starts the Exchange stream.
-func openLink(ctx context.Context, address string, t Timing) (*link, error) {
+func openLink(ctx context.Context, address string, t Timing, dial DialFunc) (*link, error) {
 	dialCtx, stop := context.WithTimeout(ctx, t.Dial)
 	defer stop()
-	var d net.Dialer
-	nc, err := d.DialContext(dialCtx, "tcp", address)
+	nc, err := dial.dial(dialCtx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peer/remote.go
+++ b/internal/peer/remote.go
@@ -16,6 +16,7 @@
 type Remote struct {
 	address string
 	timing  Timing
+	dial    DialFunc
 
 	mu      sync.Mutex
 	link    *link
@@ -26,9 +27,9 @@
 var _ request.Executor = (*Remote)(nil)
 
 // NewRemote returns the Executor behind a peer address. It connects when it is
-// first used and again after a link was lost.
-func NewRemote(address string, t Timing) *Remote {
-	return &Remote{address: address, timing: t}
+// first used and again after a link was lost. A nil dial is plain TCP.
+func NewRemote(address string, t Timing, dial DialFunc) *Remote {
+	return &Remote{address: address, timing: t, dial: dial}
 }
 
 // connected returns an open link. At most one attempt runs at a time.
@@ -66,7 +67,7 @@
 }
 
 func (r *Remote) open(done chan struct{}) {
-	l, err := openLink(context.Background(), r.address, r.timing)
+	l, err := openLink(context.Background(), r.address, r.timing, r.dial)
 	r.mu.Lock()
 	r.link, r.failed, r.opening = l, err, nil
 	r.mu.Unlock()
@@ -201,8 +202,8 @@
 }
 
 // Call does one control call on a connection of its own; see Caller.
-func Call(ctx context.Context, address, method string, in, out any) error {
-	var c Caller
+func Call(ctx context.Context, dial DialFunc, address, method string, in, out any) error {
+	c := Caller{Dial: dial}
 	defer c.Close()
 	return c.Call(ctx, address, method, in, out)
 }
--- a/internal/peer/sender.go
+++ b/internal/peer/sender.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
@@ -24,15 +23,16 @@
 type Sender struct {
 	ctx    context.Context
 	timing Timing
+	dial   DialFunc
 
 	mu     sync.Mutex
 	queues map[table.HostID]chan []byte
 }
 
 // NewSender returns a Sender to the hosts at the given peer addresses. It ends
-// with ctx.
-func NewSender(ctx context.Context, addresses map[table.HostID]string, t Timing) *Sender {
-	s := &Sender{ctx: ctx, timing: t, queues: map[table.HostID]chan []byte{}}
+// with ctx. A nil dial is plain TCP.
+func NewSender(ctx context.Context, addresses map[table.HostID]string, t Timing, dial DialFunc) *Sender {
+	s := &Sender{ctx: ctx, timing: t, dial: dial, queues: map[table.HostID]chan []byte{}}
 	for host, address := range addresses {
 		queue := make(chan []byte, senderQueue)
 		s.queues[host] = queue
@@ -67,8 +67,7 @@
 func (s *Sender) stream(address string, queue chan []byte) {
 	dialCtx, stop := context.WithTimeout(s.ctx, s.timing.Dial)
 	defer stop()
-	var d net.Dialer
-	nc, err := d.DialContext(dialCtx, "tcp", address)
+	nc, err := s.dial.dial(dialCtx, address)
 	if err != nil {
 		return
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -29,7 +29,7 @@
 	Methods map[string]Method
 	// Deliver takes messages of the replicated log; nil on a host that is
 	// no control host.
-	Deliver func(body []byte) error
+	Deliver func(ctx context.Context, body []byte) error
 	Log     logrus.FieldLogger
 
 	running atomic.Int64
@@ -79,7 +79,7 @@
 		if s.Deliver == nil {
 			return errkind.New(errkind.NotSupported, "not a control host")
 		}
-		if err := s.Deliver(m.GetBody()); err != nil {
+		if err := s.Deliver(stream.Context(), m.GetBody()); err != nil {
 			s.Log.WithError(err).Warn("message of the replicated log refused")
 		}
 	}
@@ -193,6 +193,10 @@
 		e.answer(id, &peerpb.Answer{Last: true, TxStatus: uint32(request.TxIdle), Failure: encodeFailure(err)})
 		return
 	}
+	if err := CheckSpeaker(e.stream.Context(), r.Session.Host); err != nil {
+		e.answer(id, &peerpb.Answer{Last: true, TxStatus: uint32(request.TxIdle), Failure: encodeFailure(err)})
+		return
+	}
 	e.mu.Lock()
 	e.sessions[r.Session] = struct{}{}
 	e.mu.Unlock()
@@ -233,6 +237,9 @@
 }
 
 func (e *exchange) endSession(s request.SessionID) {
+	if CheckSpeaker(e.stream.Context(), s.Host) != nil {
+		return
+	}
 	e.mu.Lock()
 	delete(e.sessions, s)
 	e.mu.Unlock()
--- a/internal/pg/listener.go
+++ b/internal/pg/listener.go
@@ -13,6 +13,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/sirupsen/logrus"
 
+	"github.com/amaranthweir/amaranthweir/internal/auth"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/gateway"
 	"github.com/amaranthweir/amaranthweir/internal/request"
@@ -25,7 +26,11 @@
 type Config struct {
 	Gateway *gateway.Gateway
 	TLS     *tls.Config // nil: plain text
-	Log     logrus.FieldLogger
+	// RequireTLS refuses callers in plain text.
+	RequireTLS bool
+	// Users may log in; nil trusts each caller.
+	Users *auth.Users
+	Log   logrus.FieldLogger
 	// MaxCallers bounds open connections, MaxMessageBytes one message.
 	MaxCallers      int
 	MaxMessageBytes int
@@ -47,6 +52,7 @@
 	sessions map[uint32]*entry // by process id, for cancel requests
 	nextPID  uint32
 	ending   bool
+	starting int // connections whose start-up is not over
 	work     sync.WaitGroup
 }
 
@@ -84,30 +90,25 @@
 // serve runs one connection from start-up to its end.
 func (l *Listener) serve(ctx context.Context, nc net.Conn) {
 	log := l.cfg.Log.WithField("caller", nc.RemoteAddr().String())
-	nc, start, err := readStartup(nc, l.cfg.TLS)
-	defer func() { _ = nc.Close() }()
-	if err != nil {
-		l.refuse(log, nc, errkind.Wrap(err, errkind.BadRequest, "%v", err))
-		return
-	}
-	if start.cancel != nil {
-		l.cancel(start.cancel)
+	if !l.beginStart() {
+		l.cfg.Counters.Refused(errkind.CallerLimit)
+		_ = nc.Close()
 		return
 	}
-	s, err := l.login(nc, start, log)
-	if err != nil {
-		l.refuse(log, nc, errkind.Of(err))
+	s, nc := l.start(log, nc)
+	l.endStart()
+	defer func() { _ = nc.Close() }()
+	if s == nil {
 		return
 	}
 	l.cfg.Counters.Callers(1)
 	defer l.cfg.Counters.Callers(-1)
-	pid := l.add(s)
-	defer l.remove(pid)
+	defer l.remove(s.pid)
 	defer s.gate.Close()
-	if err := s.welcome(pid, l.key(pid), start); err != nil {
+	if err := s.welcome(l.key(s.pid)); err != nil {
 		return
 	}
-	err = s.run(ctx)
+	err := s.run(ctx)
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		_ = nc.SetDeadline(time.Now().Add(startupTimeout))
@@ -117,6 +118,43 @@
 	}
 }
 
+// beginStart takes a place among the connections in start-up.
+func (l *Listener) beginStart() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.starting >= maxStarting {
+		return false
+	}
+	l.starting++
+	return true
+}
+
+func (l *Listener) endStart() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.starting--
+}
+
+// start runs the start-up of a connection. It returns no session where the
+// caller was refused or only cancels a request, and the connection to close.
+func (l *Listener) start(log logrus.FieldLogger, nc net.Conn) (*session, net.Conn) {
+	nc, start, err := readStartup(nc, l.cfg.TLS)
+	if err != nil {
+		l.refuse(log, nc, errkind.Wrap(err, errkind.BadRequest, "%v", err))
+		return nil, nc
+	}
+	if start.cancel != nil {
+		l.cancel(start.cancel)
+		return nil, nc
+	}
+	s, err := l.login(nc, start, log)
+	if err != nil {
+		l.refuse(log, nc, errkind.Of(err))
+		return nil, nc
+	}
+	return s, nc
+}
+
 // refuse tells a caller why its connection ends.
 func (l *Listener) refuse(log logrus.FieldLogger, nc net.Conn, e *errkind.Error) {
 	l.cfg.Counters.Refused(e.Kind)
@@ -140,18 +178,28 @@
 	if full {
 		return nil, errkind.New(errkind.CallerLimit, "%d callers are connected", l.cfg.MaxCallers)
 	}
+	if _, encrypted := nc.(*tls.Conn); l.cfg.RequireTLS && !encrypted {
+		return nil, errkind.New(errkind.Unauthenticated, "this address requires TLS")
+	}
+	backend := pgproto3.NewBackend(nc, nc)
+	if l.cfg.Users != nil {
+		backend.SetMaxBodyLen(maxLoginBytes)
+		if err := authenticate(backend, l.cfg.Users, start.user); err != nil {
+			return nil, err
+		}
+	}
+	backend.SetMaxBodyLen(l.cfg.MaxMessageBytes)
 	gate, err := l.cfg.Gateway.NewSession(start.database, start.user)
 	if err != nil {
 		return nil, err
 	}
-	backend := pgproto3.NewBackend(nc, nc)
-	backend.SetMaxBodyLen(l.cfg.MaxMessageBytes)
 	s := &session{
 		listener: l,
 		net:      nc,
 		backend:  backend,
 		gate:     gate,
 		log:      log,
+		begun:    start,
 		known:    map[string]prepared{},
 		unit:     newUnit(),
 		txStatus: request.TxIdle,
@@ -164,6 +212,10 @@
 			return nil, err
 		}
 	}
+	if !l.add(s) {
+		gate.Close()
+		return nil, errkind.New(errkind.CallerLimit, "%d callers are connected", l.cfg.MaxCallers)
+	}
 	return s, nil
 }
 
@@ -172,7 +224,7 @@
 }
 
 // welcome ends the start-up of a caller.
-func (s *session) welcome(pid, key uint32, start *startup) error {
+func (s *session) welcome(key uint32) error {
 	s.backend.Send(&pgproto3.AuthenticationOk{})
 	for _, p := range [][2]string{
 		{"server_version", serverVersion},
@@ -181,21 +233,26 @@
 		{"DateStyle", "ISO, MDY"},
 		{"integer_datetimes", "on"},
 		{"standard_conforming_strings", "on"},
-		{"application_name", start.params["application_name"]},
+		{"application_name", s.begun.params["application_name"]},
 	} {
 		s.backend.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
 	}
-	s.backend.Send(&pgproto3.BackendKeyData{ProcessID: pid, SecretKey: []byte{byte(key >> 24), byte(key >> 16), byte(key >> 8), byte(key)}})
+	s.backend.Send(&pgproto3.BackendKeyData{ProcessID: s.pid, SecretKey: []byte{byte(key >> 24), byte(key >> 16), byte(key >> 8), byte(key)}})
 	_ = s.net.SetDeadline(time.Time{})
 	return s.ready()
 }
 
-func (l *Listener) add(s *session) uint32 {
+// add counts a caller in, unless there are too many.
+func (l *Listener) add(s *session) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if len(l.sessions) >= l.cfg.MaxCallers {
+		return false
+	}
 	l.nextPID++
-	l.sessions[l.nextPID] = &entry{session: s, key: newCancelKey()}
-	return l.nextPID
+	s.pid = l.nextPID
+	l.sessions[s.pid] = &entry{session: s, key: newCancelKey()}
+	return true
 }
 
 func (l *Listener) key(pid uint32) uint32 {
--- a/internal/pg/session.go
+++ b/internal/pg/session.go
@@ -20,6 +20,8 @@
 
 // session is one caller connection after its start-up.
 type session struct {
+	pid      uint32
+	begun    *startup
 	listener *Listener
 	net      net.Conn
 	backend  *pgproto3.Backend
--- a/internal/pg/startup.go
+++ b/internal/pg/startup.go
@@ -24,6 +24,11 @@
 	maxStartupTries = 3
 	// maxSessionParameters bounds the parameters of a start-up message.
 	maxSessionParameters = 64
+	// maxStarting bounds the connections whose start-up is not over; more are
+	// closed at once.
+	maxStarting = 4096
+	// maxLoginBytes bounds one message of a caller that has not logged in.
+	maxLoginBytes = 4 << 10
 )
 
 // Parameters of the start-up message and of SET that the proxy itself reads.
--- a/internal/platform/pgplatform/conn.go
+++ b/internal/platform/pgplatform/conn.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net"
-	"net/url"
 	"sync"
 	"time"
 
@@ -22,17 +21,10 @@
 }
 
 func (p *Platform) dial(ctx context.Context, address string) (*conn, error) {
-	u := url.URL{
-		Scheme:   "postgres",
-		Host:     address,
-		Path:     "/" + p.cfg.Database,
-		RawQuery: url.Values{"sslmode": {"disable"}, "application_name": {ApplicationName}}.Encode(),
-	}
-	cfg, err := pgconn.ParseConfig(u.String())
+	cfg, err := p.cfg.Login.Config(address, ApplicationName, 0)
 	if err != nil {
 		return nil, err
 	}
-	cfg.User, cfg.Password = p.cfg.User, p.cfg.Password
 	pg, err := pgconn.ConnectConfig(ctx, cfg)
 	if err != nil {
 		return nil, err
--- a/internal/platform/pgplatform/pgplatform.go
+++ b/internal/platform/pgplatform/pgplatform.go
@@ -14,6 +14,7 @@
 
 	"github.com/amaranthweir/amaranthweir/internal/platform"
 	"github.com/amaranthweir/amaranthweir/internal/table"
+	"github.com/amaranthweir/amaranthweir/internal/upstream"
 )
 
 // ApplicationName names the connections of this package to the instances.
@@ -24,9 +25,7 @@
 
 // Config says how instances are reached.
 type Config struct {
-	User     string
-	Password string
-	Database string
+	Login upstream.Login
 	// KeptTimeout bounds a call over a connection kept from an earlier call;
 	// after it the call goes on over a new one. It finds connections that went
 	// silent while new ones work.
@@ -38,15 +37,14 @@
 // DefaultConfig returns the Config in ordinary use, without a password.
 func DefaultConfig() Config {
 	return Config{
-		User:        "amaranthweir",
-		Database:    "postgres",
+		Login:       upstream.Login{User: "amaranthweir", Database: "postgres"},
 		KeptTimeout: 100 * time.Millisecond,
 		MaxKept:     1024,
 	}
 }
 
 func (c Config) validate() error {
-	if c.User == "" || c.Database == "" {
+	if c.Login.User == "" || c.Login.Database == "" {
 		return errors.New("user and database must be named")
 	}
 	if c.KeptTimeout <= 0 || c.MaxKept < 0 {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -13,14 +13,13 @@
 
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/table"
+	"github.com/amaranthweir/amaranthweir/internal/upstream"
 )
 
 // Config describes the pool of one instance.
 type Config struct {
-	Address  string // ip:port
-	User     string
-	Password string
-	Database string
+	Address string // ip:port
+	Login   upstream.Login
 	// Epoch is the ownership epoch; the upstream sees it in application_name,
 	// so that a fence can close what an older owner left open.
 	Epoch table.Epoch
@@ -64,38 +63,13 @@
 	if err := cfg.validate(); err != nil {
 		return nil, err
 	}
-	pg, err := connConfig(cfg)
+	pg, err := cfg.Login.Config(cfg.Address, "amaranthweir/"+strconv.FormatUint(uint64(cfg.Epoch), 10), cfg.DialTimeout)
 	if err != nil {
 		return nil, err
 	}
 	return &Pool{cfg: cfg, pg: pg}, nil
 }
 
-func connConfig(cfg Config) (*pgconn.Config, error) {
-	host, portText, err := net.SplitHostPort(cfg.Address)
-	if err != nil {
-		return nil, err
-	}
-	port, err := strconv.ParseUint(portText, 10, 16)
-	if err != nil {
-		return nil, err
-	}
-	// ParseConfig is the only way to a valid pgconn.Config; all that matters
-	// is set below, so that no environment variable has a say.
-	pg, err := pgconn.ParseConfig("sslmode=disable")
-	if err != nil {
-		return nil, err
-	}
-	pg.Host, pg.Port = host, uint16(port)
-	pg.User, pg.Password, pg.Database = cfg.User, cfg.Password, cfg.Database
-	pg.Fallbacks = nil
-	pg.ConnectTimeout = cfg.DialTimeout
-	pg.RuntimeParams = map[string]string{
-		"application_name": "amaranthweir/" + strconv.FormatUint(uint64(cfg.Epoch), 10),
-	}
-	return pg, nil
-}
-
 // errClosed is returned by Get once the pool is closed.
 var errClosed = errors.New("pool is closed")
 
