--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -260,14 +260,20 @@
 	} {
 		page, err := os.ReadFile("../../docs/ops/" + c.page)
 		assert.NilError(t, err)
+		listed := map[string]bool{}
+		for _, row := range regexp.MustCompile("(?m)^\\| `([a-z0-9_]+)`").FindAllStringSubmatch(string(page), -1) {
+			listed[row[1]] = true
+		}
 		lists := known.FindAllStringSubmatch(c.parse([]byte(c.src)).Error(), -1)
 		assert.Equal(t, len(lists), strings.Count(c.src, `"x"`))
 		for _, list := range lists {
 			for _, name := range strings.Split(list[1], ", ") {
 				inRow := regexp.MustCompile("`" + name + "`|{[^}]*\\b" + name + "\\b")
 				assert.Assert(t, inRow.Match(page), "%s does not list %s", c.page, name)
+				delete(listed, name)
 			}
 		}
+		assert.Equal(t, len(listed), 0, "%s lists what is no field: %v", c.page, listed)
 	}
 }
 
--- a/internal/host/security.go
+++ b/internal/host/security.go
@@ -66,6 +66,7 @@
 }
 
 func (s *security) listenPeers(l net.Listener) net.Listener {
+	l = &limitListener{Listener: l, max: maxPeerConnections}
 	if s.peersServer == nil {
 		return l
 	}
@@ -73,6 +74,7 @@
 }
 
 func (s *security) listenHTTP(l net.Listener) net.Listener {
+	l = &limitListener{Listener: l, max: maxHTTPConnections}
 	if s.callers == nil {
 		return l
 	}
--- a/internal/host/security_test.go
+++ b/internal/host/security_test.go
@@ -192,6 +192,7 @@
 func TestProtectedDeployment(t *testing.T) {
 	d := startProtected(t)
 	d.apply() // hosts speak with each other by mutual TLS
+	assert.Assert(t, !strings.Contains(d.log.String(), "not protected"), "a protected host warns")
 	t.Run("callers", d.testCallers)
 	t.Run("operators", d.testOperators)
 	t.Run("hosts", d.testHosts)
