--- a/internal/gateway/do.go
+++ b/internal/gateway/do.go
@@ -240,3 +240,14 @@
 		"attempt":  r.attempts,
 	}).Info("route")
 }
+
+// logRefusal writes why an attempt was refused, once for each cause in a row.
+func (r *run) logRefusal(q *request.Request, err, before error) {
+	if before != nil && before.Error() == err.Error() {
+		return
+	}
+	r.session.gateway.cfg.Log.WithFields(logrus.Fields{
+		"request": q.ID, "instance": r.instance, "owner": r.owner, "attempt": r.attempts,
+		"kind": errkind.Of(err).Kind.String(),
+	}).WithError(err).Info("attempt refused")
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -171,8 +171,8 @@
 	asked := 0
 	for _, c := range v.Candidates {
 		owner, ok := g.cfg.Directory.Executor(c.Owner)
-		if c.Instance == v.Primary || !ok {
-			continue
+		if c.Instance == v.Primary || c.Leaving || !ok {
+			continue // what a leaving instance confirms leaves with it
 		}
 		asked++
 		go func() { answers <- owner.AwaitReplica(ctx, c.Instance, m) }()
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -67,6 +67,7 @@
 			return res, err
 		}
 		if errkind.Of(err).Effect == errkind.NotRun {
+			r.logRefusal(q, err, refused)
 			refused = err
 		}
 		if !r.pause(ctx, changed) {
--- a/internal/host/act.go
+++ b/internal/host/act.go
@@ -26,11 +26,6 @@
 	l.failover.Announced(in)
 	l.ownership.Announced(in)
 	old, known := l.instances[in.ID]
-	if !known {
-		if o, owned := l.fed.Owners[in.ID]; owned {
-			l.failover.SetOwner(in.Group, o)
-		}
-	}
 	l.instances[in.ID] = in
 	// What changes with each announcement does not go out to all hosts.
 	old.Mark.Position, old.SeenAt = in.Mark.Position, in.SeenAt
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -106,8 +106,12 @@
 }
 
 // MayAcknowledge implements owner.Authority: the lease of this host is valid,
-// this host owns the instance, and the instance is the primary of term.
+// this host owns the instance, and the instance is the primary of term. The
+// state is read before the lease, with no renewal in between: a host that was
+// frozen between the two must not judge an old term by a new lease.
 func (d *directory) MayAcknowledge(group table.GroupName, instance table.InstanceID, term table.Term) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	agreed, primary := d.Term(group, instance)
 	if !primary || agreed != term {
 		return errkind.New(errkind.NoPrimary, "term %d of %s is over or not yet served, %d is agreed", term, group, agreed)
@@ -115,7 +119,7 @@
 	if o := d.view.Load().Owners[instance]; o.Host != d.self {
 		return errkind.New(errkind.NoOwner, "%s is owned by %s", instance, o.Host)
 	}
-	if !d.leaseValid() {
+	if !d.holder.Valid(d.clock()) {
 		return errkind.New(errkind.NoPrimary, "the lease of this host ran out")
 	}
 	return nil
--- a/internal/host/leader.go
+++ b/internal/host/leader.go
@@ -229,9 +229,7 @@
 			continue
 		}
 		l.ownership.Assigned(now, o)
-		if in, ok := l.instances[id]; ok {
-			l.failover.SetOwner(in.Group, o)
-		}
+		l.failover.SetOwner(l.instances[id].Group, o)
 	}
 	for service, doc := range view.Documents {
 		if old.Documents[service].Version != doc.Version {
@@ -284,6 +282,7 @@
 	}
 	reply := heartbeatReply{Leads: true}
 	beat := lease.Beat{Incarnation: hb.Incarnation, Sequence: hb.Sequence}
+	overtaken := l.grantor.Overtaken(hb.Host, beat)
 	if hb.Release {
 		l.grantor.Release(hb.Host, beat)
 	} else if !l.ownership.Barred(hb.Host) {
@@ -295,7 +294,9 @@
 	for _, a := range hb.Announcements {
 		l.announced(now, a)
 	}
-	l.failover.Reported(now, hb.Host, hb.Reports)
+	if !overtaken {
+		l.failover.Reported(now, hb.Host, hb.Reports)
+	}
 	for _, r := range hb.Released {
 		l.ownership.Released(hb.Host, r.Instance, r.Epoch)
 	}
