--- a/standin/cmd/demo/main.go
+++ b/standin/cmd/demo/main.go
@@ -103,7 +103,7 @@
 	return deploy.Config{
 		Bin: f.Bin, Work: work, Logs: f.Logs, Document: f.Document, Service: service,
 		Domains: []string{"coventry", "leicester", "derby"}, Groups: groups,
-		Hosts: 6, Controls: 3, Slots: 3, Connections: 45,
+		Instances: 3, Hosts: 6, Controls: 3, Slots: 3, Connections: 45,
 		Lag: f.Lag, StatementTime: 2 * time.Millisecond, PortBase: f.PortBase, Progress: os.Stdout,
 	}
 }
--- a/standin/cmd/figures/figure.go
+++ b/standin/cmd/figures/figure.go
@@ -47,6 +47,10 @@
 	return figure{name, value, unit, "<= " + number(bound), value <= bound}
 }
 
+func atLeast(name string, value, bound float64, unit string) figure {
+	return figure{name, value, unit, ">= " + number(bound), value >= bound}
+}
+
 func unbounded(name string, value float64, unit string) figure {
 	return figure{Name: name, Value: value, Unit: unit, Pass: true}
 }
--- a/standin/cmd/figures/figures_test.go
+++ b/standin/cmd/figures/figures_test.go
@@ -7,6 +7,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/amaranthweir/amaranthweir/internal/bench"
+	"github.com/amaranthweir/amaranthweir/internal/bench/ledger"
 )
 
 const output = `=== RUN   TestScenarios
@@ -76,3 +79,39 @@
 	assert.Equal(t, percentile(list, percentileLargest), time.Duration(50))
 	assert.Equal(t, percentile(list[:1], percentileMedian), time.Duration(50))
 }
+
+func TestFloodFigures(t *testing.T) {
+	p := profiles("examples")[1]
+	report := func(ticketP99 int64, refused, lookups int) *bench.Report {
+		return &bench.Report{Classes: []bench.Row{
+			{Name: "booking-lookup", Sent: 100, InTime: lookups},
+			{Name: "stock-report", Sent: 100, InTime: 10},
+			{Name: "weighbridge-ticket", Sent: 100, InTime: 100 - refused, NotRun: refused, P99Micros: ticketP99},
+		}}
+	}
+	calm := report(1000, 0, 100)
+	failing := func(flooded *bench.Report, class string) (names []string) {
+		for _, f := range p.figures(calm, flooded, class) {
+			if !f.Pass {
+				names = append(names, strings.TrimPrefix(f.Name, "process_flood_"))
+			}
+		}
+		return names
+	}
+	broken := report(1000, 0, 100)
+	broken.Verdicts = []ledger.Verdict{{Result: ledger.Kept}, {Result: ledger.Broken}}
+	for _, c := range []struct {
+		flooded *bench.Report
+		class   string
+		want    []string
+	}{
+		{report(1200, 0, 95), p.low, nil},
+		{report(1201, 0, 100), p.low, []string{"stock_report_urgent_p99_ratio"}},
+		{report(1000, 1, 100), p.low, []string{"stock_report_urgent_refused"}},
+		{report(1000, 0, 94), p.low, []string{"stock_report_least_kept"}},
+		{report(9000, 50, 20), p.high, nil},
+		{broken, p.low, []string{"stock_report_promises_broken"}},
+	} {
+		assert.DeepEqual(t, failing(c.flooded, c.class), c.want)
+	}
+}
--- a/standin/cmd/figures/main.go
+++ b/standin/cmd/figures/main.go
@@ -27,12 +27,14 @@
 type flags struct {
 	Bin        string        `default:"bin" help:"Folder of the binaries."`
 	Document   string        `default:"examples/ledger.jsonc" help:"Service document of the deployment."`
-	Only       string        `default:"all" enum:"all,same,suites,processes" help:"What to run: all, suites (tests and benchmarks), same (only those that give the same verdict each time), or processes."`
+	Only       string        `default:"all" enum:"all,same,suites,processes,floods" help:"What to run: all, suites (tests and benchmarks), same (only those that give the same verdict each time), processes, or floods."`
 	Kills      int           `default:"50" help:"How many primaries to kill."`
 	Cuts       int           `default:"10" help:"How often to cut a primary and its owner off."`
 	Switches   int           `default:"20" help:"How often to change the primary as planned."`
 	Applies    int           `default:"10" help:"How often to apply a changed document."`
 	Statements int           `default:"2000" help:"Statements of each way whose time is compared."`
+	FloodTime  time.Duration `default:"10s" help:"How long each flood lasts; 0 leaves the floods out."`
+	FloodTimes float64       `default:"10" help:"Offered work of a flood as a multiple of the capacity."`
 	Hosts      int           `default:"9" help:"Hosts of the deployment."`
 	Lag        time.Duration `default:"20ms" help:"Replication lag of the stand-ins."`
 	Earlier    string        `default:"bench/figures.jsonl" help:"Figures to compare with."`
@@ -54,12 +56,15 @@
 func run(ctx context.Context, f flags) error {
 	w := &writer{out: os.Stdout}
 	var errs []error
-	if f.Only != "processes" {
+	if f.Only == "all" || f.Only == "suites" || f.Only == "same" {
 		errs = append(errs, runSuites(ctx, w, f.Only == "same"))
 	}
 	if f.Only == "all" || f.Only == "processes" {
 		errs = append(errs, runProcesses(ctx, w, f))
 	}
+	if f.Only == "all" || f.Only == "floods" {
+		errs = append(errs, runFloods(ctx, w, f))
+	}
 	earlier, err := readRecord(f.Earlier)
 	switch {
 	case err == nil:
--- a/standin/cmd/figures/processes.go
+++ b/standin/cmd/figures/processes.go
@@ -35,39 +35,46 @@
 )
 
 // runProcesses starts a deployment and measures it.
-func runProcesses(ctx context.Context, w *writer, f flags) (err error) {
-	work, err := os.MkdirTemp("", "amaranthweir-figures-")
-	if err != nil {
+func runProcesses(ctx context.Context, w *writer, f flags) error {
+	cfg := deploy.Config{
+		Document: f.Document, Service: "ledger",
+		Domains: []string{"coventry", "leicester", "derby"}, Groups: []string{"ledger-1", "ledger-2"},
+		Instances: 3, Hosts: f.Hosts, Slots: slotsInstance, Connections: connectionsInstance,
+	}
+	return withDeployment(ctx, f, cfg, func(c *deploy.Cluster) error {
+		m := &measurement{flags: f, cluster: c, out: w, random: rand.New(rand.NewPCG(seedOfPauses, 0))}
+		return m.run(ctx)
+	})
+}
+
+// withDeployment starts a deployment, calls use, and stops it.
+func withDeployment(ctx context.Context, f flags, cfg deploy.Config, use func(*deploy.Cluster) error) (err error) {
+	cfg.Bin, cfg.Logs, cfg.Lag, cfg.Controls, cfg.Progress = f.Bin, f.Logs, f.Lag, 3, os.Stderr
+	if cfg.Work, err = os.MkdirTemp("", "amaranthweir-figures-"); err != nil {
 		return err
 	}
-	if f.Logs == "" {
-		f.Logs = work
+	if cfg.Logs == "" {
+		cfg.Logs = cfg.Work
 	}
-	if err := os.MkdirAll(f.Logs, 0o700); err != nil {
+	if err := os.MkdirAll(cfg.Logs, 0o700); err != nil {
 		return err
 	}
-	c, err := deploy.New(deploy.Config{
-		Bin: f.Bin, Work: work, Logs: f.Logs, Document: f.Document, Service: "ledger",
-		Domains: []string{"coventry", "leicester", "derby"}, Groups: []string{"ledger-1", "ledger-2"},
-		Hosts: f.Hosts, Controls: 3, Slots: slotsInstance, Connections: connectionsInstance, Lag: f.Lag,
-		Progress: os.Stderr,
-	})
+	c, err := deploy.New(cfg)
 	if err != nil {
 		return err
 	}
 	defer func() {
 		err = errors.Join(err, c.Stop())
-		if err != nil && f.Logs == work {
-			fmt.Fprintln(os.Stderr, "the logs are in", work)
+		if err != nil && cfg.Logs == cfg.Work {
+			fmt.Fprintln(os.Stderr, "the logs are in", cfg.Work)
 			return
 		}
-		err = errors.Join(err, os.RemoveAll(work))
+		err = errors.Join(err, os.RemoveAll(cfg.Work))
 	}()
 	if err := c.Start(ctx); err != nil {
 		return err
 	}
-	m := &measurement{flags: f, cluster: c, out: w, random: rand.New(rand.NewPCG(seedOfPauses, 0))}
-	return m.run(ctx)
+	return use(c)
 }
 
 // measurement drives one deployment.
--- a/standin/deploy/cluster.go
+++ b/standin/deploy/cluster.go
@@ -38,9 +38,10 @@
 	Document string // file of the service document
 	Service  string // that the document describes
 	Domains  []string
-	// Groups have one instance in each failure domain.
-	Groups []string
-	Hosts  int
+	// Groups have so many Instances each, in different failure domains.
+	Groups    []string
+	Instances int
+	Hosts     int
 	// Controls is how many of the hosts, the first ones, are control hosts.
 	Controls int
 	// Slots, Connections, Lag and StatementTime are those of each instance.
@@ -58,6 +59,8 @@
 		return fmt.Errorf("%d control hosts among %d hosts", c.Controls, c.Hosts)
 	case len(c.Domains) == 0 || len(c.Groups) == 0:
 		return errors.New("no failure domain or no group")
+	case c.Instances < 1 || c.Instances > len(c.Domains):
+		return fmt.Errorf("%d instances of a group in %d failure domains", c.Instances, len(c.Domains))
 	}
 	return nil
 }
@@ -90,7 +93,7 @@
 	if err := cfg.validate(); err != nil {
 		return nil, err
 	}
-	count := 3*cfg.Hosts + 2*len(cfg.Groups)*len(cfg.Domains)
+	count := 3*cfg.Hosts + 2*len(cfg.Groups)*cfg.Instances
 	addresses, err := freeAddresses(count, cfg.PortBase)
 	if err != nil {
 		return nil, err
@@ -113,10 +116,11 @@
 		c.Hosts = append(c.Hosts, h)
 	}
 	for g, group := range cfg.Groups {
-		for d, domain := range cfg.Domains {
+		for n := range cfg.Instances {
+			domain := cfg.Domains[(g+n)%len(cfg.Domains)]
 			c.Upstreams = append(c.Upstreams, Upstream{
 				Group: group, Name: group + "-" + domain, Domain: domain,
-				Address: next(), Control: next(), Primary: d == g%len(cfg.Domains),
+				Address: next(), Control: next(), Primary: n == 0,
 			})
 		}
 	}
