--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -148,6 +148,14 @@
 // Now returns how many ticks the node has counted.
 func (n *Node) Now() uint64 { return n.tick }
 
+// Silence returns for how many ticks the node has heard no leader.
+func (n *Node) Silence() uint64 {
+	if n.role == RoleLeader {
+		return 0
+	}
+	return n.tick - n.contact
+}
+
 // CaughtUp reports whether the node, since its start, has committed an entry
 // of the term of a leader, and all that it may have applied before its start.
 func (n *Node) CaughtUp() bool { return n.caughtUp }
@@ -160,8 +168,8 @@
 		return
 	}
 	if n.tick >= n.deadline {
-		n.resetDeadline()
-		n.campaign(RolePreCandidate)
+		n.campaignAgainSoon()
+		n.campaign(RolePreCandidate, false)
 	}
 }
 
@@ -195,6 +203,13 @@
 	n.deadline = n.tick + election + n.rng.Uint64N(election)
 }
 
+// campaignAgainSoon sets the next election for the case that this one brings no
+// leader, for example because two candidates split the votes. There is no
+// leader to wait for any more, so it comes sooner than the first.
+func (n *Node) campaignAgainSoon() {
+	n.deadline = n.tick + uint64(n.cfg.HeartbeatTicks) + n.rng.Uint64N(uint64(n.cfg.ElectionTicks))
+}
+
 func (n *Node) becomeFollower(term uint64, leader NodeID) {
 	if term != n.term {
 		n.term = term
@@ -244,6 +259,8 @@
 		return n.handleSnapshot(m)
 	case MsgAppendReply:
 		return n.handleAppendReply(m)
+	case MsgHandover:
+		n.handleHandover(m)
 	}
 	return nil
 }
@@ -264,7 +281,7 @@
 func (n *Node) stepHigherTerm(m Message) bool {
 	switch m.Type {
 	case MsgPreVote, MsgVote:
-		if n.hearsLeader() {
+		if n.hearsLeader() && !m.Handover {
 			return false
 		}
 		if m.Type == MsgPreVote {
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -111,7 +111,7 @@
 		r.arrangeMembers()
 		return nil
 	}
-	if r.node.Members().Contains(r.id) {
+	if r.node.Members().Contains(r.id) && !r.asksAgain() {
 		return nil
 	}
 	for _, host := range r.cfg.Voters {
@@ -133,15 +133,19 @@
 	return nil
 }
 
-// propose appends a command to the log; done is called once by giveAnswers,
-// with the answer or the reason why there is none.
-func (r *replica) propose(data []byte, done func(Result, error)) {
-	index, term, err := r.node.Propose(data)
+// propose appends p to the log; done is called once by giveAnswers, with the
+// answer or the reason why there is none.
+func (r *replica) propose(p proposal) {
+	if p.remove != "" {
+		r.remove(p)
+		return
+	}
+	index, term, err := r.node.Propose(p.data)
 	if err != nil {
-		r.answer(done, Result{}, r.notLeader())
+		r.answer(p.done, Result{}, r.notLeader())
 		return
 	}
-	r.waiting[index] = waiter{term: term, done: done}
+	r.waiting[index] = waiter{term: term, done: p.done}
 }
 
 func (r *replica) notLeader() error {
@@ -210,6 +214,9 @@
 			return fmt.Errorf("entry %d: %w", e.Index, err)
 		}
 		result = r.state.Apply(command)
+		if r.node.Role() == consensus.RoleLeader {
+			r.logResult(command, result)
+		}
 	case consensus.EntryMembers:
 		r.logMembers(e)
 	case consensus.EntryEmpty:
@@ -261,6 +268,28 @@
 	return nil
 }
 
+// logResult logs the decision on a command, without bodies and keys.
+func (r *replica) logResult(c Command, result Result) {
+	fields := logrus.Fields{"refusal": result.Refusal.String(), "revision": result.Revision}
+	switch {
+	case c.PutDocument != nil:
+		p := c.PutDocument
+		fields["service"], fields["version"], fields["digest"], fields["operator"] = p.Service, p.Version, p.Digest, p.Operator
+	case c.BeginTerm != nil:
+		fields["group"], fields["term"], fields["candidate"] = c.BeginTerm.Group, c.BeginTerm.Term, c.BeginTerm.Candidate
+	case c.SetPrimary != nil:
+		fields["group"], fields["term"], fields["primary"] = c.SetPrimary.Group, c.SetPrimary.Term, c.SetPrimary.Primary
+	case c.AssignOwners != nil:
+		fields["ownerships"] = len(c.AssignOwners.Ownerships)
+	case c.SetKeys != nil:
+		fields["version"] = c.SetKeys.Version
+	}
+	if result.Refusal != Accepted {
+		fields["in_force"] = result.inForce()
+	}
+	r.log.WithFields(fields).Infof("%s: %s", c.name(), result.Refusal)
+}
+
 func (r *replica) logLeader() {
 	if r.loggedTerm == r.node.Term() && r.loggedLeader == r.node.Leader() {
 		return
--- a/internal/system/routing/routing.go
+++ b/internal/system/routing/routing.go
@@ -96,7 +96,7 @@
 		return false
 	}
 	c := v.find(v.Primary)
-	return c != nil && !c.Leaving && owned(c) && 2*cost(q, c) < o.cost
+	return c != nil && !c.Leaving && owned(c) && 2*cost(now, q, c) < o.cost
 }
 
 // fallBack decides for a read that no replica is known to be fit for.
@@ -105,7 +105,7 @@
 	switch {
 	case s.per[lagging] > 0:
 		o := s.pick(q.Seed, lagging)
-		if d.Refused() || q.Rank != config.RankUrgent || o.cost <= cost(q, v.find(v.Primary)) {
+		if d.Refused() || q.Rank != config.RankUrgent || o.cost <= cost(now, q, v.find(v.Primary)) {
 			return toReplica(now, q, o, ReasonReplicaWait)
 		}
 		// Only urgent work takes the primary's slots to be sooner.
@@ -134,18 +134,19 @@
 	return Decision{Instance: c.Instance, Owner: c.Owner, Reason: why}
 }
 
-// toReplica sends the request to a replica. Where the hints do not show that
-// it is fresh enough already, the owner may wait for it to become so.
+// toReplica sends the request to a replica. Its owner may wait until the
+// replica reaches the floor, or until it next hears from it: the age that it
+// can prove grows between two samples.
 func toReplica(now time.Duration, q *Query, o *option, why Reason) Decision {
 	d := Decision{Instance: o.candidate.Instance, Owner: o.candidate.Owner, Reason: why}
 	h := &o.candidate.Hint
 	switch {
 	case why == ReasonReplicaLastResort:
 		d.Wait = budget(now, q)
-	case !h.recent(now):
-		d.Wait = min(budget(now, q), sampleInterval)
 	case q.HasFloor && h.Mark.Less(q.Floor):
 		d.Wait = min(budget(now, q), 2*h.Age+sampleInterval)
+	default:
+		d.Wait = min(budget(now, q), sampleInterval)
 	}
 	return d
 }
@@ -160,9 +161,11 @@
 }
 
 // cost is the expected time until c gives a slot to work of the rank of q.
-// A replica of another failure domain must be clearly better to win.
-func cost(q *Query, c *Candidate) time.Duration {
-	wait := c.Hint.QueueWait[q.Rank]
+// A replica of another failure domain must be clearly better to win. What
+// waited at the moment of the hint has moved up since; without that, a host
+// would never again ask an instance whose last answer told of a long queue.
+func cost(now time.Duration, q *Query, c *Candidate) time.Duration {
+	wait := max(0, c.Hint.QueueWait[q.Rank]-(now-c.Hint.At))
 	if c.Domain != q.Home {
 		wait += wait/4 + remoteCost
 	}
