--- /dev/null
+++ b/internal/gateway/decisions.go
@@ -0,0 +1,109 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/amaranthweir/amaranthweir/internal/config"
+	"github.com/amaranthweir/amaranthweir/internal/request"
+	"github.com/amaranthweir/amaranthweir/internal/system/routing"
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
+
+// decisionQueue is how many decisions may wait for their log line.
+const decisionQueue = 16384
+
+// decision is one routing decision, as it is logged.
+type decision struct {
+	at       time.Time
+	request  string
+	service  string
+	class    string
+	rank     config.Rank
+	group    table.GroupName
+	floor    table.Mark
+	hasFloor bool
+	attempt  int
+	routing.Decision
+}
+
+// decisionLog writes a line for each routing decision, beside the statement
+// path: formatting a line takes longer than the decision. When more decisions
+// wait than there is room for, lines are left out and counted.
+type decisionLog struct {
+	queue   chan decision
+	dropped atomic.Uint64
+}
+
+// Run writes the log lines of routing decisions until ctx ends, and what waits
+// then.
+func (g *Gateway) Run(ctx context.Context) error {
+	for {
+		select {
+		case d := <-g.decisions.queue:
+			g.writeDecision(&d)
+		case <-ctx.Done():
+			g.drainDecisions()
+			return nil
+		}
+	}
+}
+
+func (g *Gateway) drainDecisions() {
+	for {
+		select {
+		case d := <-g.decisions.queue:
+			g.writeDecision(&d)
+		default:
+			return
+		}
+	}
+}
+
+func (g *Gateway) writeDecision(d *decision) {
+	fields := logrus.Fields{
+		"request":  d.request,
+		"service":  d.service,
+		"class":    d.class,
+		"rank":     d.rank.String(),
+		"group":    d.group,
+		"instance": d.Instance,
+		"owner":    d.Owner,
+		"reason":   d.Reason.String(),
+		"attempt":  d.attempt,
+	}
+	if d.hasFloor {
+		fields["floor_term"], fields["floor_position"] = d.floor.Term, d.floor.Position
+	}
+	if d.Refused() {
+		fields["refused"] = d.Refuse.String()
+	}
+	if n := g.decisions.dropped.Swap(0); n > 0 {
+		fields["lines_left_out"] = n
+	}
+	g.cfg.Log.WithTime(d.at).WithFields(fields).Info("route")
+}
+
+// logDecision hands a decision to the log.
+func (r *run) logDecision(q *request.Request, d routing.Decision) {
+	log := &r.session.gateway.decisions
+	select {
+	case log.queue <- decision{
+		at:       time.Now(),
+		request:  q.ID,
+		service:  q.Service,
+		class:    q.Class,
+		rank:     q.Rank,
+		group:    q.Group,
+		floor:    q.Floor,
+		hasFloor: q.HasFloor,
+		attempt:  r.attempts,
+		Decision: d,
+	}:
+	default:
+		log.dropped.Add(1)
+	}
+}
--- a/internal/gateway/do.go
+++ b/internal/gateway/do.go
@@ -11,7 +11,6 @@
 	"github.com/amaranthweir/amaranthweir/internal/pg/synthetic"
 	"github.com/amaranthweir/amaranthweir/internal/request"
 	"github.com/amaranthweir/amaranthweir/internal/statement"
-	"github.com/amaranthweir/amaranthweir/internal/system/routing"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
@@ -224,23 +223,6 @@
 	return c.sink.Answer(p)
 }
 
-// logDecision writes the log line of a routing decision.
-func (r *run) logDecision(q *request.Request, d routing.Decision) {
-	r.session.gateway.cfg.Log.WithFields(logrus.Fields{
-		"request":  q.ID,
-		"service":  q.Service,
-		"class":    q.Class,
-		"rank":     q.Rank.String(),
-		"group":    q.Group,
-		"instance": d.Instance,
-		"owner":    d.Owner,
-		"reason":   d.Reason.String(),
-		"floor":    q.Floor.Position,
-		"term":     q.Floor.Term,
-		"attempt":  r.attempts,
-	}).Info("route")
-}
-
 // logRefusal writes why an attempt was refused, once for each cause in a row.
 func (r *run) logRefusal(q *request.Request, err, before error) {
 	if before != nil && before.Error() == err.Error() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,7 +59,7 @@
 	Observer    Observer
 	// Keys sign and read session tokens.
 	Keys *session.Keyring
-	Log  logrus.FieldLogger
+	Log  *logrus.Logger
 	// Clock returns the moment on the clock of the decision systems.
 	Clock func() time.Duration
 }
@@ -70,11 +70,13 @@
 	sessions atomic.Uint64
 	requests atomic.Uint64
 	budget   retryBudget
+
+	decisions decisionLog
 }
 
 // New returns a Gateway without sessions.
 func New(cfg Config) *Gateway {
-	return &Gateway{cfg: cfg}
+	return &Gateway{cfg: cfg, decisions: decisionLog{queue: make(chan decision, decisionQueue)}}
 }
 
 // NewSession begins the session of a caller that connected to service.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -183,6 +183,7 @@
 	group.Go(func() error { return h.serveHTTP(inner) })
 	group.Go(func() error { return h.callers.Serve(inner, h.callerSocket) })
 	group.Go(func() error { return h.beats.run(inner) })
+	group.Go(func() error { return h.gateway.Run(inner) })
 	if h.leader != nil {
 		group.Go(func() error { return h.leader.run(inner) })
 	}
--- a/internal/owner/slots.go
+++ b/internal/owner/slots.go
@@ -112,13 +112,13 @@
 	return nil, errkind.Wrap(ctx.Err(), errkind.DeadlineUnreachable, "gave up waiting for a slot")
 }
 
-// started turns the decision of the queue into an answer, with its log line.
+// started turns the decision of the queue into an answer. A refusal has a log
+// line.
 func (s *slots) started(t *ticket, r *request.Request, o admission.Outcome) (*ticket, error) {
-	s.log.WithFields(logrus.Fields{
-		"request": r.ID, "class": r.Class, "rank": r.Rank.String(), "reason": o.Reason.String(),
-		"started": o.Verdict == admission.Start,
-	}).Debug("admit")
 	if o.Verdict != admission.Start {
+		s.log.WithFields(logrus.Fields{
+			"request": r.ID, "class": r.Class, "rank": r.Rank.String(), "reason": o.Reason.String(),
+		}).Info("not admitted")
 		return nil, errkind.New(o.Kind, "%s", o.Reason)
 	}
 	t.started = time.Now()
