Send a short answer and its end in one write; answer Close by itself

A statement's answer went out in two writes, and a caller that closed its prepared statements waited for the primary of its default class: a closed statement stands on no connection of its own, so there is nothing to ask.

--- a/internal/pg/listener.go
+++ b/internal/pg/listener.go
@@ -173,7 +173,7 @@
 
 // welcome ends the start-up of a caller.
 func (s *session) welcome(pid, key uint32, start *startup) error {
-	s.backend.Send(&pgproto3.AuthenticationOk{})
+	messages := []pgproto3.BackendMessage{&pgproto3.AuthenticationOk{}}
 	for _, p := range [][2]string{
 		{"server_version", serverVersion},
 		{"server_encoding", "UTF8"},
@@ -183,11 +183,12 @@
 		{"standard_conforming_strings", "on"},
 		{"application_name", start.params["application_name"]},
 	} {
-		s.backend.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
+		messages = append(messages, &pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
 	}
-	s.backend.Send(&pgproto3.BackendKeyData{ProcessID: pid, SecretKey: []byte{byte(key >> 24), byte(key >> 16), byte(key >> 8), byte(key)}})
+	secret := []byte{byte(key >> 24), byte(key >> 16), byte(key >> 8), byte(key)}
+	messages = append(messages, &pgproto3.BackendKeyData{ProcessID: pid, SecretKey: secret})
 	_ = s.net.SetDeadline(time.Time{})
-	return s.ready()
+	return s.ready(messages...)
 }
 
 func (l *Listener) add(s *session) uint32 {
--- a/internal/pg/session.go
+++ b/internal/pg/session.go
@@ -18,6 +18,9 @@
 	"github.com/amaranthweir/amaranthweir/internal/statement"
 )
 
+// flushBytes is how much of an answer is kept before it is written.
+const flushBytes = 16 << 10
+
 // session is one caller connection after its start-up.
 type session struct {
 	listener *Listener
@@ -30,6 +33,7 @@
 	skipping bool // until the next Sync, after an error of the extended protocol
 	txStatus byte
 	token    string // as the caller has it
+	out      []byte // the part of an answer that was not written yet
 
 	mu     sync.Mutex
 	cancel context.CancelFunc // of the request that runs
@@ -37,9 +41,24 @@
 	ending bool
 }
 
-// Answer implements request.Sink: it writes a part of an answer.
+// Answer implements request.Sink. A short answer is kept until the
+// ReadyForQuery that ends it, so that both go out in one write.
 func (s *session) Answer(p []byte) error {
-	if _, err := s.net.Write(p); err != nil {
+	s.out = append(s.out, p...)
+	if len(s.out) < flushBytes {
+		return nil
+	}
+	return s.flush()
+}
+
+// flush writes what is kept of an answer.
+func (s *session) flush() error {
+	if len(s.out) == 0 {
+		return nil
+	}
+	_, err := s.net.Write(s.out)
+	s.out = s.out[:0]
+	if err != nil {
 		return errkind.Wrap(err, errkind.Cancelled, "the caller went away")
 	}
 	return nil
@@ -98,8 +117,7 @@
 
 // goodbye tells the caller that this host shuts down.
 func (s *session) goodbye() error {
-	s.backend.Send(errorResponse(errkind.New(errkind.ShuttingDown, "connect again"), "FATAL"))
-	return s.backend.Flush()
+	return s.send(errorResponse(errkind.New(errkind.ShuttingDown, "connect again"), "FATAL"))
 }
 
 // handle answers one message.
@@ -132,8 +150,7 @@
 		return nil
 	}
 	s.skipping = true
-	s.backend.Send(errorResponse(s.unit.failure, "ERROR"))
-	return s.backend.Flush()
+	return s.send(errorResponse(s.unit.failure, "ERROR"))
 }
 
 func (s *session) sync(ctx context.Context, m *pgproto3.Sync) error {
@@ -149,6 +166,13 @@
 	if len(u.messages) == 0 {
 		return s.ready()
 	}
+	if u.onlyCloses {
+		u.commit(s.known)
+		if err := s.Answer(synthetic.Answer(u.messages, "")); err != nil {
+			return err
+		}
+		return s.ready() // what was closed stands on no connection of its own
+	}
 	u.append(m)
 	w := &gateway.Work{Messages: u.messages, Texts: u.texts}
 	for _, p := range u.prepares {
@@ -176,8 +200,7 @@
 func (s *session) simpleQuery(ctx context.Context, m *pgproto3.Query) error {
 	text := statement.Read(m.String)
 	if len(text.Statements) == 0 {
-		s.backend.Send(&pgproto3.EmptyQueryResponse{})
-		return s.ready()
+		return s.ready(&pgproto3.EmptyQueryResponse{})
 	}
 	if done, err := s.own(text); done {
 		return err
@@ -205,8 +228,7 @@
 		if err := s.set(name, value); err != nil {
 			return true, s.fail(errkind.Of(err))
 		}
-		s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte("SET")})
-		return true, s.ready()
+		return true, s.ready(&pgproto3.CommandComplete{CommandTag: []byte("SET")})
 	case statement.Reset:
 		if s.txStatus != request.TxIdle {
 			return true, s.fail(errkind.New(errkind.NotSupported, "%s inside a transaction", st.Verb))
@@ -215,8 +237,7 @@
 		if st.Verb == "DISCARD" {
 			clear(s.known)
 		}
-		s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(tagOfReset(st))})
-		return true, s.ready()
+		return true, s.ready(&pgproto3.CommandComplete{CommandTag: []byte(tagOfReset(st))})
 	}
 	return false, nil
 }
@@ -310,19 +331,32 @@
 
 // fail answers a unit with an error of the proxy.
 func (s *session) fail(e *errkind.Error) error {
-	s.backend.Send(errorResponse(e, "ERROR"))
-	return s.ready()
+	return s.send(errorResponse(e, "ERROR"), s.readyMessage())
 }
 
 // ready ends an answer. A new session token goes before it, as a reported
 // parameter that drivers keep.
-func (s *session) ready() error {
+func (s *session) ready(before ...pgproto3.BackendMessage) error {
 	if token := s.gate.Token(); token != s.token {
 		s.token = token
-		s.backend.Send(&pgproto3.ParameterStatus{Name: paramToken, Value: token})
+		before = append(before, &pgproto3.ParameterStatus{Name: paramToken, Value: token})
+	}
+	return s.send(append(before, s.readyMessage())...)
+}
+
+func (s *session) readyMessage() pgproto3.BackendMessage {
+	return &pgproto3.ReadyForQuery{TxStatus: s.txStatus}
+}
+
+// send writes messages of the proxy behind what is kept of the answer.
+func (s *session) send(messages ...pgproto3.BackendMessage) error {
+	for _, m := range messages {
+		var err error
+		if s.out, err = m.Encode(s.out); err != nil {
+			return err
+		}
 	}
-	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: s.txStatus})
-	return s.backend.Flush()
+	return s.flush()
 }
 
 // interrupt cancels the request that runs.
--- a/internal/pg/unit.go
+++ b/internal/pg/unit.go
@@ -34,9 +34,11 @@
 	unnamed  string
 	parsed   bool
 	executes bool
-	closed   []string // names to forget once the unit ran
-	defined  map[string]prepared
-	failure  *errkind.Error
+	// onlyCloses is set while the unit has nothing but Close messages.
+	onlyCloses bool
+	closed     []string // names to forget once the unit ran
+	defined    map[string]prepared
+	failure    *errkind.Error
 }
 
 func newUnit() *unit {
@@ -58,6 +60,8 @@
 	if u.failure != nil {
 		return
 	}
+	_, closes := msg.(*pgproto3.Close)
+	u.onlyCloses = closes && (u.onlyCloses || len(u.messages) == 0)
 	switch m := msg.(type) {
 	case *pgproto3.Parse:
 		u.parse(m)
