--- a/internal/control/recovery_test.go
+++ b/internal/control/recovery_test.go
@@ -346,6 +346,26 @@
 	})
 }
 
+func TestRemovalsWaitForEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(5)
+		n.startAll(t)
+		defer n.stopAll(t)
+		leader := n.leader(t)
+		var wg sync.WaitGroup
+		removed := 0
+		for _, host := range n.voters {
+			if host != leader.cfg.Host && removed < 2 {
+				removed++
+				wg.Go(func() { assert.Check(t, leader.RemoveMember(t.Context(), host)) })
+			}
+		}
+		wg.Wait()
+		assert.Equal(t, len(leader.Members().Voters), 3)
+		n.persist(t, put("s", 1, "a"))
+	})
+}
+
 func TestRemoveMember(t *testing.T) {
 	started(t, func(t *testing.T, n *network, leader *Server) {
 		var others []table.HostID
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -364,11 +364,21 @@
 }
 
 // RemoveMember takes a host out of the membership for good and returns once a
-// majority of the others holds that durably. A host that is no member is no
-// error. The errors are those of Propose; the leader cannot remove itself.
+// majority of the others holds that durably. It waits for an earlier change of
+// membership to be committed. A host that is no member is no error. The errors
+// are those of Propose; the leader cannot remove itself.
 func (s *Server) RemoveMember(ctx context.Context, host table.HostID) error {
-	_, err := s.submit(ctx, proposal{remove: host})
-	return err
+	for {
+		_, err := s.submit(ctx, proposal{remove: host})
+		if !errkind.Is(err, errkind.NoQuorum) || errkind.Of(err).Effect != errkind.NotRun {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(s.cfg.TickInterval):
+		}
+	}
 }
 
 func (s *Server) submit(ctx context.Context, p proposal) (Result, error) {
