Find closed and silent upstream connections; count those that still end

Cause: a connection that the upstream had closed while it rested failed the next request with an unknown outcome; one that went silent failed each request at its deadline; a discarded connection with a running statement no longer counted as open; the end of a context could reach the next request of the same connection; a session setting that closes with a line comment hid the next one; a request of which no byte was written was called unknown.

owner: the pool cancels on discard, so the owner's own cancel is gone. The stand-in frees the place of a session before it closes its connection, as PostgreSQL does.

--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -183,14 +183,10 @@
 	return out.TxStatus == request.TxIdle && (!out.Failed || out.Tag != "")
 }
 
-// exchange runs x; when it fails while the caller went away or the deadline
-// passed, the upstream is asked to stop.
+// exchange runs x. After an error the connection is discarded, which cancels
+// what still runs on it.
 func (in *instance) exchange(ctx context.Context, e *execution, x *pool.Exchange) (pool.Outcome, error) {
-	out, err := e.tx.conn.Run(ctx, e.r.Deadline, x)
-	if err != nil && (ctx.Err() != nil || !time.Now().Before(e.r.Deadline)) {
-		go e.tx.conn.Cancel()
-	}
-	return out, err
+	return e.tx.conn.Run(ctx, e.r.Deadline, x)
 }
 
 // passer returns what takes the answer: kept back for a write to confirm, else
--- a/internal/pool/command.go
+++ b/internal/pool/command.go
@@ -53,11 +53,9 @@
 	if !ok {
 		deadline = time.Time{}
 	}
-	lift := c.guard(ctx, deadline)
+	lift := c.guard(ctx, deadline, c.reader.progress)
 	err := run()
-	if !lift() && err == nil {
-		err = ctx.Err()
-	}
+	lift()
 	var pgErr *pgconn.PgError
 	if err == nil || errors.As(err, &pgErr) {
 		return err
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -4,7 +4,10 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
+	"os"
 	"strings"
 	"time"
 
@@ -23,24 +26,36 @@
 	maxUpstreamMessageBytes = 64 << 20
 	// cancelTimeout bounds the delivery of a cancel request.
 	cancelTimeout = 500 * time.Millisecond
+	// lingerTimeout bounds the wait for an upstream to end a connection.
+	lingerTimeout = 500 * time.Millisecond
 )
 
 // unknownSettings marks a connection whose settings must be reset before the
 // next use. It differs from each list of settings, for those hold no NUL.
 const unknownSettings = "\x00"
 
+// statementEnd ends a statement that may close with a line comment.
+const statementEnd = "\n;"
+
 // Conn is one open connection to an upstream. It serves one request at a time.
 type Conn struct {
 	net      net.Conn
+	reader   *reader
+	socket   *socket
 	frontend *pgproto3.Frontend
 	pid      uint32
 	secret   []byte
 	prepared map[string]struct{}
 	settings string // the SET statements in force, joined
 	txStatus byte
-	doomed   bool // must not be used by another session
-	usedAt   time.Time
+	doomed   bool   // must not be used by another session
+	asked    bool   // an answer is outstanding
+	gone     bool   // the upstream has ended the connection
 	out      []byte // reused for what is sent
+
+	openedAt   time.Time
+	usedAt     time.Time // by a request
+	answeredAt time.Time // the end of the latest answer, also to a probe
 }
 
 // dial opens a connection and logs in.
@@ -53,15 +68,23 @@
 	if err != nil {
 		return nil, err
 	}
-	h.Frontend.SetMaxBodyLen(maxUpstreamMessageBytes)
+	r := &reader{net: h.Conn, silent: func(context.Context) bool { return false }, progress: DefaultProgress}
+	frontend := pgproto3.NewFrontend(r, h.Conn)
+	frontend.SetMaxBodyLen(maxUpstreamMessageBytes)
+	now := time.Now()
 	return &Conn{
 		net:      h.Conn,
-		frontend: h.Frontend,
+		reader:   r,
+		socket:   newSocket(h.Conn),
+		frontend: frontend,
 		pid:      h.PID,
 		secret:   h.SecretKey,
 		prepared: map[string]struct{}{},
 		txStatus: h.TxStatus,
-		usedAt:   time.Now(),
+
+		openedAt:   now,
+		usedAt:     now,
+		answeredAt: now,
 	}, nil
 }
 
@@ -70,42 +93,106 @@
 
 // reusable reports whether another session may use the connection.
 func (c *Conn) reusable() bool {
-	return !c.doomed && c.txStatus == request.TxIdle && len(c.prepared) <= maxPrepared
+	return !c.doomed && !c.asked && c.txStatus == request.TxIdle && len(c.prepared) <= maxPrepared
 }
 
-// close ends the connection at once.
-func (c *Conn) close() { _ = c.net.Close() }
+// fit reports whether an idle connection may be used: the upstream has not
+// closed it, and no byte waits that nobody asked for.
+func (c *Conn) fit() bool {
+	return c.frontend.ReadBufferLen() == 0 && c.socket.quiet()
+}
 
-// terminate says goodbye and ends the connection.
-func (c *Conn) terminate() {
-	_ = c.net.SetWriteDeadline(time.Now().Add(cancelTimeout))
-	buf, err := (&pgproto3.Terminate{}).Encode(nil)
-	if err == nil {
+// close ends the connection and returns once the upstream has ended it too, or
+// lingerTimeout has passed. What still runs on it is cancelled.
+func (c *Conn) close() {
+	defer c.net.Close()
+	if c.gone {
+		return
+	}
+	_ = c.net.SetDeadline(time.Now().Add(lingerTimeout))
+	if c.asked {
+		c.cancel()
+	} else if buf, err := (&pgproto3.Terminate{}).Encode(nil); err == nil {
+		// Never behind an outstanding request, which it might complete.
 		_, _ = c.net.Write(buf)
 	}
-	c.close()
+	if half, ok := c.net.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+	}
+	_, _ = io.Copy(io.Discard, c.net) // up to the end
 }
 
 // guard makes a blocked read or write on c end with ctx, at the latest at
-// deadline. The returned function lifts the guard; it reports whether c is
-// still usable.
-func (c *Conn) guard(ctx context.Context, deadline time.Time) (lift func() bool) {
-	_ = c.net.SetDeadline(deadline)
+// deadline. After patience without a byte it is asked whether c went silent.
+// The returned function lifts the guard.
+func (c *Conn) guard(ctx context.Context, deadline time.Time, patience time.Duration) (lift func()) {
+	_ = c.net.SetWriteDeadline(deadline)
+	c.reader.begin(ctx, deadline, patience)
+	fired := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
+		defer close(fired)
 		_ = c.net.SetDeadline(time.Unix(1, 0))
 	})
-	return func() bool {
+	return func() {
 		if !stop() {
-			return false
+			<-fired // else it could hit the next request
 		}
-		_ = c.net.SetDeadline(time.Time{})
-		return true
 	}
 }
 
-// Cancel asks the upstream to stop what the connection runs. It uses a
+// ping makes a round trip that runs nothing on the upstream.
+func (c *Conn) ping(ctx context.Context, timeout time.Duration) error {
+	// A probe asks nothing: it is what answers the question.
+	defer c.guard(ctx, time.Now().Add(timeout), 2*timeout)()
+	buf, err := (&pgproto3.Sync{}).Encode(c.out[:0])
+	if err != nil {
+		return err
+	}
+	if _, err := c.send(buf); err != nil {
+		return err
+	}
+	return c.readQuery(&discard{})
+}
+
+// send writes buf; an answer is outstanding then. It returns how many bytes
+// left this host at most.
+func (c *Conn) send(buf []byte) (int, error) {
+	c.out = buf
+	c.asked = true
+	n, err := c.net.Write(buf)
+	if err != nil {
+		c.note(err)
+	}
+	return n, err
+}
+
+// answered notes that no answer is outstanding any more.
+func (c *Conn) answered() {
+	c.asked = false
+	c.answeredAt = c.reader.heardAt
+}
+
+// note remembers that an error ended the connection.
+func (c *Conn) note(err error) {
+	c.doomed = true
+	if !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errSilent) {
+		c.gone = true
+	}
+}
+
+// receive reads one message.
+func (c *Conn) receive() (pgproto3.BackendMessage, error) {
+	msg, err := c.frontend.Receive()
+	if err != nil {
+		c.note(err)
+		return nil, err
+	}
+	return msg, nil
+}
+
+// cancel asks the upstream to stop what the connection runs. It uses a
 // connection of its own, as the protocol wants, and waits for its end.
-func (c *Conn) Cancel() {
+func (c *Conn) cancel() {
 	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
 	defer stop()
 	var d net.Dialer
@@ -127,14 +214,14 @@
 
 // applySettings brings the session settings of c to want.
 func (c *Conn) applySettings(want []string) error {
-	joined := strings.Join(want, ";")
+	joined := strings.Join(want, statementEnd)
 	if c.settings == joined {
 		return nil
 	}
 	c.settings = unknownSettings
 	sql := "RESET ALL"
 	if joined != "" {
-		sql += ";" + joined
+		sql += statementEnd + joined
 	}
 	if err := c.Command(sql); err != nil {
 		return err
@@ -163,8 +250,7 @@
 	if err != nil {
 		return err
 	}
-	c.out = buf
-	if _, err := c.net.Write(buf); err != nil {
+	if _, err := c.send(buf); err != nil {
 		return err
 	}
 	return c.readQuery(r)
@@ -174,7 +260,7 @@
 func (c *Conn) readQuery(r rowReader) error {
 	var failure error
 	for {
-		msg, err := c.frontend.Receive()
+		msg, err := c.receive()
 		if err != nil {
 			return err
 		}
@@ -185,6 +271,7 @@
 			failure = pgconn.ErrorResponseToPgError(m)
 		case *pgproto3.ReadyForQuery:
 			c.txStatus = m.TxStatus
+			c.answered()
 			return failure
 		}
 	}
--- a/internal/pool/run.go
+++ b/internal/pool/run.go
@@ -69,8 +69,11 @@
 // Run does one exchange. Errors are *errkind.Error; after one, the connection
 // must be discarded, unless the effect is NotRun and Usable says so.
 func (c *Conn) Run(ctx context.Context, deadline time.Time, x *Exchange) (Outcome, error) {
-	lift := c.guard(ctx, deadline)
-	defer lift()
+	if x.KeepSettings && !c.fit() { // lent long ago
+		c.doomed, c.gone = true, true
+		return Outcome{}, lost(errEnded, false)
+	}
+	defer c.guard(ctx, deadline, c.reader.progress)()
 	if !x.KeepSettings {
 		if err := c.applySettings(x.Settings); err != nil {
 			return Outcome{}, settingsError(err)
@@ -79,18 +82,21 @@
 	if x.ChangesSettings {
 		c.settings = unknownSettings
 	}
-	injected := c.encode(x)
-	if _, err := c.net.Write(c.out); err != nil {
-		return Outcome{}, interrupted(ctx, err)
+	buf, injected := c.encode(x)
+	if n, err := c.send(buf); err != nil {
+		return Outcome{}, interrupted(ctx, err, n > 0)
 	}
 	r := &answerReader{x: x, skip: injected}
 	if err := c.readAnswer(r); err != nil {
-		return r.outcome, interrupted(ctx, err)
+		return r.outcome, interrupted(ctx, err, true)
 	}
-	c.usedAt = time.Now()
+	c.usedAt = c.answeredAt
 	return r.outcome, r.flush()
 }
 
+// errEnded says that the upstream closed a connection.
+var errEnded = errors.New("the upstream closed the connection")
+
 // settingsError is the error of a failed SET before the request itself.
 func settingsError(err error) error {
 	var pgErr *pgconn.PgError
@@ -101,20 +107,24 @@
 }
 
 // interrupted tells a caller's own cancel from a lost connection.
-func interrupted(ctx context.Context, err error) error {
+func interrupted(ctx context.Context, err error, sent bool) error {
 	var kind *errkind.Error
 	if errors.As(err, &kind) {
 		return kind
 	}
 	if errors.Is(ctx.Err(), context.Canceled) {
-		return errkind.Wrap(err, errkind.Cancelled, "")
+		e := errkind.Wrap(err, errkind.Cancelled, "")
+		if !sent {
+			e.Effect = errkind.NotRun
+		}
+		return e
 	}
-	return lost(err, true)
+	return lost(err, sent)
 }
 
-// encode puts everything that the exchange sends into c.out and returns how
-// many statements it injected.
-func (c *Conn) encode(x *Exchange) int {
+// encode returns everything that the exchange sends, and how many statements
+// were injected.
+func (c *Conn) encode(x *Exchange) ([]byte, int) {
 	injected := 0
 	buf := c.out[:0]
 	for _, p := range x.Prepares {
@@ -129,15 +139,14 @@
 	if x.AskMark {
 		buf, _ = (&pgproto3.Query{String: statusQuery}).Encode(buf)
 	}
-	c.out = buf
-	return injected
+	return buf, injected
 }
 
 // readAnswer reads up to the ReadyForQuery of the messages, and the answer to
 // the question for the mark.
 func (c *Conn) readAnswer(r *answerReader) error {
 	for {
-		msg, err := c.frontend.Receive()
+		msg, err := c.receive()
 		if err != nil {
 			return err
 		}
@@ -154,6 +163,7 @@
 		c.doomed = true // which statements exist on it is not known
 	}
 	if !r.x.AskMark {
+		c.answered()
 		return nil
 	}
 	return c.readMark(r)
--- a/standin/session.go
+++ b/standin/session.go
@@ -207,11 +207,12 @@
 	return nil
 }
 
-// leave ends the session and rolls its transaction back.
+// leave ends the session and rolls its transaction back. Its place is free
+// before the caller sees the end.
 func (s *session) leave() {
 	s.rollback()
 	s.stop()
-	_ = s.conn.Conn.Close() // nothing is left to be told
+	defer s.conn.Conn.Close() // nothing is left to be told
 	in := s.in
 	in.mu.Lock()
 	defer in.mu.Unlock()
