--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -212,7 +212,75 @@
 	wg.Wait()
 	c.check(l)
 	assert.Equal(t, len(l.states), 1, "refused: %v", l.states)
-	t.Logf("statements at the leaving instance after it left: %d", in.Stats().Finished-before)
+	assert.Equal(t, in.Stats().Finished, before, "new work at an instance that left")
+}
+
+func TestPrimaryAndItsOwnerAreKilledTogether(t *testing.T) {
+	t.Parallel()
+	c := start(t, 5, 20*time.Millisecond)
+	stop := make(chan struct{})
+	l, wg := c.writers("settlement", 2, stop)
+	c.more(l, 20)
+	in, owner := c.primary()
+	in.Kill()
+	assert.NilError(t, owner.cmd.Process.Kill())
+	c.more(l, 20)
+	close(stop)
+	wg.Wait()
+	c.check(l)
+}
+
+// TestThePrimaryIsLostTwice freezes one primary after the other; the first one
+// is back, as a replica, when the second one goes.
+func TestThePrimaryIsLostTwice(t *testing.T) {
+	t.Parallel()
+	c := start(t, 4, 5*time.Millisecond)
+	stop := make(chan struct{})
+	l, wg := c.writers("settlement", 2, stop)
+	for range 2 {
+		c.more(l, 20)
+		in, _ := c.primary()
+		in.Freeze()
+		c.wait("another primary", func(s api.Status) bool {
+			return s.Groups[0].Primary != in.ID() && s.Groups[0].Phase == "stable"
+		})
+		in.Thaw()
+		c.wait("all instances in the term", func(s api.Status) bool {
+			for _, i := range s.Instances {
+				if i.Term != s.Groups[0].Term {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	c.more(l, 20)
+	close(stop)
+	wg.Wait()
+	c.check(l)
+}
+
+func TestShutdownDuringAChangeOfPrimary(t *testing.T) {
+	t.Parallel()
+	c := start(t, 5, 5*time.Millisecond)
+	stop := make(chan struct{})
+	l, wg := c.writers("settlement", 2, stop)
+	c.more(l, 20)
+	in, owner := c.primary()
+	in.Kill()
+	assert.NilError(t, owner.cmd.Process.Signal(syscall.SIGTERM))
+	state, err := owner.cmd.Process.Wait()
+	assert.NilError(t, err)
+	assert.Assert(t, state.Success(), state.String())
+	c.more(l, 20)
+	close(stop)
+	wg.Wait()
+	c.check(l)
+	// Only what was at the killed primary may have failed otherwise.
+	inFlight := 2 * len(c.hosts)
+	for kind, n := range l.states {
+		assert.Assert(t, kind == "" || kind == "57P01" || n <= inFlight, "%v", l.states)
+	}
 }
 
 func TestRequestWithAnIDRunsOnce(t *testing.T) {
