Cut no request in a rolling restart

- A new leader that heard of a draining owner before the instance announced itself never asked it to hand over.
Shown by TestDrainingOwnerMeetsANewLeader (0 != 1) before.
- Hosts closed their links to a host that the tables of a new leader lacked, with requests under way.
- A host left right after the hand-over while others still sent requests by their old tables; it goes on answering for three heartbeats.
- The last messages of the agreement, which hand the leadership over, did not go out.

--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -21,6 +21,9 @@
 	acked  []string
 	notRun []string
 	states map[string]int
+	doubts []string // the first answers that left the outcome open
+
+	writers atomic.Int32
 }
 
 func (l *ledger) note(key string, err error) {
@@ -33,6 +36,9 @@
 		l.notRun = append(l.notRun, key)
 	}
 	l.states[state(err)]++
+	if err != nil && !notRun(err) && len(l.doubts) < 5 {
+		l.doubts = append(l.doubts, time.Now().Format("05.000 ")+err.Error())
+	}
 }
 
 func (l *ledger) ackedCount() int {
@@ -46,26 +52,32 @@
 	l := &ledger{states: map[string]int{}}
 	var wg sync.WaitGroup
 	for i := range each * len(c.hosts) {
-		conn := c.connect(c.hosts[i%len(c.hosts)])
-		wg.Go(func() {
-			for n := 0; ; n++ {
-				select {
-				case <-stop:
-					return
-				default:
-				}
-				key := fmt.Sprintf("%d-%d", i, n)
-				_, err := conn.Exec(context.Background(), "/* class="+class+" */ INSERT INTO tickets (key, value) VALUES ($1, 'v')", key)
-				l.note(key, err)
-				if conn.IsClosed() {
-					return
-				}
-			}
-		})
+		c.writer(l, class, c.hosts[i%len(c.hosts)], &wg, stop)
 	}
 	return l, &wg
 }
 
+// writer inserts through one host until stop is closed or the connection ends.
+func (c *cluster) writer(l *ledger, class string, p *process, wg *sync.WaitGroup, stop <-chan struct{}) {
+	conn := c.connect(p)
+	id := l.writers.Add(1)
+	wg.Go(func() {
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			key := fmt.Sprintf("%d-%d", id, n)
+			_, err := conn.Exec(context.Background(), "/* class="+class+" */ INSERT INTO tickets (key, value) VALUES ($1, 'v')", key)
+			l.note(key, err)
+			if conn.IsClosed() {
+				return
+			}
+		}
+	})
+}
+
 // check compares what writers were told with the rows of the primary.
 func (c *cluster) check(l *ledger) {
 	c.t.Helper()
@@ -82,7 +94,7 @@
 	for _, key := range l.notRun {
 		assert.Assert(c.t, rows[key] == "", "said to be not run, but there: %s", key)
 	}
-	c.t.Logf("%d acknowledged, %d not run, by SQLSTATE %v", len(l.acked), len(l.notRun), l.states)
+	c.t.Logf("%d acknowledged, %d not run, by SQLSTATE %v %q", len(l.acked), len(l.notRun), l.states, l.doubts)
 }
 
 // more waits until n more writes were acknowledged.
@@ -260,6 +272,37 @@
 	c.check(l)
 }
 
+// TestRollingRestartCutsNoRequest restarts every host in turn under load.
+// Writers whose host stops go on at another one.
+func TestRollingRestartCutsNoRequest(t *testing.T) {
+	t.Parallel()
+	c := start(t, 4, 5*time.Millisecond)
+	stop := make(chan struct{})
+	l, wg := c.writers("settlement", 2, stop)
+	for _, p := range c.hosts {
+		c.more(l, 10)
+		assert.NilError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+		state, err := p.cmd.Process.Wait()
+		assert.NilError(t, err)
+		assert.Assert(t, state.Success(), "%s: %s", p.name, state)
+		c.run(p)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if !ready(p) {
+				return poll.Continue("%s is not ready", p.name)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(patience), poll.WithDelay(10*time.Millisecond))
+		c.writer(l, "settlement", p, wg, stop)
+	}
+	c.more(l, 10)
+	close(stop)
+	wg.Wait()
+	c.check(l)
+	for kind := range l.states {
+		assert.Assert(t, kind == "" || kind == "57P01", "refused: %v", l.states)
+	}
+}
+
 func TestShutdownDuringAChangeOfPrimary(t *testing.T) {
 	t.Parallel()
 	c := start(t, 5, 5*time.Millisecond)
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -45,8 +45,14 @@
 type remote struct {
 	address  string
 	executor *peer.Remote
+	// unlisted is since when the host is missing from the tables, or zero.
+	unlisted time.Duration
 }
 
+// unlistedLife is how long the link to a host that is missing from the tables
+// is kept. The tables of a new leader may lack hosts that live.
+const unlistedLife = time.Minute
+
 func newDirectory(self table.HostID, clock func() time.Duration, log logrus.FieldLogger) *directory {
 	d := &directory{
 		self:    self,
@@ -220,6 +226,7 @@
 		seen[h.ID] = true
 		r := d.remotes[h.ID]
 		if r != nil && r.address == h.PeerAddress {
+			r.unlisted = 0
 			continue
 		}
 		if r != nil {
@@ -227,8 +234,13 @@
 		}
 		d.remotes[h.ID] = &remote{address: h.PeerAddress, executor: peer.NewRemote(h.PeerAddress, d.peers)}
 	}
+	now := d.clock()
 	for id, r := range d.remotes {
-		if !seen[id] {
+		switch {
+		case seen[id]:
+		case r.unlisted == 0:
+			r.unlisted = now
+		case now-r.unlisted > unlistedLife:
 			r.executor.Close()
 			delete(d.remotes, id)
 		}
--- a/internal/host/leader.go
+++ b/internal/host/leader.go
@@ -18,6 +18,9 @@
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
+// lastMessages is how long the last messages of the agreement have to go out.
+const lastMessages = 30 * time.Millisecond
+
 // proposeTimeout bounds one command of the leader's systems.
 const proposeTimeout = 2 * time.Second
 
@@ -104,14 +107,20 @@
 	l.mu.Lock()
 	l.ctx = ctx
 	l.mu.Unlock()
+	// The last messages of the agreement hand the leadership over: they go out
+	// after ctx has ended.
+	sending, stopSending := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopSending()
 	l.sender.mu.Lock()
-	l.sender.sender = peer.NewSender(ctx, others, l.host.dir.peers)
+	l.sender.sender = peer.NewSender(sending, others, l.host.dir.peers)
 	l.sender.mu.Unlock()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return l.server.Run(ctx) })
 	group.Go(func() error { return l.host.followControl(ctx, l.server) })
 	group.Go(func() error { return l.decide(ctx) })
-	return group.Wait()
+	err := group.Wait()
+	time.Sleep(lastMessages)
+	return err
 }
 
 // decide runs the systems at intervals and after each change.
--- a/internal/host/reconcile.go
+++ b/internal/host/reconcile.go
@@ -15,6 +15,9 @@
 	// notReadyPause gives the balancer time to see that this host is not
 	// ready before it refuses callers.
 	notReadyPause = 500 * time.Millisecond
+	// lingerBeats is for how many heartbeats a host whose instances were handed
+	// over goes on answering other hosts, which may not have heard of it yet.
+	lingerBeats = 3
 	// drainPoll is how often a shutdown looks whether the work has ended.
 	drainPoll = 20 * time.Millisecond
 )
@@ -59,6 +62,7 @@
 		h.log.WithField("left", left).Warn("shutting down: not finished")
 	}
 	h.awaitHandOver(ctx)
+	h.linger(ctx)
 	h.dir.releaseLease()
 	h.beats.beat(context.WithoutCancel(ctx), true)
 	h.log.Info("shutting down: done")
@@ -81,6 +85,20 @@
 	}
 }
 
+// linger answers other hosts that still send their requests here, by the
+// tables that they had before the hand-over.
+func (h *Host) linger(ctx context.Context) {
+	timer := time.NewTimer(lingerBeats * h.timing.Lease.Heartbeat)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	for h.peerServer.Running() > 0 && ctx.Err() == nil {
+		time.Sleep(drainPoll)
+	}
+}
+
 // mayHandOver reports whether the leader can move instances to another host:
 // it renews the lease of this one, and another host that does not drain is
 // alive.
--- a/internal/system/ownership/ownership_test.go
+++ b/internal/system/ownership/ownership_test.go
@@ -352,3 +352,24 @@
 	assert.Assert(t, c.Validate() != nil)
 	assert.Assert(t, Config{}.Validate() != nil)
 }
+
+// TestDrainingOwnerMeetsANewLeader has the new leader hear of the draining
+// owner before the instance announces itself.
+func TestDrainingOwnerMeetsANewLeader(t *testing.T) {
+	f := newFixture(1, 2)
+	f.announce(0, 0)
+	f.run(40 * ms)
+	n := 0
+	if f.owner(0, 0) == hostID(0, 1) {
+		n = 1
+	}
+	f.now = 5 * time.Second
+	f.Lead(f.now)
+	f.beat(0, 1-n)
+	f.drain(0, n)
+	f.run(100 * ms)
+	assert.Equal(t, len(f.told), 0, "nothing is known of the instance yet")
+	f.announce(0, 0)
+	f.run(100 * ms)
+	assert.Equal(t, len(f.told), 1, "the draining owner is asked to hand over")
+}
--- a/internal/system/ownership/system.go
+++ b/internal/system/ownership/system.go
@@ -150,6 +150,7 @@
 		}
 		i.domain = d
 		d.placed++
+		s.enqueue(i) // what was asked of it before its failure domain was known
 	}
 	if i.owner == nil || i.owner.lease == lease.Expired {
 		s.enqueue(i)
