Find silent links, bound what a slow caller holds, say not run truthfully

Cause: a link whose writer was blocked by a silent host never looked for silence; the answering host never noticed one and kept transactions of callers that were gone; the stream of the replicated log went one way, so its sender could not notice; a frame that never left its queue was called unknown; a slow caller piled up answers without bound or lost its request; a session stayed noted at the owner for each caller that ever asked; a failure with an effect over 255 was read as 'not run'.

Now: any byte counts as heard, below the frames, and the watch waits for nobody. A frame is marked right before it is sent and withdrawn before that. The answer to a call has a window of 1 MiB, which the caller's host renews as the caller reads. Messages of the replicated log are acknowledged. Weighed: one window for the whole link (a slow caller would hold up the others), dropping at a limit as before (ends a large answer that is merely read slowly), a time-out for each frame (blind while the send blocks).

Each test was shown failing with its mechanism taken out: - no look for silence: TestSilentLink runs into the test time-out - none at the owner: TestSilentLink runs into the test time-out - effect not marked: TestEffectOfALostCall 'not run' for a frame that left; withdrawn frames sent: 'the frame must not leave any more' - answer given to any call: TestAnswersOutOfOrder '1 got 2' - no window: TestSlowCallerHoldsUpNobodyElse '6553600 bytes under way'; reading that waits for the caller: 'the link between the hosts was lost' - idle sessions noted: TestOnlyOpenTransactionsEndWithTheLink - effect cut to a byte: TestMalformedFailureClaimsNothing 'not run != unknown' - no acknowledgements watched: TestSenderLeavesASilentConnection 'not yet' - control calls that wait for a lock: TestCallerOverASilentConnection, time-out FuzzFrame: 188378 inputs in 11 s, nothing found.

--- a/internal/peer/caller.go
+++ b/internal/peer/caller.go
@@ -15,11 +15,25 @@
 // Caller does control calls one after the other over one connection, which it
 // keeps while the calls succeed. The zero value is ready for use.
 type Caller struct {
-	mu      sync.Mutex
+	once    sync.Once
+	turn    chan struct{} // holds one element while a call runs
 	address string
 	conn    *drpcconn.Conn
 }
 
+// begin waits for the end of the call before; the wait ends with ctx.
+func (c *Caller) begin(ctx context.Context) error {
+	c.once.Do(func() { c.turn = make(chan struct{}, 1) })
+	select {
+	case c.turn <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (c *Caller) end() { <-c.turn }
+
 // Call sends in to a method of the host at address and reads its answer into
 // out, both as JSON.
 func (c *Caller) Call(ctx context.Context, address, method string, in, out any) error {
@@ -27,8 +41,10 @@
 	if err != nil {
 		return err
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	if err := c.begin(ctx); err != nil {
+		return errkind.Wrap(err, errkind.NoQuorum, "%s: %v", address, err).WithEffect(errkind.NotRun)
+	}
+	defer c.end()
 	if err := c.connect(ctx, address); err != nil {
 		return errkind.Wrap(err, errkind.NoQuorum, "%s: %v", address, err).WithEffect(errkind.NotRun)
 	}
@@ -77,7 +93,8 @@
 
 // Close ends the kept connection.
 func (c *Caller) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.drop()
+	if c.begin(context.Background()) == nil {
+		defer c.end()
+		c.drop()
+	}
 }
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -5,6 +5,7 @@
 package peer
 
 import (
+	"math"
 	"time"
 
 	"github.com/amaranthweir/amaranthweir/internal/config"
@@ -14,6 +15,9 @@
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
+// maxParts bounds the settings and prepared statements of one request.
+const maxParts = 4096
+
 func encodeMark(m table.Mark) *peerpb.Mark {
 	return &peerpb.Mark{Term: uint64(m.Term), Position: uint64(m.Position)}
 }
@@ -40,8 +44,14 @@
 }
 
 func decodeFailure(f *peerpb.Failure) error {
-	kind := errkind.Kind(f.GetKind())
-	return errkind.New(kind, "%s", f.GetDetail()).WithEffect(errkind.Effect(f.GetEffect()))
+	kind, effect := errkind.Internal, errkind.Unknown
+	if f.GetKind() < uint32(len(errkind.All())) {
+		kind = errkind.Kind(f.GetKind())
+	}
+	if f.GetEffect() < uint32(errkind.Unknown) {
+		effect = errkind.Effect(f.GetEffect())
+	}
+	return errkind.New(kind, "%s", f.GetDetail()).WithEffect(effect)
 }
 
 // encodeRequest gives the deadline as time that remains, for the clocks of two
@@ -85,6 +95,12 @@
 	if p.GetRank() >= uint32(config.RankCount) || p.GetAccess() > uint32(config.AccessWrite) {
 		return nil, errkind.New(errkind.BadRequest, "rank %d, access %d", p.GetRank(), p.GetAccess())
 	}
+	if n := len(p.GetSettings()) + len(p.GetPrepares()); n > maxParts {
+		return nil, errkind.New(errkind.TooLarge, "%d settings and statements", n)
+	}
+	if rate := p.GetRatePerSecond(); math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
+		return nil, errkind.New(errkind.BadRequest, "rate %v", rate)
+	}
 	r := &request.Request{
 		ID:              p.GetId(),
 		Session:         decodeSession(p.GetSession()),
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -11,7 +11,6 @@
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcwire"
 
-	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/peer/peerpb"
 )
 
@@ -20,8 +19,12 @@
 	maxFrameBytes = 40 << 20
 	// sendQueue is how many frames may wait for the stream.
 	sendQueue = 256
-	// answerBacklog bounds the bytes of one answer that wait for a slow caller.
-	answerBacklog = 64 << 20
+	// answerWindow is how many bytes of one answer may be under way before the
+	// caller has taken some; one more part, which holds whole messages, may
+	// come on top.
+	answerWindow = 1 << 20
+	// answerBacklog bounds what a host that disregards the window may send.
+	answerBacklog = answerWindow + maxFrameBytes
 )
 
 // errLinkLost says that the stream to the other host ended.
@@ -50,29 +53,39 @@
 // link is an open Exchange stream to one host.
 type link struct {
 	conn   *drpcconn.Conn
+	heard  *heardConn
 	stream peerpb.DRPCPeer_ExchangeClient
 	cancel context.CancelFunc
-	out    chan *peerpb.Frame
+	out    chan outgoing
 	done   chan struct{}
 
-	mu      sync.Mutex
-	nextID  uint64
-	calls   map[uint64]*call
-	heardAt time.Time
-	lost    bool
+	mu     sync.Mutex
+	nextID uint64
+	calls  map[uint64]*call
+	lost   bool
 }
 
-// call is one request that waits for its answer.
-type call struct {
-	mu      sync.Mutex
-	frames  []*peerpb.Answer
-	bytes   int
-	err     error
-	arrived chan struct{} // holds one element when there is news
+// outgoing is a frame that waits for the stream; call is set where it begins
+// one.
+type outgoing struct {
+	frame *peerpb.Frame
+	call  *call
 }
 
-// openLink dials a host and starts the Exchange stream.
+// openLink dials a host and serves the link until it is lost.
 func openLink(ctx context.Context, address string, t Timing) (*link, error) {
+	l, err := dialLink(ctx, address, t)
+	if err != nil {
+		return nil, err
+	}
+	go l.write()
+	go l.read()
+	go l.watch(t)
+	return l, nil
+}
+
+// dialLink dials a host and starts the Exchange stream.
+func dialLink(ctx context.Context, address string, t Timing) (*link, error) {
 	dialCtx, stop := context.WithTimeout(ctx, t.Dial)
 	defer stop()
 	var d net.Dialer
@@ -80,7 +93,8 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := drpcconn.NewWithOptions(nc, drpcconn.Options{Manager: managerOptions()})
+	heard := newHeardConn(nc)
+	conn := drpcconn.NewWithOptions(heard, drpcconn.Options{Manager: managerOptions()})
 	streamCtx, cancel := context.WithCancel(context.Background())
 	stream, err := peerpb.NewDRPCPeerClient(conn).Exchange(streamCtx)
 	if err != nil {
@@ -88,51 +102,60 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	l := &link{
-		conn:    conn,
-		stream:  stream,
-		cancel:  cancel,
-		out:     make(chan *peerpb.Frame, sendQueue),
-		done:    make(chan struct{}),
-		calls:   map[uint64]*call{},
-		heardAt: time.Now(),
-	}
-	go l.write(t)
-	go l.read()
-	return l, nil
-}
-
-// write sends what is queued, and pings; it closes a link that went silent.
-func (l *link) write(t Timing) {
-	ping := time.NewTicker(t.Ping)
-	defer ping.Stop()
+	return &link{
+		conn:   conn,
+		heard:  heard,
+		stream: stream,
+		cancel: cancel,
+		out:    make(chan outgoing, sendQueue),
+		done:   make(chan struct{}),
+		calls:  map[uint64]*call{},
+	}, nil
+}
+
+// write sends what is queued.
+func (l *link) write() {
 	for {
-		var f *peerpb.Frame
 		select {
 		case <-l.done:
 			return
-		case f = <-l.out:
-		case <-ping.C:
-			if l.silentFor() > t.Silence {
+		case o := <-l.out:
+			if o.call != nil && !o.call.leave() {
+				continue
+			}
+			if err := l.stream.Send(o.frame); err != nil {
 				l.close()
 				return
 			}
-			f = &peerpb.Frame{Body: &peerpb.Frame_Ping{Ping: &peerpb.Empty{}}}
 		}
-		if err := l.stream.Send(f); err != nil {
+	}
+}
+
+// watch pings, and closes a link that went silent. It never waits for the
+// stream, which a silent host may block.
+func (l *link) watch(t Timing) {
+	tick := time.NewTicker(t.Ping)
+	defer tick.Stop()
+	ping := outgoing{frame: &peerpb.Frame{Body: &peerpb.Frame_Ping{Ping: &peerpb.Empty{}}}}
+	for {
+		select {
+		case <-l.done:
+			return
+		case <-tick.C:
+		}
+		if l.heard.silentFor() > t.Silence {
 			l.close()
 			return
 		}
+		select {
+		case l.out <- ping:
+		default:
+		}
 	}
 }
 
-func (l *link) silentFor() time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return time.Since(l.heardAt)
-}
-
-// read hands each answer to its call.
+// read hands each answer to its call. An answer that nobody waits for is
+// dropped.
 func (l *link) read() {
 	defer l.close()
 	for {
@@ -140,71 +163,22 @@
 		if err != nil {
 			return
 		}
+		a := f.GetAnswer()
+		if a == nil {
+			continue
+		}
 		l.mu.Lock()
-		l.heardAt = time.Now()
 		c := l.calls[f.GetId()]
-		if a := f.GetAnswer(); a != nil && a.GetLast() {
+		if a.GetLast() {
 			delete(l.calls, f.GetId())
 		}
 		l.mu.Unlock()
-		if a := f.GetAnswer(); a != nil && c != nil {
+		if c != nil {
 			c.deliver(a)
 		}
 	}
 }
 
-// deliver queues a part of an answer.
-func (c *call) deliver(a *peerpb.Answer) {
-	c.mu.Lock()
-	c.frames = append(c.frames, a)
-	c.bytes += len(a.GetMessages())
-	if c.bytes > answerBacklog {
-		c.err = errkind.New(errkind.TooLarge, "the caller reads too slowly").WithEffect(errkind.Unknown)
-	}
-	c.mu.Unlock()
-	c.notify()
-}
-
-func (c *call) fail(err error) {
-	c.mu.Lock()
-	if c.err == nil {
-		c.err = err
-	}
-	c.mu.Unlock()
-	c.notify()
-}
-
-func (c *call) notify() {
-	select {
-	case c.arrived <- struct{}{}:
-	default:
-	}
-}
-
-// next waits for the next part of the answer.
-func (c *call) next(ctx context.Context) (*peerpb.Answer, error) {
-	for {
-		c.mu.Lock()
-		if len(c.frames) > 0 {
-			a := c.frames[0]
-			c.frames = c.frames[1:]
-			c.bytes -= len(a.GetMessages())
-			c.mu.Unlock()
-			return a, nil
-		}
-		err := c.err
-		c.mu.Unlock()
-		if err != nil {
-			return nil, err
-		}
-		select {
-		case <-c.arrived:
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		}
-	}
-}
-
 // start sends the first frame of a call.
 func (l *link) start(ctx context.Context, f *peerpb.Frame) (*call, error) {
 	c := &call{arrived: make(chan struct{}, 1)}
@@ -217,22 +191,27 @@
 	f.Id = l.nextID
 	l.calls[f.Id] = c
 	l.mu.Unlock()
-	if err := l.send(ctx, f); err != nil {
+	if err := l.queue(ctx, outgoing{frame: f, call: c}); err != nil {
 		l.forget(f.Id)
 		return nil, err
 	}
 	return c, nil
 }
 
-// send queues one frame. After an error the frame has not left this host.
+// send queues one frame. After an error the frame has not left this host;
+// without one it may never leave.
 func (l *link) send(ctx context.Context, f *peerpb.Frame) error {
+	return l.queue(ctx, outgoing{frame: f})
+}
+
+func (l *link) queue(ctx context.Context, o outgoing) error {
 	select {
 	case <-l.done:
 		return errLinkLost
 	default:
 	}
 	select {
-	case l.out <- f:
+	case l.out <- o:
 		return nil
 	case <-l.done:
 		return errLinkLost
@@ -247,6 +226,12 @@
 	l.mu.Unlock()
 }
 
+func (l *link) isLost() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lost
+}
+
 // close ends the link; its calls fail.
 func (l *link) close() {
 	l.mu.Lock()
@@ -259,6 +244,7 @@
 	l.calls = nil
 	l.mu.Unlock()
 	close(l.done)
+	_ = l.heard.Close() // ends a Send that is blocked
 	l.cancel()
 	_ = l.conn.Close()
 	for _, c := range calls {
--- a/internal/peer/remote.go
+++ b/internal/peer/remote.go
@@ -21,6 +21,7 @@
 	link    *link
 	opening chan struct{} // closed when the current attempt has ended
 	failed  error         // of the latest attempt
+	closed  bool
 }
 
 var _ request.Executor = (*Remote)(nil)
@@ -34,6 +35,10 @@
 // connected returns an open link. At most one attempt runs at a time.
 func (r *Remote) connected(ctx context.Context) (*link, error) {
 	r.mu.Lock()
+	if r.closed {
+		r.mu.Unlock()
+		return nil, errLinkLost
+	}
 	if r.link != nil && !r.link.isLost() {
 		l := r.link
 		r.mu.Unlock()
@@ -59,15 +64,13 @@
 	return r.link, nil
 }
 
-func (l *link) isLost() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.lost
-}
-
 func (r *Remote) open(done chan struct{}) {
 	l, err := openLink(context.Background(), r.address, r.timing)
 	r.mu.Lock()
+	if r.closed && l != nil {
+		l.close()
+		l, err = nil, errLinkLost
+	}
 	r.link, r.failed, r.opening = l, err, nil
 	r.mu.Unlock()
 	close(done)
@@ -94,17 +97,20 @@
 	if err != nil {
 		return idle, err
 	}
+	taken := 0
 	for {
 		a, err := c.next(ctx)
 		if err != nil {
-			return idle, r.abandon(l, f.GetId(), err)
+			return idle, r.abandon(l, c, f.GetId(), err)
 		}
-		if len(a.GetMessages()) > 0 {
+		if n := len(a.GetMessages()); n > 0 {
 			if err := s.Answer(a.GetMessages()); err != nil {
-				return idle, r.abandon(l, f.GetId(), err)
+				return idle, r.abandon(l, c, f.GetId(), err)
 			}
+			taken += n
 		}
 		if !a.GetLast() {
+			taken = l.credit(ctx, f.GetId(), taken)
 			continue
 		}
 		res := request.Result{TxStatus: byte(a.GetTxStatus()), Mark: decodeMark(a.GetMark()), HasMark: a.GetMark() != nil}
@@ -115,10 +121,26 @@
 	}
 }
 
+// credit tells the owner that taken bytes of an answer were passed on, unless
+// they are too few to matter. It returns how many are left to tell.
+func (l *link) credit(ctx context.Context, id uint64, taken int) int {
+	if taken < answerWindow/4 {
+		return taken
+	}
+	f := &peerpb.Frame{Id: id, Body: &peerpb.Frame_Credit{Credit: &peerpb.Credit{Bytes: uint64(taken)}}}
+	if l.send(ctx, f) != nil {
+		return taken // the call ends by itself
+	}
+	return 0
+}
+
 // abandon gives up a call: the owner is told to cancel it, and what is known
 // of its effect is said.
-func (r *Remote) abandon(l *link, id uint64, err error) error {
+func (r *Remote) abandon(l *link, c *call, id uint64, err error) error {
 	l.forget(id)
+	if !c.fail(err) {
+		return notSent(err)
+	}
 	ctx, stop := context.WithTimeout(context.Background(), r.timing.Silence)
 	defer stop()
 	_ = l.send(ctx, &peerpb.Frame{Id: id, Body: &peerpb.Frame_Cancel{Cancel: &peerpb.Empty{}}})
@@ -133,6 +155,17 @@
 	}
 }
 
+// notSent is the error of a call whose request never left this host.
+func notSent(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return errkind.Wrap(err, errkind.Cancelled, "").WithEffect(errkind.NotRun)
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return errkind.Wrap(err, errkind.DeadlineUnreachable, "the link to the owner is busy")
+	}
+	return errkind.Wrap(err, errkind.NoOwner, "%v", err)
+}
+
 // Position implements request.Executor.
 func (r *Remote) Position(ctx context.Context, id table.InstanceID) (request.PositionSample, error) {
 	a, err := r.ask(ctx, &peerpb.Frame{Body: &peerpb.Frame_Position{Position: &peerpb.PositionQuery{Instance: string(id)}}})
@@ -164,7 +197,7 @@
 	}
 	a, err := c.next(ctx)
 	if err != nil {
-		return nil, r.abandon(l, f.GetId(), err)
+		return nil, r.abandon(l, c, f.GetId(), err)
 	}
 	if a.GetFailure() != nil {
 		return nil, decodeFailure(a.GetFailure())
@@ -183,14 +216,16 @@
 	}
 	ctx, stop := context.WithTimeout(context.Background(), r.timing.Silence)
 	defer stop()
-	_ = l.send(ctx, &peerpb.Frame{Body: &peerpb.Frame_EndSession{EndSession: encodeSession(s)}})
+	if l.send(ctx, &peerpb.Frame{Body: &peerpb.Frame_EndSession{EndSession: encodeSession(s)}}) != nil {
+		l.close() // ends the session too
+	}
 }
 
 // Close ends the link.
 func (r *Remote) Close() {
 	r.mu.Lock()
 	l := r.link
-	r.link = nil
+	r.link, r.closed = nil, true
 	r.mu.Unlock()
 	if l != nil {
 		l.close()
--- a/internal/peer/sender.go
+++ b/internal/peer/sender.go
@@ -74,22 +74,84 @@
 	}
 	conn := drpcconn.NewWithOptions(nc, drpcconn.Options{Manager: managerOptions()})
 	defer conn.Close()
-	out, err := peerpb.NewDRPCPeerClient(conn).Consensus(s.ctx)
+	defer nc.Close() // ends a Send that is blocked
+	ctx, cancel := context.WithCancel(s.ctx)
+	defer cancel()
+	out, err := peerpb.NewDRPCPeerClient(conn).Consensus(ctx)
 	if err != nil {
 		return
 	}
+	acks := newAcks()
+	go acks.read(out)
+	s.forward(nc, out, acks, queue)
+}
+
+// forward sends what is queued, until the connection fails or a message stays
+// without an acknowledgement for too long.
+func (s *Sender) forward(nc net.Conn, out peerpb.DRPCPeer_ConsensusClient, acks *acks, queue chan []byte) {
+	tick := time.NewTicker(s.timing.Ping)
+	defer tick.Stop()
 	for {
 		select {
 		case <-s.ctx.Done():
 			return
-		case <-conn.Closed():
+		case <-acks.ended:
 			return
+		case <-tick.C:
+			if acks.silentFor() > s.timing.Silence {
+				return
+			}
 		case msg := <-queue:
 			// A host that stopped reading must not hold the stream for ever.
 			_ = nc.SetWriteDeadline(time.Now().Add(s.timing.Silence))
+			acks.sent()
 			if err := out.Send(&peerpb.ConsensusMessage{Body: msg}); err != nil {
 				return
 			}
 		}
 	}
 }
+
+// acks counts the messages of a stream that are not acknowledged yet.
+type acks struct {
+	ended chan struct{} // closed at the end of the stream
+
+	mu      sync.Mutex
+	pending int
+	since   time.Time // nothing was heard since then
+}
+
+func newAcks() *acks { return &acks{ended: make(chan struct{})} }
+
+func (a *acks) sent() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.pending == 0 {
+		a.since = time.Now()
+	}
+	a.pending++
+}
+
+// silentFor returns how long a message has waited without anything heard.
+func (a *acks) silentFor() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.pending == 0 {
+		return 0
+	}
+	return time.Since(a.since)
+}
+
+// read takes acknowledgements until the stream ends.
+func (a *acks) read(in peerpb.DRPCPeer_ConsensusClient) {
+	defer close(a.ended)
+	for {
+		if _, err := in.Recv(); err != nil {
+			return
+		}
+		a.mu.Lock()
+		a.pending--
+		a.since = time.Now()
+		a.mu.Unlock()
+	}
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"storj.io/drpc/drpcctx"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -31,10 +33,18 @@
 	// no control host.
 	Deliver func(body []byte) error
 	Log     logrus.FieldLogger
+	// Timing is that of the links; left out, it is DefaultTiming.
+	Timing Timing
 
 	running atomic.Int64
 }
 
+// silence is after how long a link that should ping is given up. The other
+// end is to notice first.
+func (s *Server) silence() time.Duration {
+	return 2 * cmp.Or(s.Timing.Silence, DefaultTiming().Silence)
+}
+
 // Running returns how many requests of other hosts have no answer yet.
 func (s *Server) Running() int { return int(s.running.Load()) }
 
@@ -48,7 +58,7 @@
 		Manager: managerOptions(),
 		Log:     func(err error) { s.Log.WithError(err).Debug("peer connection") },
 	}
-	return drpcserver.NewWithOptions(mux, options).Serve(ctx, l)
+	return drpcserver.NewWithOptions(mux, options).Serve(ctx, heardListener{l})
 }
 
 // Call implements the generated service.
@@ -74,7 +84,7 @@
 	for {
 		m, err := stream.Recv()
 		if err != nil {
-			return stream.SendAndClose(&peerpb.Empty{})
+			return nil
 		}
 		if s.Deliver == nil {
 			return errkind.New(errkind.NotSupported, "not a control host")
@@ -82,18 +92,26 @@
 		if err := s.Deliver(m.GetBody()); err != nil {
 			s.Log.WithError(err).Warn("message of the replicated log refused")
 		}
+		if err := stream.Send(&peerpb.Empty{}); err != nil {
+			return nil
+		}
 	}
 }
 
 // Exchange implements the generated service. All that the other host's
 // sessions hold here ends with the stream.
 func (s *Server) Exchange(stream peerpb.DRPCPeer_ExchangeStream) error {
+	if t, ok := drpcctx.Transport(stream.Context()); ok {
+		if heard, ok := t.(*heardConn); ok {
+			heard.expect(s.silence())
+		}
+	}
 	ctx, stop := context.WithCancel(stream.Context())
 	e := &exchange{
 		server:   s,
 		stream:   stream,
 		ctx:      ctx,
-		running:  map[uint64]context.CancelFunc{},
+		running:  map[uint64]*running{},
 		sessions: map[request.SessionID]struct{}{},
 	}
 	defer e.end()
@@ -107,6 +125,9 @@
 	}
 }
 
+// maxRunning bounds the calls of one link that have no answer yet.
+const maxRunning = 8192
+
 // exchange is one open Exchange stream at the answering host.
 type exchange struct {
 	server *Server
@@ -117,21 +138,31 @@
 	stream peerpb.DRPCPeer_ExchangeStream
 
 	mu       sync.Mutex
-	running  map[uint64]context.CancelFunc
-	sessions map[request.SessionID]struct{}
+	running  map[uint64]*running
+	sessions map[request.SessionID]struct{} // that may hold a transaction here
+}
+
+// running is one call that has no answer yet.
+type running struct {
+	stop context.CancelFunc
+	// underWay is how many bytes of its answer the caller has not taken.
+	underWay int
+	credited chan struct{} // holds one element when there is news
 }
 
 func (e *exchange) take(f *peerpb.Frame) {
 	id := f.GetId()
 	switch b := f.GetBody().(type) {
 	case *peerpb.Frame_Request:
-		e.start(id, func(ctx context.Context) { e.execute(ctx, id, b.Request) })
+		e.start(id, func(ctx context.Context, c *running) { e.execute(ctx, id, c, b.Request) })
 	case *peerpb.Frame_Position:
-		e.start(id, func(ctx context.Context) { e.position(ctx, id, b.Position) })
+		e.start(id, func(ctx context.Context, _ *running) { e.position(ctx, id, b.Position) })
 	case *peerpb.Frame_Await:
-		e.start(id, func(ctx context.Context) { e.await(ctx, id, b.Await) })
+		e.start(id, func(ctx context.Context, _ *running) { e.await(ctx, id, b.Await) })
 	case *peerpb.Frame_Cancel:
 		e.cancel(id)
+	case *peerpb.Frame_Credit:
+		e.credit(id, b.Credit.GetBytes())
 	case *peerpb.Frame_EndSession:
 		e.endSession(decodeSession(b.EndSession))
 	case *peerpb.Frame_Ping:
@@ -140,28 +171,79 @@
 }
 
 // start runs one call beside the others.
-func (e *exchange) start(id uint64, run func(ctx context.Context)) {
+func (e *exchange) start(id uint64, run func(ctx context.Context, c *running)) {
 	ctx, stop := context.WithCancel(e.ctx)
-	e.mu.Lock()
-	e.running[id] = stop
-	e.mu.Unlock()
+	c := &running{stop: stop, credited: make(chan struct{}, 1)}
+	if err := e.add(id, c); err != nil {
+		stop()
+		e.answer(id, &peerpb.Answer{Last: true, TxStatus: uint32(request.TxIdle), Failure: encodeFailure(err)})
+		return
+	}
 	e.work.Add(1)
 	e.server.running.Add(1)
 	go func() {
 		defer e.server.running.Add(-1)
 		defer e.work.Done()
 		defer e.cancel(id)
-		run(ctx)
+		run(ctx, c)
 	}()
 }
 
+func (e *exchange) add(id uint64, c *running) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.running[id] != nil {
+		return errkind.New(errkind.BadRequest, "call %d runs already", id)
+	}
+	if len(e.running) >= maxRunning {
+		return errkind.New(errkind.CallerLimit, "%d calls run over one link", maxRunning)
+	}
+	e.running[id] = c
+	return nil
+}
+
 func (e *exchange) cancel(id uint64) {
 	e.mu.Lock()
-	stop := e.running[id]
+	c := e.running[id]
 	delete(e.running, id)
 	e.mu.Unlock()
-	if stop != nil {
-		stop()
+	if c != nil {
+		c.stop()
+	}
+}
+
+// credit takes what the caller of an answer has taken.
+func (e *exchange) credit(id, bytes uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c := e.running[id]
+	if c == nil {
+		return
+	}
+	c.underWay -= int(min(bytes, uint64(c.underWay)))
+	select {
+	case c.credited <- struct{}{}:
+	default:
+	}
+}
+
+// room waits until a further part of an answer may be sent.
+func (e *exchange) room(ctx context.Context, c *running, bytes int) error {
+	for {
+		e.mu.Lock()
+		free := c.underWay < answerWindow
+		if free {
+			c.underWay += bytes
+		}
+		e.mu.Unlock()
+		if free {
+			return ctx.Err()
+		}
+		select {
+		case <-c.credited:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
 }
 
@@ -178,25 +260,30 @@
 // sink passes the parts of an answer on to the other host.
 type sink struct {
 	exchange *exchange
+	ctx      context.Context
 	id       uint64
+	call     *running
 }
 
-// Answer implements request.Sink.
+// Answer implements request.Sink. It waits while the caller reads slowly.
 func (s *sink) Answer(p []byte) error {
+	if err := s.exchange.room(s.ctx, s.call, len(p)); err != nil {
+		return errkind.Wrap(err, errkind.Cancelled, "the caller went away")
+	}
 	s.exchange.answer(s.id, &peerpb.Answer{Messages: p})
-	return s.exchange.ctx.Err()
+	return nil
 }
 
-func (e *exchange) execute(ctx context.Context, id uint64, p *peerpb.Request) {
+func (e *exchange) execute(ctx context.Context, id uint64, c *running, p *peerpb.Request) {
 	r, err := decodeRequest(p, time.Now())
 	if err != nil {
 		e.answer(id, &peerpb.Answer{Last: true, TxStatus: uint32(request.TxIdle), Failure: encodeFailure(err)})
 		return
 	}
-	e.mu.Lock()
-	e.sessions[r.Session] = struct{}{}
-	e.mu.Unlock()
-	res, err := e.server.Owner.Execute(ctx, r, &sink{exchange: e, id: id})
+	ctx, stop := context.WithDeadline(ctx, r.Deadline)
+	defer stop()
+	res, err := e.server.Owner.Execute(ctx, r, &sink{exchange: e, ctx: ctx, id: id, call: c})
+	e.note(r.Session, err == nil && res.TxStatus == request.TxIdle)
 	a := &peerpb.Answer{Last: true, TxStatus: uint32(res.TxStatus)}
 	if res.HasMark {
 		a.Mark = encodeMark(res.Mark)
@@ -207,6 +294,17 @@
 	e.answer(id, a)
 }
 
+// note remembers the sessions that may hold a transaction here.
+func (e *exchange) note(s request.SessionID, idle bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if idle {
+		delete(e.sessions, s)
+	} else {
+		e.sessions[s] = struct{}{}
+	}
+}
+
 func (e *exchange) position(ctx context.Context, id uint64, q *peerpb.PositionQuery) {
 	p, err := e.server.Owner.Position(ctx, table.InstanceID(q.GetInstance()))
 	a := &peerpb.Answer{Last: true, Mark: encodeMark(p.Mark), TermStart: uint64(p.TermStart), AgeNanos: int64(p.Age)}
