--- a/internal/e2e/control_test.go
+++ b/internal/e2e/control_test.go
@@ -72,12 +72,7 @@
 		c.run(p)
 	}
 	for _, p := range c.hosts[:3] {
-		poll.WaitOn(t, func(poll.LogT) poll.Result {
-			if !ready(p) {
-				return poll.Continue("%s is not ready", p.name)
-			}
-			return poll.Success()
-		}, poll.WithTimeout(patience), poll.WithDelay(5*time.Millisecond))
+		c.awaitReady(p, true)
 		s, err := api.NewClient(p.http, patience).Status(t.Context())
 		assert.NilError(t, err)
 		assert.Equal(t, s.Documents[0].Version, uint64(1), "ready without the document")
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -307,3 +307,22 @@
 	_ = resp.Body.Close()
 	return resp.StatusCode == http.StatusOK
 }
+
+// awaitReady waits until the readiness of a host is as wanted.
+func (c *cluster) awaitReady(p *process, wanted bool) {
+	c.t.Helper()
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		if ready(p) != wanted {
+			return poll.Continue("%s: ready is not %t", p.name, wanted)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(patience), poll.WithDelay(5*time.Millisecond))
+}
+
+// awaitExit waits until a host that was asked to stop has done so in order.
+func (p *process) awaitExit(t *testing.T) {
+	t.Helper()
+	state, err := p.cmd.Process.Wait()
+	assert.NilError(t, err)
+	assert.Assert(t, state.Success(), "%s: %s", p.name, state)
+}
--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -78,6 +78,24 @@
 	})
 }
 
+// underLoad runs a fault between writes: some are acknowledged before it and
+// some after it, and all are compared with the rows in the end.
+func (c *cluster) underLoad(class string, each int, fault func(l *ledger)) *ledger {
+	c.t.Helper()
+	stop := make(chan struct{})
+	l, wg := c.writers(class, each, stop)
+	c.more(l, enough)
+	fault(l)
+	c.more(l, enough)
+	close(stop)
+	wg.Wait()
+	c.check(l)
+	return l
+}
+
+// enough is how many acknowledged writes show that a group is served.
+const enough = 20
+
 // check compares what writers were told with the rows of the primary.
 func (c *cluster) check(l *ledger) {
 	c.t.Helper()
@@ -112,95 +130,61 @@
 func TestAcknowledgedWritesSurviveAKilledPrimary(t *testing.T) {
 	t.Parallel()
 	c := start(t, 4, 20*time.Millisecond)
-	stop := make(chan struct{})
-	l, wg := c.writers("settlement", 2, stop)
-	c.more(l, 20)
-	in, _ := c.primary()
-	in.Kill()
-	c.more(l, 20)
-	close(stop)
-	wg.Wait()
-	c.check(l)
+	c.underLoad("settlement", 2, func(*ledger) {
+		in, _ := c.primary()
+		in.Kill()
+	})
 }
 
 func TestAcknowledgedWritesSurviveAKilledOwner(t *testing.T) {
 	t.Parallel()
 	c := start(t, 5, 20*time.Millisecond)
-	stop := make(chan struct{})
-	l, wg := c.writers("settlement", 2, stop)
-	c.more(l, 20)
-	_, owner := c.primary()
-	assert.NilError(t, owner.cmd.Process.Kill())
-	c.more(l, 20)
-	close(stop)
-	wg.Wait()
-	c.check(l)
+	c.underLoad("settlement", 2, func(*ledger) {
+		_, owner := c.primary()
+		assert.NilError(t, owner.cmd.Process.Kill())
+	})
 }
 
 func TestFrozenOwnerAcknowledgesNothingOnceItThaws(t *testing.T) {
 	t.Parallel()
 	c := start(t, 5, 20*time.Millisecond)
-	stop := make(chan struct{})
-	l, wg := c.writers("settlement", 2, stop)
-	c.more(l, 20)
-	in, owner := c.primary()
-	assert.NilError(t, owner.cmd.Process.Signal(syscall.SIGSTOP))
-	in.Kill()
-	c.more(l, 20)
-	assert.NilError(t, owner.cmd.Process.Signal(syscall.SIGCONT))
-	c.more(l, 20)
-	close(stop)
-	wg.Wait()
-	c.check(l)
+	c.underLoad("settlement", 2, func(l *ledger) {
+		in, owner := c.primary()
+		assert.NilError(t, owner.cmd.Process.Signal(syscall.SIGSTOP))
+		in.Kill()
+		c.more(l, enough)
+		assert.NilError(t, owner.cmd.Process.Signal(syscall.SIGCONT))
+	})
 }
 
 func TestOldPrimaryThatComesBackIsNotServed(t *testing.T) {
 	t.Parallel()
 	c := start(t, 4, 20*time.Millisecond)
-	stop := make(chan struct{})
-	l, wg := c.writers("settlement", 1, stop)
-	c.more(l, 10)
-	in, _ := c.primary()
-	in.Freeze()
-	c.more(l, 10)
-	in.Thaw()
-	c.wait("the old primary is a replica", func(s api.Status) bool {
-		for _, i := range s.Instances {
-			if i.Instance == in.ID() {
-				return i.Role == "replica" && i.Term == s.Groups[0].Term
+	c.underLoad("settlement", 1, func(l *ledger) {
+		in, _ := c.primary()
+		in.Freeze()
+		c.more(l, enough)
+		in.Thaw()
+		c.wait("the old primary is a replica", func(s api.Status) bool {
+			for _, i := range s.Instances {
+				if i.Instance == in.ID() {
+					return i.Role == "replica" && i.Term == s.Groups[0].Term
+				}
 			}
-		}
-		return false
+			return false
+		})
 	})
-	c.more(l, 10)
-	close(stop)
-	wg.Wait()
-	c.check(l)
 }
 
 func TestShutdownCutsNoRequest(t *testing.T) {
 	t.Parallel()
 	c := start(t, 5, 5*time.Millisecond)
-	stop := make(chan struct{})
-	l, wg := c.writers("ticket", 2, stop)
-	c.more(l, 20)
-	_, owner := c.primary()
-	assert.NilError(t, owner.cmd.Process.Signal(syscall.SIGTERM))
-	var polled atomic.Int32
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		polled.Add(1)
-		if ready(owner) {
-			return poll.Continue("still ready")
-		}
-		return poll.Success()
-	}, poll.WithTimeout(patience), poll.WithDelay(5*time.Millisecond))
-	state, err := owner.cmd.Process.Wait()
-	assert.NilError(t, err)
-	assert.Assert(t, state.Success(), state.String())
-	c.more(l, 20)
-	close(stop)
-	wg.Wait()
-	c.check(l)
+	l := c.underLoad("ticket", 2, func(*ledger) {
+		_, owner := c.primary()
+		assert.NilError(t, owner.cmd.Process.Signal(syscall.SIGTERM))
+		c.awaitReady(owner, false)
+		owner.awaitExit(t)
+	})
 	for kind := range l.states {
 		assert.Assert(t, kind == "" || kind == "57P01", "refused: %v", l.states)
 	}
@@ -209,37 +193,28 @@
 func TestLeavingPrimaryHandsOverWithoutARefusal(t *testing.T) {
 	t.Parallel()
 	c := start(t, 4, 5*time.Millisecond)
-	stop := make(chan struct{})
-	l, wg := c.writers("settlement", 4, stop) // never sent twice, so a refusal shows
-	c.more(l, 20)
-	in, _ := c.primary()
-	in.SetLeaving(true)
-	c.wait("another primary", func(s api.Status) bool {
-		return s.Groups[0].Primary != in.ID() && s.Groups[0].Phase == "stable"
+	l := c.underLoad("settlement", 4, func(l *ledger) { // never sent twice, so a refusal shows
+		in, _ := c.primary()
+		in.SetLeaving(true)
+		c.wait("another primary", func(s api.Status) bool {
+			return s.Groups[0].Primary != in.ID() && s.Groups[0].Phase == "stable"
+		})
+		c.more(l, enough)
+		before := in.Stats().Finished
+		c.more(l, 2*enough)
+		assert.Equal(t, in.Stats().Finished, before, "new work at an instance that left")
 	})
-	c.more(l, 20)
-	before := in.Stats().Finished
-	c.more(l, 50)
-	close(stop)
-	wg.Wait()
-	c.check(l)
 	assert.Equal(t, len(l.states), 1, "refused: %v", l.states)
-	assert.Equal(t, in.Stats().Finished, before, "new work at an instance that left")
 }
 
 func TestPrimaryAndItsOwnerAreKilledTogether(t *testing.T) {
 	t.Parallel()
 	c := start(t, 5, 20*time.Millisecond)
-	stop := make(chan struct{})
-	l, wg := c.writers("settlement", 2, stop)
-	c.more(l, 20)
-	in, owner := c.primary()
-	in.Kill()
-	assert.NilError(t, owner.cmd.Process.Kill())
-	c.more(l, 20)
-	close(stop)
-	wg.Wait()
-	c.check(l)
+	c.underLoad("settlement", 2, func(*ledger) {
+		in, owner := c.primary()
+		in.Kill()
+		assert.NilError(t, owner.cmd.Process.Kill())
+	})
 }
 
 // TestThePrimaryIsLostTwice freezes one primary after the other; the first one
@@ -247,29 +222,25 @@
 func TestThePrimaryIsLostTwice(t *testing.T) {
 	t.Parallel()
 	c := start(t, 4, 5*time.Millisecond)
-	stop := make(chan struct{})
-	l, wg := c.writers("settlement", 2, stop)
-	for range 2 {
-		c.more(l, 20)
-		in, _ := c.primary()
-		in.Freeze()
-		c.wait("another primary", func(s api.Status) bool {
-			return s.Groups[0].Primary != in.ID() && s.Groups[0].Phase == "stable"
-		})
-		in.Thaw()
-		c.wait("all instances in the term", func(s api.Status) bool {
-			for _, i := range s.Instances {
-				if i.Term != s.Groups[0].Term {
-					return false
+	c.underLoad("settlement", 2, func(l *ledger) {
+		for range 2 {
+			in, _ := c.primary()
+			in.Freeze()
+			c.wait("another primary", func(s api.Status) bool {
+				return s.Groups[0].Primary != in.ID() && s.Groups[0].Phase == "stable"
+			})
+			in.Thaw()
+			c.wait("all instances in the term", func(s api.Status) bool {
+				for _, i := range s.Instances {
+					if i.Term != s.Groups[0].Term {
+						return false
+					}
 				}
-			}
-			return true
-		})
-	}
-	c.more(l, 20)
-	close(stop)
-	wg.Wait()
-	c.check(l)
+				return true
+			})
+			c.more(l, enough)
+		}
+	})
 }
 
 // TestRollingRestartCutsNoRequest restarts every host in turn under load.
@@ -280,21 +251,14 @@
 	stop := make(chan struct{})
 	l, wg := c.writers("settlement", 2, stop)
 	for _, p := range c.hosts {
-		c.more(l, 10)
+		c.more(l, enough)
 		assert.NilError(t, p.cmd.Process.Signal(syscall.SIGTERM))
-		state, err := p.cmd.Process.Wait()
-		assert.NilError(t, err)
-		assert.Assert(t, state.Success(), "%s: %s", p.name, state)
+		p.awaitExit(t)
 		c.run(p)
-		poll.WaitOn(t, func(poll.LogT) poll.Result {
-			if !ready(p) {
-				return poll.Continue("%s is not ready", p.name)
-			}
-			return poll.Success()
-		}, poll.WithTimeout(patience), poll.WithDelay(10*time.Millisecond))
+		c.awaitReady(p, true)
 		c.writer(l, "settlement", p, wg, stop)
 	}
-	c.more(l, 10)
+	c.more(l, enough)
 	close(stop)
 	wg.Wait()
 	c.check(l)
@@ -306,19 +270,12 @@
 func TestShutdownDuringAChangeOfPrimary(t *testing.T) {
 	t.Parallel()
 	c := start(t, 5, 5*time.Millisecond)
-	stop := make(chan struct{})
-	l, wg := c.writers("settlement", 2, stop)
-	c.more(l, 20)
-	in, owner := c.primary()
-	in.Kill()
-	assert.NilError(t, owner.cmd.Process.Signal(syscall.SIGTERM))
-	state, err := owner.cmd.Process.Wait()
-	assert.NilError(t, err)
-	assert.Assert(t, state.Success(), state.String())
-	c.more(l, 20)
-	close(stop)
-	wg.Wait()
-	c.check(l)
+	l := c.underLoad("settlement", 2, func(*ledger) {
+		in, owner := c.primary()
+		in.Kill()
+		assert.NilError(t, owner.cmd.Process.Signal(syscall.SIGTERM))
+		owner.awaitExit(t)
+	})
 	// Only what was at the killed primary may have failed otherwise.
 	inFlight := 2 * len(c.hosts)
 	for kind, n := range l.states {
