--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -199,11 +199,12 @@
 	})
 	err := group.Wait()
 	h.platform.Close()
-	h.log.WithError(err).Info("host stopped")
-	if errors.Is(err, context.Canceled) {
-		return nil
+	if err != nil && !errors.Is(err, context.Canceled) {
+		h.log.WithError(err).Error("host stopped")
+		return err
 	}
-	return err
+	h.log.Info("host stopped")
+	return nil
 }
 
 func (h *Host) servePeers(ctx context.Context) error {
