--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -194,7 +194,7 @@
 func TestExamplesAreValid(t *testing.T) {
 	files, err := filepath.Glob("../../examples/*.jsonc")
 	assert.NilError(t, err)
-	assert.Equal(t, len(files), 4)
+	assert.Equal(t, len(files), 5)
 	for _, file := range files {
 		src, err := os.ReadFile(file)
 		assert.NilError(t, err)
