Speak the extended protocol right at its corners; notice callers that leave

Cause: a Parse of an existing name replaced it without a word; a closed name still worked in its unit; what was parsed before an error was forgotten though the caller had its ParseComplete; a Query overtook the messages before it; an error of the proxy left the transaction open, so that a pipelined COMMIT could commit a part; names of statements came from a hash that callers can make collide, on connections they share; statements of a caller were not bounded; a caller that left during a request kept its slot to the deadline; one that did not read kept it for ever; a session that logged in while a drain began was not ended; errors of the protocol came as internal errors.

Weighed for callers that leave: a reading goroutine for each request (a few microseconds each) against one that starts after 20 ms, which costs a timer; bytes read ahead are kept for the next request. A caller that sent more before it left is not taken as gone, for it may have said good-bye properly.

gateway: Session.Fail tells it of an error that the listener found itself.

Each test was shown failing with its mechanism taken out: TestProtocolCases (existing name, use after close, statements before an error, query overtaking, skip to the Sync, abort, settings in a failed transaction), TestStatementsOfACallerAreBounded, TestBadInput ('message of 1 GiB', 'no user'), TestCancelNeedsTheKey '0 != 1', TestCallerVanishes 'the slot is free: not yet', TestPipelinedQueriesBehindASlowOne, TestDrainLetsTransactionsFinish (start of a unit refused; data race of a late caller under -race). FuzzStartup: 160784 inputs in 8 s, nothing found.

--- a/internal/gateway/do.go
+++ b/internal/gateway/do.go
@@ -58,6 +58,10 @@
 	return request.TxFailed
 }
 
+// Fail notes an error that the listener found itself, and returns the state
+// after it.
+func (s *Session) Fail() byte { return s.failed() }
+
 // doAborted answers a unit inside an aborted transaction: its end is answered
 // with ROLLBACK, everything else is refused.
 func (s *Session) doAborted(w *Work, sink request.Sink) (byte, error) {
--- a/internal/pg/listener.go
+++ b/internal/pg/listener.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -41,7 +42,8 @@
 
 // Listener serves callers.
 type Listener struct {
-	cfg Config
+	cfg      Config
+	starting atomic.Int64 // callers in their start-up
 
 	mu       sync.Mutex
 	sessions map[uint32]*entry // by process id, for cancel requests
@@ -73,21 +75,49 @@
 			}
 			return err
 		}
-		l.work.Add(1)
+		leave := l.enter()
 		go func() {
-			defer l.work.Done()
+			defer leave()
 			l.serve(ctx, nc)
 		}()
 	}
 }
 
+// enter makes Drain wait for a connection, unless it has begun: then the
+// connection is refused.
+func (l *Listener) enter() (leave func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ending {
+		return func() {}
+	}
+	l.work.Add(1)
+	return l.work.Done
+}
+
+// startupError is what a caller is told about a failed start-up.
+func startupError(err error) *errkind.Error {
+	var known *errkind.Error
+	if errors.As(err, &known) {
+		return known
+	}
+	return errkind.Wrap(err, errkind.BadRequest, "%v", err)
+}
+
 // serve runs one connection from start-up to its end.
 func (l *Listener) serve(ctx context.Context, nc net.Conn) {
 	log := l.cfg.Log.WithField("caller", nc.RemoteAddr().String())
+	if l.starting.Add(1) > maxStarting {
+		l.starting.Add(-1)
+		l.refuse(log, nc, errkind.New(errkind.CallerLimit, "too many callers are connecting"))
+		_ = nc.Close()
+		return
+	}
 	nc, start, err := readStartup(nc, l.cfg.TLS)
+	l.starting.Add(-1)
 	defer func() { _ = nc.Close() }()
 	if err != nil {
-		l.refuse(log, nc, errkind.Wrap(err, errkind.BadRequest, "%v", err))
+		l.refuse(log, nc, startupError(err))
 		return
 	}
 	if start.cancel != nil {
@@ -99,6 +129,7 @@
 		l.refuse(log, nc, errkind.Of(err))
 		return
 	}
+	_ = nc.SetDeadline(time.Time{})
 	l.cfg.Counters.Callers(1)
 	defer l.cfg.Counters.Callers(-1)
 	pid := l.add(s)
@@ -110,7 +141,6 @@
 	err = s.run(ctx)
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		_ = nc.SetDeadline(time.Now().Add(startupTimeout))
 		_ = s.goodbye()
 	case err != nil:
 		l.refuse(log, nc, errkind.Of(err))
@@ -144,16 +174,20 @@
 	if err != nil {
 		return nil, err
 	}
-	backend := pgproto3.NewBackend(nc, nc)
+	reader, writer := &callerReader{net: nc}, callerWriter{net: nc}
+	backend := pgproto3.NewBackend(reader, writer)
 	backend.SetMaxBodyLen(l.cfg.MaxMessageBytes)
+	known := map[string]prepared{}
 	s := &session{
 		listener: l,
 		net:      nc,
+		reader:   reader,
+		writer:   writer,
 		backend:  backend,
 		gate:     gate,
 		log:      log,
-		known:    map[string]prepared{},
-		unit:     newUnit(),
+		known:    known,
+		unit:     newUnit(known),
 		txStatus: request.TxIdle,
 	}
 	for name, value := range start.params {
@@ -186,7 +220,6 @@
 		s.backend.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
 	}
 	s.backend.Send(&pgproto3.BackendKeyData{ProcessID: pid, SecretKey: []byte{byte(key >> 24), byte(key >> 16), byte(key >> 8), byte(key)}})
-	_ = s.net.SetDeadline(time.Time{})
 	return s.ready()
 }
 
@@ -195,6 +228,9 @@
 	defer l.mu.Unlock()
 	l.nextPID++
 	l.sessions[l.nextPID] = &entry{session: s, key: newCancelKey()}
+	if l.ending { // since the login
+		s.end()
+	}
 	return l.nextPID
 }
 
--- /dev/null
+++ b/internal/pg/path_test.go
@@ -0,0 +1,218 @@
+package pg
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/amaranthweir/amaranthweir/internal/config"
+	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/gateway"
+	"github.com/amaranthweir/amaranthweir/internal/owner"
+	"github.com/amaranthweir/amaranthweir/internal/peer"
+	"github.com/amaranthweir/amaranthweir/internal/platform/pgplatform"
+	"github.com/amaranthweir/amaranthweir/internal/request"
+	tokens "github.com/amaranthweir/amaranthweir/internal/session"
+	"github.com/amaranthweir/amaranthweir/internal/system/failover"
+	"github.com/amaranthweir/amaranthweir/internal/system/routing"
+	"github.com/amaranthweir/amaranthweir/internal/table"
+	"github.com/amaranthweir/amaranthweir/standin"
+)
+
+// patience bounds waits; nothing is measured by it.
+const patience = 20 * time.Second
+
+const document = `{
+  "service": "ledger", "version": 1,
+  "groups": [{"name": "g1", "instances": 1}],
+  "classes": [
+    {"name": "ticket", "rank": "urgent", "access": "write", "group": "g1", "deadline": "20s", "worth": 10, "repeatable": true, "ack_replicas": 0},
+    {"name": "lookup", "rank": "normal", "access": "read", "group": "g1", "staleness": "0s", "deadline": "20s", "worth": 1},
+  ],
+  "default_class": "ticket",
+}`
+
+// alone is the world of one host that owns the primary of one group.
+type alone struct {
+	doc      *config.Document
+	groups   routing.Table
+	executor request.Executor
+	changed  chan struct{}
+}
+
+func (a *alone) Document(service string) *config.Document {
+	if service == a.doc.Service {
+		return a.doc
+	}
+	return nil
+}
+func (a *alone) Groups() *routing.Table                      { return &a.groups }
+func (a *alone) History(table.GroupName) (table.Group, bool) { return table.Group{}, false }
+
+func (a *alone) Executor(table.HostID) (request.Executor, bool)            { return a.executor, true }
+func (a *alone) Changed() <-chan struct{}                                  { return a.changed }
+func (a *alone) Request(gateway.Observation)                               {}
+func (a *alone) Callers(int)                                               {}
+func (a *alone) Refused(errkind.Kind)                                      {}
+func (a *alone) Fate(table.GroupName, table.Mark) owner.Fate               { return owner.FatePending }
+func (a *alone) Term(table.GroupName, table.InstanceID) (table.Term, bool) { return 1, true }
+func (a *alone) MayAcknowledge(table.GroupName, table.InstanceID, table.Term) error {
+	return nil
+}
+
+func (a *alone) PrimaryPosition(context.Context, table.GroupName) (request.PositionSample, error) {
+	return request.PositionSample{}, nil
+}
+func (a *alone) AwaitAnyReplica(context.Context, table.GroupName, table.Mark) error { return nil }
+
+// path is a listener, a gateway, an owner and a stand-in in one process.
+type path struct {
+	up       *standin.Instance
+	listener *Listener
+	address  string
+}
+
+// startPath starts all of them. With a hop, requests go over a link.
+func startPath(t testing.TB, hop bool) *path {
+	t.Helper()
+	cfg := standin.DefaultConfig("g1", "g1-a")
+	cfg.Primary, cfg.OpenCost = true, 0
+	up, err := standin.Start(cfg)
+	assert.NilError(t, err)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	a := &alone{changed: make(chan struct{})}
+	a.doc, err = config.ParseDocument("ledger", []byte(document))
+	assert.NilError(t, err)
+	plat, err := pgplatform.New(pgplatform.DefaultConfig())
+	assert.NilError(t, err)
+	o := owner.New(owner.Config{
+		Authority: a, Peers: a, Prober: plat, Fencer: plat, Changed: func() {}, Log: log, User: "u", Database: "ledger",
+		Declare: func(table.GroupName) owner.Declaration { return owner.Declaration{} },
+		Stamp:   func() failover.Stamp { return failover.Stamp{} },
+		Timing:  owner.DefaultTiming(),
+	})
+	a.executor = o
+	ctx, stop := context.WithCancel(context.Background())
+	closeLink := func() {}
+	if hop {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		go func() { _ = (&peer.Server{Owner: o, Log: log}).Serve(ctx, l) }()
+		r := peer.NewRemote(l.Addr().String(), peer.DefaultTiming())
+		a.executor, closeLink = r, r.Close
+	}
+	assert.NilError(t, o.Acquire(ctx, table.Instance{ID: "g1-a", Group: "g1", Address: up.Address(), Slots: 3, Connections: 8}, 1))
+	a.groups.Update("g1", func(*routing.GroupView) *routing.GroupView {
+		return &routing.GroupView{
+			Primary:    "g1-a",
+			Candidates: []routing.Candidate{{Instance: "g1-a", Owner: "h1", Role: table.RolePrimary, OwnerState: table.HostAlive}},
+		}
+	})
+	keys, err := tokens.NewKeyring([][]byte{make([]byte, 32)})
+	assert.NilError(t, err)
+	gate := gateway.New(gateway.Config{
+		Host: "h1", Directory: a, Observer: a, Keys: keys, Log: log,
+		Clock: func() time.Duration { return time.Since(started) },
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	p := &path{up: up, address: ln.Addr().String()}
+	p.listener = NewListener(Config{Gateway: gate, Log: log, MaxCallers: 50, MaxMessageBytes: 1 << 20, Counters: a})
+	served := make(chan error, 1)
+	go func() { served <- p.listener.Serve(ctx, ln) }()
+	t.Cleanup(func() {
+		stop()
+		<-served
+		closeLink()
+		o.Release("g1-a")
+		plat.Close()
+		_ = up.Close()
+	})
+	return p
+}
+
+var started = time.Now()
+
+// caller speaks the protocol message by message.
+type caller struct {
+	t   testing.TB
+	net net.Conn
+	fe  *pgproto3.Frontend
+	pid uint32
+	key []byte
+}
+
+func (p *path) connect(t testing.TB) *caller {
+	t.Helper()
+	nc, err := net.Dial("tcp", p.address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = nc.Close() })
+	_ = nc.SetDeadline(time.Now().Add(patience))
+	c := &caller{t: t, net: nc, fe: pgproto3.NewFrontend(nc, nc)}
+	c.send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "u", "database": "ledger"}})
+	c.answers()
+	return c
+}
+
+func (c *caller) send(messages ...pgproto3.FrontendMessage) {
+	c.t.Helper()
+	for _, m := range messages {
+		c.fe.Send(m)
+	}
+	assert.NilError(c.t, c.fe.Flush())
+}
+
+// answers reads up to ReadyForQuery and returns a word for each message; an
+// error is its SQLSTATE, the end is the transaction state.
+func (c *caller) answers() (got []string) {
+	c.t.Helper()
+	for {
+		msg, err := c.fe.Receive()
+		if err != nil {
+			return append(got, "end")
+		}
+		switch m := msg.(type) {
+		case *pgproto3.BackendKeyData:
+			c.pid, c.key = m.ProcessID, append([]byte(nil), m.SecretKey...)
+		case *pgproto3.ParseComplete:
+			got = append(got, "parsed")
+		case *pgproto3.BindComplete:
+			got = append(got, "bound")
+		case *pgproto3.CloseComplete:
+			got = append(got, "closed")
+		case *pgproto3.RowDescription:
+			got = append(got, "columns")
+		case *pgproto3.DataRow:
+			got = append(got, "row "+string(m.Values[0]))
+		case *pgproto3.EmptyQueryResponse:
+			got = append(got, "empty")
+		case *pgproto3.CommandComplete:
+			got = append(got, string(m.CommandTag))
+		case *pgproto3.ErrorResponse:
+			got = append(got, m.Code)
+			if m.Severity == "FATAL" {
+				return got
+			}
+		case *pgproto3.ReadyForQuery:
+			return append(got, string(m.TxStatus))
+		}
+	}
+}
+
+func waitFor(t testing.TB, what string, holds func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if holds() {
+			return poll.Success()
+		}
+		return poll.Continue("%s: not yet", what)
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(patience))
+}
--- /dev/null
+++ b/internal/pg/pg_test.go
@@ -0,0 +1,272 @@
+package pg
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"gotest.tools/v3/assert"
+)
+
+type messages = []pgproto3.FrontendMessage
+
+func query(sql string) pgproto3.FrontendMessage { return &pgproto3.Query{String: sql} }
+func parse(name, sql string) pgproto3.FrontendMessage {
+	return &pgproto3.Parse{Name: name, Query: sql}
+}
+func bind(name string) pgproto3.FrontendMessage { return &pgproto3.Bind{PreparedStatement: name} }
+func shut(name string) pgproto3.FrontendMessage { return &pgproto3.Close{ObjectType: 'S', Name: name} }
+
+func about(name string) pgproto3.FrontendMessage {
+	return &pgproto3.Describe{ObjectType: 'S', Name: name}
+}
+
+var (
+	execute  = &pgproto3.Execute{}
+	syncUp   = &pgproto3.Sync{}
+	flushing = &pgproto3.Flush{}
+)
+
+// exchange is what a caller sends and what it gets for it.
+type exchange struct {
+	send messages
+	want []string
+}
+
+func TestProtocolCases(t *testing.T) {
+	p := startPath(t, false)
+	prepare := exchange{messages{parse("a", "SELECT 1"), parse("b", "SELECT 2"), syncUp}, []string{"parsed", "parsed", "I"}}
+	for _, tc := range []struct {
+		name  string
+		steps []exchange
+	}{
+		{"several statements in one unit", []exchange{prepare, {
+			messages{bind("a"), execute, bind("b"), execute, bind("a"), execute, syncUp},
+			[]string{"bound", "row 1", "SELECT 1", "bound", "row 2", "SELECT 1", "bound", "row 1", "SELECT 1", "I"},
+		}}},
+		{"bind of an earlier statement of the unit", []exchange{{
+			messages{parse("a", "SELECT 1"), parse("b", "SELECT 2"), bind("a"), execute, bind("b"), execute, syncUp},
+			[]string{"parsed", "parsed", "bound", "row 1", "SELECT 1", "bound", "row 2", "SELECT 1", "I"},
+		}}},
+		{"describe in the unit of the parse", []exchange{{messages{parse("a", "SELECT 1"), about("a"), syncUp}, []string{"parsed", "columns", "I"}}}},
+		{"a statement that exists", []exchange{prepare, {messages{parse("a", "SELECT 3"), syncUp}, []string{"42601", "I"}}}},
+		{"the name is free after its close", []exchange{prepare, {
+			messages{shut("a"), parse("a", "SELECT 3"), bind("a"), execute, syncUp},
+			[]string{"closed", "parsed", "bound", "row 3", "SELECT 1", "I"},
+		}}},
+		{"use after close", []exchange{
+			prepare,
+			{messages{shut("a"), bind("a"), execute, syncUp}, []string{"42601", "I"}},
+			{messages{shut("a"), syncUp}, []string{"closed", "I"}},
+			{messages{bind("a"), execute, syncUp}, []string{"42601", "I"}},
+			{messages{bind("b"), execute, syncUp}, []string{"bound", "row 2", "SELECT 1", "I"}},
+		}},
+		{"the unnamed statement after its Sync", []exchange{
+			{messages{parse("", "SELECT 5"), syncUp}, []string{"parsed", "I"}},
+			{messages{bind(""), execute, syncUp}, []string{"bound", "row 5", "SELECT 1", "I"}},
+			{messages{parse("", "SELECT 6"), bind(""), execute, syncUp}, []string{"parsed", "bound", "row 6", "SELECT 1", "I"}},
+		}},
+		{"an error skips to the Sync", []exchange{
+			{messages{parse("a", "SELEKT"), bind("a"), execute, syncUp}, []string{"42601", "I"}},
+			{messages{query("SELECT 7")}, []string{"columns", "row 7", "SELECT 1", "I"}},
+		}},
+		{"what was parsed before an error stays", []exchange{
+			{messages{parse("a", "SELECT 1"), parse("bad", "SELEKT"), parse("c", "SELECT 3"), syncUp}, []string{"parsed", "42601", "I"}},
+			{messages{bind("a"), execute, syncUp}, []string{"bound", "row 1", "SELECT 1", "I"}},
+			{messages{bind("c"), execute, syncUp}, []string{"42601", "I"}},
+		}},
+		{"flush is refused", []exchange{
+			{messages{parse("a", "SELECT 1"), flushing, bind("a"), execute, query("SELECT 1"), syncUp}, []string{"0A000", "I"}},
+			{messages{flushing, query("SELECT 7")}, []string{"columns", "row 7", "SELECT 1", "I"}},
+		}},
+		{"a query does not overtake a unit", []exchange{
+			{messages{parse("", "SELECT 1"), query("SELECT 7"), syncUp}, []string{"0A000", "I"}},
+		}},
+		{"two Syncs", []exchange{{messages{syncUp}, []string{"I"}}, {messages{syncUp}, []string{"I"}}}},
+		{"empty queries", []exchange{
+			{messages{query(" ; -- nothing")}, []string{"empty", "I"}},
+			{messages{parse("", ""), bind(""), execute, syncUp}, []string{"parsed", "bound", "empty", "I"}},
+		}},
+		{"an error of the proxy aborts the transaction", []exchange{
+			{messages{query("BEGIN")}, []string{"BEGIN", "T"}},
+			{messages{query("INSERT INTO k (key, value) VALUES ('tx', 'v')")}, []string{"INSERT 0 1", "T"}},
+			{messages{bind("none"), execute, syncUp}, []string{"42601", "E"}},
+			{messages{query("SET amaranthweir.key = 'x'")}, []string{"25P02", "E"}},
+			{messages{query("COMMIT")}, []string{"ROLLBACK", "I"}},
+			{messages{query("SELECT count(*) FROM k")}, []string{"columns", "row 0", "SELECT 1", "I"}},
+		}},
+		{"what is not supported", []exchange{
+			{messages{query("COPY k FROM STDIN")}, []string{"0A000", "I"}},
+			{messages{query("LISTEN x")}, []string{"0A000", "I"}},
+			{messages{&pgproto3.FunctionCall{}}, []string{"0A000", "I"}},
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := p.connect(t)
+			for _, x := range tc.steps {
+				c.send(x.send...)
+				assert.DeepEqual(t, c.answers(), x.want)
+			}
+		})
+	}
+}
+
+func TestStatementsOfACallerAreBounded(t *testing.T) {
+	c := startPath(t, false).connect(t)
+	for i := range maxPreparedPerCaller {
+		c.send(parse(string(rune('a'+i%26))+string(rune('0'+i/26)), "SELECT 1"), syncUp)
+		assert.DeepEqual(t, c.answers(), []string{"parsed", "I"})
+	}
+	c.send(parse("more", "SELECT 1"), syncUp)
+	assert.DeepEqual(t, c.answers(), []string{"53300", "I"})
+}
+
+// What a stranger sends ends its own connection only.
+func TestBadInput(t *testing.T) {
+	p := startPath(t, false)
+	other := p.connect(t)
+	startup := func(length uint32, rest string) []byte {
+		return append(binary.BigEndian.AppendUint32(nil, length), rest...)
+	}
+	for _, tc := range []struct {
+		name   string
+		logged bool // in after the start-up
+		send   []byte
+		want   string // SQLSTATE, or empty where the connection just ends
+	}{
+		{"garbage", false, []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"), "42601"},
+		{"start-up of 1 GiB", false, startup(1<<30, ""), "42601"},
+		{"start-up of 0 bytes", false, startup(0, ""), "42601"},
+		{"half a start-up", false, startup(100, "\x00\x03\x00\x00user"), "42601"},
+		{"no user", false, startup(20, "\x00\x03\x00\x00database\x00x\x00\x00"), "28P01"},
+		{"message of 1 GiB", true, []byte{'Q', 0x40, 0, 0, 0}, "54000"},
+		{"negative length", true, []byte{'Q', 0xff, 0, 0, 0}, "42601"},
+		{"unknown type", true, []byte{'~', 0, 0, 0, 4}, "42601"},
+		{"half a message", true, []byte{'Q', 0, 0, 0, 100, 'S'}, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var nc net.Conn
+			if tc.logged {
+				nc = p.connect(t).net
+			} else {
+				var err error
+				nc, err = net.Dial("tcp", p.address)
+				assert.NilError(t, err)
+				defer nc.Close()
+			}
+			_, err := nc.Write(tc.send)
+			assert.NilError(t, err)
+			_ = nc.(*net.TCPConn).CloseWrite()
+			_ = nc.SetReadDeadline(time.Now().Add(patience))
+			got, _ := io.ReadAll(nc) // a reset is as good as an end
+			if tc.want != "" && len(got) > 0 {
+				assert.Assert(t, bytes.Contains(got, []byte("C"+tc.want+"\x00")), "%q", got)
+			}
+			assert.Assert(t, tc.want != "" || len(got) == 0, "%q", got)
+			other.send(query("SELECT 7"))
+			assert.DeepEqual(t, other.answers(), []string{"columns", "row 7", "SELECT 1", "I"})
+		})
+	}
+}
+
+func TestCancelNeedsTheKey(t *testing.T) {
+	p := startPath(t, false)
+	c, victim := p.connect(t), p.connect(t)
+	cancel := func(pid uint32, key []byte) {
+		nc, err := net.Dial("tcp", p.address)
+		assert.NilError(t, err)
+		defer nc.Close()
+		buf, err := (&pgproto3.CancelRequest{ProcessID: pid, SecretKey: key}).Encode(nil)
+		assert.NilError(t, err)
+		_, err = nc.Write(buf)
+		assert.NilError(t, err)
+		_, _ = io.ReadAll(nc)
+	}
+	victim.send(query("SELECT pg_sleep(3600)"))
+	waitFor(t, "it runs", func() bool { return p.up.Stats().Running == 1 })
+	cancel(victim.pid, c.key)
+	cancel(victim.pid, nil)
+	cancel(victim.pid+1000, victim.key)
+	assert.Equal(t, p.up.Stats().Running, 1)
+	cancel(victim.pid, victim.key)
+	assert.DeepEqual(t, victim.answers(), []string{"57014", "I"})
+}
+
+// A caller that leaves frees its slot and its connection.
+func TestCallerVanishes(t *testing.T) {
+	for _, hop := range []bool{false, true} {
+		p := startPath(t, hop)
+		for _, begin := range []string{"SELECT 1", "BEGIN"} {
+			c := p.connect(t)
+			c.send(query(begin))
+			c.answers()
+			c.send(query("SELECT pg_sleep(3600)"))
+			waitFor(t, "it runs", func() bool { return p.up.Stats().Running == 1 })
+			assert.NilError(t, c.net.Close())
+			waitFor(t, "the slot is free", func() bool { return p.up.Stats().Running == 0 })
+		}
+	}
+}
+
+// What a caller sends while its request runs is not lost.
+func TestPipelinedQueriesBehindASlowOne(t *testing.T) {
+	p := startPath(t, false)
+	c := p.connect(t)
+	c.send(query("SELECT pg_sleep(0.2)"))
+	waitFor(t, "it runs", func() bool { return p.up.Stats().Running == 1 })
+	c.send(query("SELECT 7"))
+	assert.Equal(t, len(c.answers()), 4)
+	assert.DeepEqual(t, c.answers(), []string{"columns", "row 7", "SELECT 1", "I"})
+	c.send(query("SELECT 8"))
+	assert.DeepEqual(t, c.answers(), []string{"columns", "row 8", "SELECT 1", "I"})
+}
+
+func TestDrainLetsTransactionsFinish(t *testing.T) {
+	p := startPath(t, false)
+	idle, inTx := p.connect(t), p.connect(t)
+	inTx.send(query("BEGIN; INSERT INTO k (key, value) VALUES ('x', 'v')"))
+	inTx.answers()
+	left := make(chan []string, 1)
+	go func() { left <- p.listener.Drain(context.Background()) }()
+	assert.DeepEqual(t, idle.answers(), []string{"57P01"})
+	inTx.send(query("INSERT INTO k (key, value) VALUES ('y', 'v')"))
+	assert.DeepEqual(t, inTx.answers(), []string{"INSERT 0 1", "T"})
+	inTx.send(query("COMMIT"))
+	assert.DeepEqual(t, inTx.answers(), []string{"COMMIT", "I"})
+	assert.DeepEqual(t, inTx.answers(), []string{"57P01"})
+	assert.Equal(t, len(<-left), 0)
+	assert.Equal(t, len(p.up.Rows("k")), 2)
+	late, err := net.Dial("tcp", p.address)
+	assert.NilError(t, err)
+	defer late.Close()
+	c := &caller{t: t, net: late, fe: pgproto3.NewFrontend(late, late)}
+	c.send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "u", "database": "ledger"}})
+	assert.DeepEqual(t, c.answers(), []string{"57P01"})
+}
+
+// FuzzStartup is what a stranger can send first.
+func FuzzStartup(f *testing.F) {
+	f.Add([]byte("\x00\x00\x00\x08\x04\xd2\x16\x2f"))
+	f.Add([]byte("\x00\x00\x00\x10\x04\xd2\x16\x2e\x00\x00\x00\x01abcd"))
+	f.Add([]byte("\x00\x00\x00\x0f\x00\x03\x00\x00user\x00u\x00\x00"))
+	f.Add([]byte("\x40\x00\x00\x00"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		_, s, err := readStartup(&memoryConn{r: bytes.NewReader(data)}, nil)
+		assert.Assert(t, err != nil || s.cancel != nil || s.user != "")
+	})
+}
+
+// memoryConn reads from memory and forgets what is written.
+type memoryConn struct {
+	net.Conn
+	r io.Reader
+}
+
+func (m *memoryConn) Read(p []byte) (int, error)  { return m.r.Read(p) }
+func (m *memoryConn) Write(p []byte) (int, error) { return len(p), nil }
+func (m *memoryConn) SetDeadline(time.Time) error { return nil }
--- a/internal/pg/session.go
+++ b/internal/pg/session.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"sync"
 
@@ -22,6 +23,8 @@
 type session struct {
 	listener *Listener
 	net      net.Conn
+	reader   *callerReader
+	writer   callerWriter
 	backend  *pgproto3.Backend
 	gate     *gateway.Session
 	log      logrus.FieldLogger
@@ -39,7 +42,7 @@
 
 // Answer implements request.Sink: it writes a part of an answer.
 func (s *session) Answer(p []byte) error {
-	if _, err := s.net.Write(p); err != nil {
+	if _, err := s.writer.Write(p); err != nil {
 		return errkind.Wrap(err, errkind.Cancelled, "the caller went away")
 	}
 	return nil
@@ -69,11 +72,20 @@
 	}
 }
 
+// endOfCaller tells a caller that went away from one that breaks the protocol.
 func endOfCaller(err error) error {
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
+	var tooLong *pgproto3.ExceededMaxBodyLenErr
+	var network net.Error
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return err
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &network):
 		return nil
+	case errors.As(err, &tooLong):
+		return errkind.Wrap(err, errkind.TooLarge, "%v", err)
+	default:
+		return errkind.Wrap(err, errkind.BadRequest, "%v", err)
 	}
-	return err
 }
 
 // start marks the session as busy; it fails once the session is ending and
@@ -104,21 +116,30 @@
 
 // handle answers one message.
 func (s *session) handle(ctx context.Context, msg pgproto3.FrontendMessage) error {
+	if m, ok := msg.(*pgproto3.Sync); ok {
+		return s.sync(ctx, m)
+	}
+	if s.skipping {
+		return nil
+	}
 	switch m := msg.(type) {
 	case *pgproto3.Query:
+		if !s.unit.empty() { // it would overtake the unit
+			s.unit.fail(errkind.New(errkind.NotSupported, "Query before Sync"))
+			return s.reportUnit()
+		}
 		return s.simpleQuery(ctx, m)
-	case *pgproto3.Sync:
-		return s.sync(ctx, m)
 	case *pgproto3.Flush:
+		if s.unit.empty() {
+			return nil
+		}
 		s.unit.fail(errkind.New(errkind.NotSupported, "Flush before Sync"))
 		return s.reportUnit()
 	case *pgproto3.Parse, *pgproto3.Bind, *pgproto3.Describe, *pgproto3.Execute, *pgproto3.Close:
-		if !s.skipping {
-			s.unit.add(msg, s.known)
-		}
+		s.unit.add(msg)
 		return nil
 	case *pgproto3.FunctionCall:
-		return s.fail(errkind.New(errkind.NotSupported, "function call protocol"))
+		return s.failOwn(errkind.New(errkind.NotSupported, "function call protocol"))
 	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
 		return nil // leftovers of a COPY that was refused
 	default:
@@ -128,23 +149,21 @@
 
 // reportUnit sends the error of a unit at once and skips up to the Sync.
 func (s *session) reportUnit() error {
-	if s.unit.failure == nil || s.skipping {
-		return nil
-	}
 	s.skipping = true
+	s.abort()
 	s.backend.Send(errorResponse(s.unit.failure, "ERROR"))
 	return s.backend.Flush()
 }
 
 func (s *session) sync(ctx context.Context, m *pgproto3.Sync) error {
 	u := s.unit
-	s.unit = newUnit()
+	s.unit = newUnit(s.known)
 	if s.skipping {
 		s.skipping = false
 		return s.ready()
 	}
 	if u.failure != nil {
-		return s.fail(u.failure)
+		return s.failOwn(u.failure)
 	}
 	if len(u.messages) == 0 {
 		return s.ready()
@@ -155,24 +174,14 @@
 		w.Prepares = append(w.Prepares, p)
 	}
 	if !u.executes {
-		w.Texts = u.definedTexts()
+		w.Texts = u.allTexts()
 		w.OnlyPrepares = true
 	}
-	ok, err := s.do(ctx, w)
-	if ok {
-		u.commit(s.known)
-	}
+	confirmed, err := s.do(ctx, w)
+	u.commit(confirmed)
 	return err
 }
 
-func (u *unit) definedTexts() []statement.Text {
-	var texts []statement.Text
-	for _, p := range u.defined {
-		texts = append(texts, p.text)
-	}
-	return texts
-}
-
 func (s *session) simpleQuery(ctx context.Context, m *pgproto3.Query) error {
 	text := statement.Read(m.String)
 	if len(text.Statements) == 0 {
@@ -184,7 +193,7 @@
 	}
 	buf, err := m.Encode(nil)
 	if err != nil {
-		return s.fail(errkind.Wrap(err, errkind.BadRequest, "%v", err))
+		return s.failOwn(errkind.Wrap(err, errkind.BadRequest, "%v", err))
 	}
 	_, err = s.do(ctx, &gateway.Work{Messages: buf, Texts: []statement.Text{text}})
 	return err
@@ -192,7 +201,7 @@
 
 // own answers what the proxy itself answers: its own settings.
 func (s *session) own(text statement.Text) (done bool, err error) {
-	if len(text.Statements) != 1 {
+	if len(text.Statements) != 1 || s.txStatus == request.TxFailed {
 		return false, nil
 	}
 	st := text.Statements[0]
@@ -203,13 +212,13 @@
 			return false, nil
 		}
 		if err := s.set(name, value); err != nil {
-			return true, s.fail(errkind.Of(err))
+			return true, s.failOwn(errkind.Of(err))
 		}
 		s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte("SET")})
 		return true, s.ready()
 	case statement.Reset:
 		if s.txStatus != request.TxIdle {
-			return true, s.fail(errkind.New(errkind.NotSupported, "%s inside a transaction", st.Verb))
+			return true, s.failOwn(errkind.New(errkind.NotSupported, "%s inside a transaction", st.Verb))
 		}
 		s.gate.ResetSettings(st.Text)
 		if st.Verb == "DISCARD" {
@@ -268,24 +277,26 @@
 	return name, value, true
 }
 
-// do hands a unit to the gateway and ends its answer. It reports whether the
-// unit ran without an error.
-func (s *session) do(ctx context.Context, w *gateway.Work) (ok bool, err error) {
+// do hands a unit to the gateway and ends its answer. It returns how many
+// Parse and Close messages were confirmed.
+func (s *session) do(ctx context.Context, w *gateway.Work) (confirmed int, err error) {
 	ctx, stop := context.WithCancel(ctx)
+	defer stop()
 	s.mu.Lock()
 	s.cancel = stop
 	s.mu.Unlock()
-	watch := watchErrors{sink: s}
+	watch := watchAnswer{sink: s}
+	vanished := s.reader.watch(stop)
 	status, err := s.gate.Do(ctx, w, &watch)
+	vanished()
 	s.mu.Lock()
 	s.cancel = nil
 	s.mu.Unlock()
-	stop()
 	s.setStatus(status)
 	if err != nil {
-		return false, s.fail(errkind.Of(err))
+		return watch.confirmed, s.fail(errkind.Of(err))
 	}
-	return !watch.failed, s.ready()
+	return watch.confirmed, s.ready()
 }
 
 func (s *session) setStatus(status byte) {
@@ -294,20 +305,36 @@
 	s.mu.Unlock()
 }
 
-// watchErrors notes whether an ErrorResponse is among the answers.
-type watchErrors struct {
-	sink   request.Sink
-	failed bool
+// watchAnswer counts what the upstream confirmed.
+type watchAnswer struct {
+	sink      request.Sink
+	confirmed int // ParseComplete and CloseComplete
 }
 
 // Answer implements request.Sink. The parts of an answer hold whole messages.
-func (w *watchErrors) Answer(p []byte) error {
+func (w *watchAnswer) Answer(p []byte) error {
 	synthetic.Each(p, func(kind byte) {
-		w.failed = w.failed || kind == 'E'
+		if kind == '1' || kind == '3' {
+			w.confirmed++
+		}
 	})
 	return w.sink.Answer(p)
 }
 
+// abort fails an open transaction after an error of the proxy, as the database
+// would.
+func (s *session) abort() {
+	if s.txStatus == request.TxOpen {
+		s.setStatus(s.gate.Fail())
+	}
+}
+
+// failOwn answers what was not handed to the gateway with an error.
+func (s *session) failOwn(e *errkind.Error) error {
+	s.abort()
+	return s.fail(e)
+}
+
 // fail answers a unit with an error of the proxy.
 func (s *session) fail(e *errkind.Error) error {
 	s.backend.Send(errorResponse(e, "ERROR"))
--- a/internal/pg/startup.go
+++ b/internal/pg/startup.go
@@ -22,6 +22,8 @@
 	// maxStartupTries bounds the SSLRequest and GSSEncRequest messages before
 	// the start-up message.
 	maxStartupTries = 3
+	// maxStarting bounds the callers in their start-up.
+	maxStarting = 1024
 	// maxSessionParameters bounds the parameters of a start-up message.
 	maxSessionParameters = 64
 )
--- a/internal/pg/unit.go
+++ b/internal/pg/unit.go
@@ -1,9 +1,9 @@
 package pg
 
 import (
+	"crypto/sha256"
 	"encoding/hex"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
@@ -14,6 +14,8 @@
 const (
 	// maxPreparedPerCaller bounds the prepared statements of one caller.
 	maxPreparedPerCaller = 1000
+	// nameBytes is how much of the digest of a statement its name holds.
+	nameBytes = 20
 	// maxUnitBytes bounds the messages up to one Sync.
 	maxUnitBytes = 32 << 20
 )
@@ -24,23 +26,43 @@
 	text statement.Text
 }
 
-// unit gathers the messages of a caller up to a Query or a Sync.
+// unit gathers the messages of a caller up to a Sync.
 type unit struct {
+	known    map[string]prepared // the session's statements, before this unit
 	messages []byte
 	texts    []statement.Text
-	prepares map[string]request.Prepare // by the caller's name
+	prepares map[string]request.Prepare // by their name upstream
 	// unnamed is the caller's name of the statement that was parsed last in
 	// this unit and stands under the empty name upstream.
 	unnamed  string
 	parsed   bool
 	executes bool
-	closed   []string // names to forget once the unit ran
-	defined  map[string]prepared
+	changes  []change
 	failure  *errkind.Error
 }
 
-func newUnit() *unit {
-	return &unit{prepares: map[string]request.Prepare{}, defined: map[string]prepared{}}
+// change is what a Parse or a Close of the unit does to the known statements,
+// once the upstream has confirmed it.
+type change struct {
+	name    string
+	parse   bool
+	portal  bool // closes a portal, which changes nothing
+	defined prepared
+}
+
+func newUnit(known map[string]prepared) *unit {
+	return &unit{known: known, prepares: map[string]request.Prepare{}}
+}
+
+// find returns the statement that has the name at this point of the unit.
+func (u *unit) find(name string) (prepared, bool) {
+	for i := len(u.changes) - 1; i >= 0; i-- {
+		if c := &u.changes[i]; !c.portal && c.name == name {
+			return c.defined, c.parse
+		}
+	}
+	p, ok := u.known[name]
+	return p, ok
 }
 
 func (u *unit) empty() bool { return len(u.messages) == 0 && u.failure == nil }
@@ -54,7 +76,7 @@
 }
 
 // add takes one message of the extended protocol.
-func (u *unit) add(msg pgproto3.FrontendMessage, known map[string]prepared) {
+func (u *unit) add(msg pgproto3.FrontendMessage) {
 	if u.failure != nil {
 		return
 	}
@@ -63,15 +85,18 @@
 		u.parse(m)
 	case *pgproto3.Bind:
 		u.executes = true
-		m.PreparedStatement = u.refer(m.PreparedStatement, known)
+		m.PreparedStatement = u.refer(m.PreparedStatement)
 		u.append(m)
 	case *pgproto3.Describe:
 		if m.ObjectType == 'S' {
-			m.Name = u.refer(m.Name, known)
+			m.Name = u.refer(m.Name)
 		}
 		u.append(m)
 	case *pgproto3.Close:
 		u.close(m)
+	case *pgproto3.Execute:
+		u.executes = true
+		u.append(m)
 	default:
 		u.append(msg)
 	}
@@ -95,11 +120,15 @@
 // connection that runs it.
 func (u *unit) parse(m *pgproto3.Parse) {
 	text := statement.Read(m.Query)
-	if len(u.defined) >= maxPreparedPerCaller {
+	if _, exists := u.find(m.Name); exists && m.Name != "" {
+		u.fail(errkind.New(errkind.BadRequest, "prepared statement %q exists already", m.Name))
+		return
+	}
+	if len(u.known)+len(u.changes) >= maxPreparedPerCaller {
 		u.fail(errkind.New(errkind.CallerLimit, "more than %d prepared statements", maxPreparedPerCaller))
 		return
 	}
-	u.defined[m.Name] = prepared{text: text, Prepare: contentPrepare(m)}
+	u.changes = append(u.changes, change{name: m.Name, parse: true, defined: prepared{text: text, Prepare: contentPrepare(m)}})
 	u.unnamed, u.parsed = m.Name, true
 	u.append(&pgproto3.Parse{Query: m.Query, ParameterOIDs: m.ParameterOIDs})
 }
@@ -111,11 +140,10 @@
 	if err != nil {
 		return request.Prepare{}
 	}
-	h := xxhash.New()
-	_, _ = h.Write(encoded)
-	first := h.Sum(nil)
-	_, _ = h.Write([]byte{1})
-	name := "aw_" + hex.EncodeToString(first) + hex.EncodeToString(h.Sum(nil))
+	// Callers share connections, so nobody must be able to make two statements
+	// of one name.
+	sum := sha256.Sum256(encoded)
+	name := "aw_" + hex.EncodeToString(sum[:nameBytes])
 	plain.Name = name
 	encoded, err = plain.Encode(nil)
 	if err != nil {
@@ -126,11 +154,8 @@
 
 // refer returns the upstream name of a caller's statement and notes what the
 // connection must hold for it.
-func (u *unit) refer(name string, known map[string]prepared) string {
-	p, ok := u.defined[name]
-	if !ok {
-		p, ok = known[name]
-	}
+func (u *unit) refer(name string) string {
+	p, ok := u.find(name)
 	if !ok {
 		u.fail(errkind.New(errkind.BadRequest, "prepared statement %q does not exist", name))
 		return ""
@@ -139,7 +164,7 @@
 	if u.parsed && u.unnamed == name {
 		return ""
 	}
-	u.prepares[name] = p.Prepare
+	u.prepares[p.Name] = p.Prepare
 	return p.Name
 }
 
@@ -147,20 +172,37 @@
 // the same to everybody; upstream only a name that no statement has is closed,
 // for its answer.
 func (u *unit) close(m *pgproto3.Close) {
-	if m.ObjectType == 'S' && m.Name != "" {
-		u.closed = append(u.closed, m.Name)
-		delete(u.defined, m.Name)
+	u.changes = append(u.changes, change{name: m.Name, portal: m.ObjectType != 'S'})
+	if m.ObjectType == 'S' {
+		if u.unnamed == m.Name {
+			u.parsed = false
+		}
 		m.Name = "aw_none"
 	}
 	u.append(m)
 }
 
-// commit brings what the unit defined and closed into known.
-func (u *unit) commit(known map[string]prepared) {
-	for _, name := range u.closed {
-		delete(known, name)
+// commit brings the changes that the upstream confirmed into known, also where
+// the unit failed later on.
+func (u *unit) commit(confirmed int) {
+	for _, c := range u.changes[:min(confirmed, len(u.changes))] {
+		switch {
+		case c.portal:
+		case c.parse:
+			u.known[c.name] = c.defined
+		default:
+			delete(u.known, c.name)
+		}
 	}
-	for name, p := range u.defined {
-		known[name] = p
+}
+
+// allTexts returns the texts of a unit that executes nothing.
+func (u *unit) allTexts() []statement.Text {
+	texts := u.texts
+	for _, c := range u.changes {
+		if c.parse {
+			texts = append(texts, c.defined.text)
+		}
 	}
+	return texts
 }
