Refuse statements that leave state on a shared connection unseen

Cause: set_config, session-level advisory locks, temporary objects in their longer spellings, SET SESSION ROLE and SET session_authorization were taken as ordinary statements; what they leave behind (none of it taken back by RESET ALL, or not seen) would reach the next session of the connection.

Weighed: DISCARD ALL before each change of session, which also drops prepared statements and costs a round trip for each; pinning the session, which a few callers could use to hold all connections. Refusing is clear and cheap. What a function of the database does inside is not seen; that stays with its author.

TestRead failed first: 'create or replace local temporary view' was Other.

--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -133,13 +133,12 @@
 		s.Kind = rollbackKind(second, rest2)
 	case "SET":
 		s.Kind = setKind(second, rest2)
-	case "CREATE":
-		if second == "TEMP" || second == "TEMPORARY" {
-			s.Kind = Unsupported
-		}
 	default:
 		s.Kind = kindOfVerb[verb]
 	}
+	if word := leftBehind(verb, text); word != "" {
+		s.Kind, s.Verb = Unsupported, word
+	}
 	return s
 }
 
@@ -160,12 +159,9 @@
 		return SetLocal
 	case "SESSION":
 		third, _ := nextWord(rest)
-		if third == "AUTHORIZATION" {
-			return Unsupported
-		}
-		return Set
-	case "ROLE":
-		return Unsupported
+		return setKind(third, "")
+	case "ROLE", "AUTHORIZATION", "SESSION_AUTHORIZATION":
+		return Unsupported // RESET ALL does not take them back
 	default:
 		return Set
 	}
--- a/internal/statement/statement_test.go
+++ b/internal/statement/statement_test.go
@@ -33,6 +33,15 @@
 		{"copy t from stdin", []Kind{Unsupported}},
 		{"create temp table x ()", []Kind{Unsupported}},
 		{"create table x ()", []Kind{Other}},
+		{"create or replace local temporary view x as select 1", []Kind{Unsupported}},
+		{"create table x (temp int)", []Kind{Other}},
+		{"select * into temp x from y; select temp into z from y", []Kind{Unsupported, Select}},
+		{"select set_config('a', 'b', false); select pg_catalog.set_config('a','b',true)", []Kind{Unsupported, Unsupported}},
+		{`select 'set_config', $$set_config$$ -- set_config`, []Kind{Select}},
+		{`select "set_config"('a','b',false)`, []Kind{Unsupported}},
+		{"with x as (select pg_advisory_lock(1)) select 1; select pg_advisory_xact_lock(1)", []Kind{Unsupported, Select}},
+		{"set session role x; set session_authorization = x; set session x = 1", []Kind{Unsupported, Unsupported, Set}},
+		{"insert into t values ('-- /* $$'); commit", []Kind{Other, Commit}},
 		{"with x as (select 1) insert into t select * from x", []Kind{Other}},
 		{"(select 1)", []Kind{Select}},
 		{"'unclosed ; ", []Kind{Other}},
@@ -54,3 +63,10 @@
 		Read(sql)
 	})
 }
+
+func BenchmarkRead(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		Read("/* class=ticket */ INSERT INTO tickets (key, value) VALUES ('2024-118', 'a lorry of husk')")
+	}
+}
