--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -257,20 +257,35 @@
 	e.send(&peerpb.Frame{Id: id, Body: &peerpb.Frame_Answer{Answer: a}})
 }
 
-// sink passes the parts of an answer on to the other host.
+// lastPartBytes bounds what is kept back of an answer to go with its end.
+const lastPartBytes = 32 << 10
+
+// sink passes the parts of an answer on to the other host. A small part waits
+// for the next one or the end, so that a short answer is one frame.
 type sink struct {
 	exchange *exchange
 	ctx      context.Context
 	id       uint64
 	call     *running
+	held     []byte
 }
 
 // Answer implements request.Sink. It waits while the caller reads slowly.
 func (s *sink) Answer(p []byte) error {
-	if err := s.exchange.room(s.ctx, s.call, len(p)); err != nil {
-		return errkind.Wrap(err, errkind.Cancelled, "the caller went away")
+	if len(s.held)+len(p) <= lastPartBytes {
+		s.held = append(s.held, p...)
+		return nil
 	}
-	s.exchange.answer(s.id, &peerpb.Answer{Messages: p})
+	for _, part := range [][]byte{s.held, p} {
+		if len(part) == 0 {
+			continue
+		}
+		if err := s.exchange.room(s.ctx, s.call, len(part)); err != nil {
+			return errkind.Wrap(err, errkind.Cancelled, "the caller went away")
+		}
+		s.exchange.answer(s.id, &peerpb.Answer{Messages: part})
+	}
+	s.held = nil
 	return nil
 }
 
@@ -282,7 +297,8 @@
 	}
 	ctx, stop := context.WithDeadline(ctx, r.Deadline)
 	defer stop()
-	res, err := e.server.Owner.Execute(ctx, r, &sink{exchange: e, ctx: ctx, id: id, call: c})
+	parts := &sink{exchange: e, ctx: ctx, id: id, call: c}
+	res, err := e.server.Owner.Execute(ctx, r, parts)
 	e.note(r.Session, err == nil && res.TxStatus == request.TxIdle)
 	a := &peerpb.Answer{Last: true, TxStatus: uint32(res.TxStatus)}
 	if res.HasMark {
@@ -290,6 +306,8 @@
 	}
 	if err != nil {
 		a.Failure = encodeFailure(err)
+	} else {
+		a.Messages = parts.held
 	}
 	e.answer(id, a)
 }
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -52,6 +53,7 @@
 	asked    bool   // an answer is outstanding
 	gone     bool   // the upstream has ended the connection
 	out      []byte // reused for what is sent
+	guards   sync.WaitGroup
 
 	openedAt   time.Time
 	usedAt     time.Time // by a request
@@ -128,18 +130,23 @@
 func (c *Conn) guard(ctx context.Context, deadline time.Time, patience time.Duration) (lift func()) {
 	_ = c.net.SetWriteDeadline(deadline)
 	c.reader.begin(ctx, deadline, patience)
-	fired := make(chan struct{})
-	stop := context.AfterFunc(ctx, func() {
-		defer close(fired)
-		_ = c.net.SetDeadline(time.Unix(1, 0))
-	})
+	c.guards.Add(1)
+	stop := context.AfterFunc(ctx, c.interrupt)
 	return func() {
-		if !stop() {
-			<-fired // else it could hit the next request
+		if stop() {
+			c.guards.Done()
+		} else {
+			c.guards.Wait() // else it could hit the next request
 		}
 	}
 }
 
+// interrupt ends a blocked read or write.
+func (c *Conn) interrupt() {
+	defer c.guards.Done()
+	_ = c.net.SetDeadline(time.Unix(1, 0))
+}
+
 // ping makes a round trip that runs nothing on the upstream.
 func (c *Conn) ping(ctx context.Context, timeout time.Duration) error {
 	// A probe asks nothing: it is what answers the question.
