Write a short answer to a caller at once

The last part of an answer and ReadyForQuery were two writes, and woke the caller twice. A part of up to 32 KiB now waits for the next one or the end, as over links.

--- a/internal/pg/listener.go
+++ b/internal/pg/listener.go
@@ -207,7 +207,7 @@
 
 // welcome ends the start-up of a caller.
 func (s *session) welcome(pid, key uint32, start *startup) error {
-	s.backend.Send(&pgproto3.AuthenticationOk{})
+	s.send(&pgproto3.AuthenticationOk{})
 	for _, p := range [][2]string{
 		{"server_version", serverVersion},
 		{"server_encoding", "UTF8"},
@@ -217,9 +217,9 @@
 		{"standard_conforming_strings", "on"},
 		{"application_name", start.params["application_name"]},
 	} {
-		s.backend.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
+		s.send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
 	}
-	s.backend.Send(&pgproto3.BackendKeyData{ProcessID: pid, SecretKey: []byte{byte(key >> 24), byte(key >> 16), byte(key >> 8), byte(key)}})
+	s.send(&pgproto3.BackendKeyData{ProcessID: pid, SecretKey: []byte{byte(key >> 24), byte(key >> 16), byte(key >> 8), byte(key)}})
 	return s.ready()
 }
 
--- a/internal/pg/session.go
+++ b/internal/pg/session.go
@@ -25,6 +25,7 @@
 	net      net.Conn
 	reader   *callerReader
 	writer   callerWriter
+	pending  []byte // not written yet
 	backend  *pgproto3.Backend
 	gate     *gateway.Session
 	log      logrus.FieldLogger
@@ -40,14 +41,41 @@
 	ending bool
 }
 
-// Answer implements request.Sink: it writes a part of an answer.
+// lastPartBytes bounds what is kept back of an answer to go with its end.
+const lastPartBytes = 32 << 10
+
+// Answer implements request.Sink: it writes a part of an answer. A small part
+// waits for the next one or the end, so that a short answer is one write.
 func (s *session) Answer(p []byte) error {
-	if _, err := s.writer.Write(p); err != nil {
+	s.pending = append(s.pending, p...)
+	if len(s.pending) <= lastPartBytes {
+		return nil
+	}
+	if err := s.flush(); err != nil {
 		return errkind.Wrap(err, errkind.Cancelled, "the caller went away")
 	}
 	return nil
 }
 
+// send adds a message of the proxy to what is written next.
+func (s *session) send(m pgproto3.BackendMessage) {
+	buf, err := m.Encode(s.pending)
+	if err != nil { // longer than a message may be
+		buf, _ = errorResponse(errkind.New(errkind.TooLarge, "%T", m), "ERROR").Encode(s.pending)
+	}
+	s.pending = buf
+}
+
+// flush writes what is pending.
+func (s *session) flush() error {
+	_, err := s.writer.Write(s.pending)
+	s.pending = s.pending[:0]
+	if cap(s.pending) > 2*lastPartBytes {
+		s.pending = nil // a long answer must not cost its memory for ever
+	}
+	return err
+}
+
 // run serves the caller until it leaves.
 func (s *session) run(ctx context.Context) error {
 	for {
@@ -110,8 +138,8 @@
 
 // goodbye tells the caller that this host shuts down.
 func (s *session) goodbye() error {
-	s.backend.Send(errorResponse(errkind.New(errkind.ShuttingDown, "connect again"), "FATAL"))
-	return s.backend.Flush()
+	s.send(errorResponse(errkind.New(errkind.ShuttingDown, "connect again"), "FATAL"))
+	return s.flush()
 }
 
 // handle answers one message.
@@ -151,8 +179,8 @@
 func (s *session) reportUnit() error {
 	s.skipping = true
 	s.abort()
-	s.backend.Send(errorResponse(s.unit.failure, "ERROR"))
-	return s.backend.Flush()
+	s.send(errorResponse(s.unit.failure, "ERROR"))
+	return s.flush()
 }
 
 func (s *session) sync(ctx context.Context, m *pgproto3.Sync) error {
@@ -185,7 +213,7 @@
 func (s *session) simpleQuery(ctx context.Context, m *pgproto3.Query) error {
 	text := statement.Read(m.String)
 	if len(text.Statements) == 0 {
-		s.backend.Send(&pgproto3.EmptyQueryResponse{})
+		s.send(&pgproto3.EmptyQueryResponse{})
 		return s.ready()
 	}
 	if done, err := s.own(text); done {
@@ -214,7 +242,7 @@
 		if err := s.set(name, value); err != nil {
 			return true, s.failOwn(errkind.Of(err))
 		}
-		s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte("SET")})
+		s.send(&pgproto3.CommandComplete{CommandTag: []byte("SET")})
 		return true, s.ready()
 	case statement.Reset:
 		if s.txStatus != request.TxIdle {
@@ -224,7 +252,7 @@
 		if st.Verb == "DISCARD" {
 			clear(s.known)
 		}
-		s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(tagOfReset(st))})
+		s.send(&pgproto3.CommandComplete{CommandTag: []byte(tagOfReset(st))})
 		return true, s.ready()
 	}
 	return false, nil
@@ -337,7 +365,7 @@
 
 // fail answers a unit with an error of the proxy.
 func (s *session) fail(e *errkind.Error) error {
-	s.backend.Send(errorResponse(e, "ERROR"))
+	s.send(errorResponse(e, "ERROR"))
 	return s.ready()
 }
 
@@ -346,10 +374,10 @@
 func (s *session) ready() error {
 	if token := s.gate.Token(); token != s.token {
 		s.token = token
-		s.backend.Send(&pgproto3.ParameterStatus{Name: paramToken, Value: token})
+		s.send(&pgproto3.ParameterStatus{Name: paramToken, Value: token})
 	}
-	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: s.txStatus})
-	return s.backend.Flush()
+	s.send(&pgproto3.ReadyForQuery{TxStatus: s.txStatus})
+	return s.flush()
 }
 
 // interrupt cancels the request that runs.
