--- a/internal/pg/listener.go
+++ b/internal/pg/listener.go
@@ -219,7 +219,7 @@
 
 // welcome ends the start-up of a caller.
 func (s *session) welcome(pid, key uint32, start *startup) error {
-	messages := []pgproto3.BackendMessage{&pgproto3.AuthenticationOk{}}
+	s.send(&pgproto3.AuthenticationOk{})
 	for _, p := range [][2]string{
 		{"server_version", serverVersion},
 		{"server_encoding", "UTF8"},
@@ -229,11 +229,10 @@
 		{"standard_conforming_strings", "on"},
 		{"application_name", start.params["application_name"]},
 	} {
-		messages = append(messages, &pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
+		s.send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
 	}
-	secret := []byte{byte(key >> 24), byte(key >> 16), byte(key >> 8), byte(key)}
-	messages = append(messages, &pgproto3.BackendKeyData{ProcessID: pid, SecretKey: secret})
-	return s.ready(messages...)
+	s.send(&pgproto3.BackendKeyData{ProcessID: pid, SecretKey: []byte{byte(key >> 24), byte(key >> 16), byte(key >> 8), byte(key)}})
+	return s.ready()
 }
 
 func (l *Listener) add(s *session) uint32 {
--- a/internal/pg/session.go
+++ b/internal/pg/session.go
@@ -20,15 +20,13 @@
 	"github.com/amaranthweir/amaranthweir/internal/statement"
 )
 
-// flushBytes is how much of an answer is kept before it is written.
-const flushBytes = 16 << 10
-
 // session is one caller connection after its start-up.
 type session struct {
 	listener *Listener
 	net      net.Conn
 	reader   *callerReader
 	writer   callerWriter
+	pending  []byte // not written yet
 	backend  *pgproto3.Backend
 	gate     *gateway.Session
 	log      logrus.FieldLogger
@@ -37,7 +35,6 @@
 	skipping bool // until the next Sync, after an error of the extended protocol
 	txStatus byte
 	token    string // as the caller has it
-	out      []byte // the part of an answer that was not written yet
 
 	mu     sync.Mutex
 	cancel context.CancelFunc // of the request that runs
@@ -45,27 +42,39 @@
 	ending bool
 }
 
-// Answer implements request.Sink. A short answer is kept until the
-// ReadyForQuery that ends it, so that both go out in one write.
+// lastPartBytes bounds what is kept back of an answer to go with its end.
+const lastPartBytes = 32 << 10
+
+// Answer implements request.Sink: it writes a part of an answer. A small part
+// waits for the next one or the end, so that a short answer is one write.
 func (s *session) Answer(p []byte) error {
-	s.out = append(s.out, p...)
-	if len(s.out) < flushBytes {
+	s.pending = append(s.pending, p...)
+	if len(s.pending) <= lastPartBytes {
 		return nil
 	}
-	return s.flush()
+	if err := s.flush(); err != nil {
+		return errkind.Wrap(err, errkind.Cancelled, "the caller went away")
+	}
+	return nil
 }
 
-// flush writes what is kept of an answer.
-func (s *session) flush() error {
-	if len(s.out) == 0 {
-		return nil
+// send adds a message of the proxy to what is written next.
+func (s *session) send(m pgproto3.BackendMessage) {
+	buf, err := m.Encode(s.pending)
+	if err != nil { // longer than a message may be
+		buf, _ = errorResponse(errkind.New(errkind.TooLarge, "%T", m), "ERROR").Encode(s.pending)
 	}
-	_, err := s.writer.Write(s.out)
-	s.out = s.out[:0]
-	if err != nil {
-		return errkind.Wrap(err, errkind.Cancelled, "the caller went away")
+	s.pending = buf
+}
+
+// flush writes what is pending.
+func (s *session) flush() error {
+	_, err := s.writer.Write(s.pending)
+	s.pending = s.pending[:0]
+	if cap(s.pending) > 2*lastPartBytes {
+		s.pending = nil // a long answer must not cost its memory for ever
 	}
-	return nil
+	return err
 }
 
 // run serves the caller until it leaves.
@@ -145,7 +154,8 @@
 
 // goodbye tells the caller that this host shuts down.
 func (s *session) goodbye() error {
-	return s.send(errorResponse(errkind.New(errkind.ShuttingDown, "connect again"), "FATAL"))
+	s.send(errorResponse(errkind.New(errkind.ShuttingDown, "connect again"), "FATAL"))
+	return s.flush()
 }
 
 // handle answers one message.
@@ -185,7 +195,8 @@
 func (s *session) reportUnit() error {
 	s.skipping = true
 	s.abort()
-	return s.send(errorResponse(s.unit.failure, "ERROR"))
+	s.send(errorResponse(s.unit.failure, "ERROR"))
+	return s.flush()
 }
 
 func (s *session) sync(ctx context.Context, m *pgproto3.Sync) error {
@@ -201,12 +212,12 @@
 	if len(u.messages) == 0 {
 		return s.ready()
 	}
-	if u.onlyCloses {
+	if u.onlyCloses { // what was closed stands on no connection of its own
 		u.commit(len(u.changes))
 		if err := s.Answer(synthetic.Answer(u.messages, "")); err != nil {
 			return err
 		}
-		return s.ready() // what was closed stands on no connection of its own
+		return s.ready()
 	}
 	u.append(m)
 	w := &gateway.Work{Messages: u.messages, Texts: u.texts}
@@ -225,7 +236,8 @@
 func (s *session) simpleQuery(ctx context.Context, m *pgproto3.Query) error {
 	text := statement.Read(m.String)
 	if len(text.Statements) == 0 {
-		return s.ready(&pgproto3.EmptyQueryResponse{})
+		s.send(&pgproto3.EmptyQueryResponse{})
+		return s.ready()
 	}
 	if done, err := s.own(text); done {
 		return err
@@ -253,7 +265,8 @@
 		if err := s.set(name, value); err != nil {
 			return true, s.failOwn(errkind.Of(err))
 		}
-		return true, s.ready(&pgproto3.CommandComplete{CommandTag: []byte("SET")})
+		s.send(&pgproto3.CommandComplete{CommandTag: []byte("SET")})
+		return true, s.ready()
 	case statement.Reset:
 		if s.txStatus != request.TxIdle {
 			return true, s.failOwn(errkind.New(errkind.NotSupported, "%s inside a transaction", st.Verb))
@@ -262,7 +275,8 @@
 		if st.Verb == "DISCARD" {
 			clear(s.known)
 		}
-		return true, s.ready(&pgproto3.CommandComplete{CommandTag: []byte(tagOfReset(st))})
+		s.send(&pgproto3.CommandComplete{CommandTag: []byte(tagOfReset(st))})
+		return true, s.ready()
 	}
 	return false, nil
 }
@@ -374,31 +388,18 @@
 
 // fail answers a unit with an error of the proxy.
 func (s *session) fail(e *errkind.Error) error {
-	return s.send(errorResponse(e, "ERROR"), s.readyMessage())
+	s.send(errorResponse(e, "ERROR"))
+	return s.ready()
 }
 
 // ready ends an answer. A new session token goes before it, as a reported
 // parameter that drivers keep.
-func (s *session) ready(before ...pgproto3.BackendMessage) error {
+func (s *session) ready() error {
 	if token := s.gate.Token(); token != s.token {
 		s.token = token
-		before = append(before, &pgproto3.ParameterStatus{Name: paramToken, Value: token})
-	}
-	return s.send(append(before, s.readyMessage())...)
-}
-
-func (s *session) readyMessage() pgproto3.BackendMessage {
-	return &pgproto3.ReadyForQuery{TxStatus: s.txStatus}
-}
-
-// send writes messages of the proxy behind what is kept of the answer.
-func (s *session) send(messages ...pgproto3.BackendMessage) error {
-	for _, m := range messages {
-		var err error
-		if s.out, err = m.Encode(s.out); err != nil {
-			return err
-		}
+		s.send(&pgproto3.ParameterStatus{Name: paramToken, Value: token})
 	}
+	s.send(&pgproto3.ReadyForQuery{TxStatus: s.txStatus})
 	return s.flush()
 }
 
