--- a/internal/host/leader.go
+++ b/internal/host/leader.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/amaranthweir/amaranthweir/internal/config"
 	"github.com/amaranthweir/amaranthweir/internal/control"
 	"github.com/amaranthweir/amaranthweir/internal/peer"
 	"github.com/amaranthweir/amaranthweir/internal/system/failover"
@@ -235,16 +236,16 @@
 	}
 	for service, doc := range view.Documents {
 		if old.Documents[service].Version != doc.Version {
-			l.expect(service)
+			l.expect(service, doc)
 		}
 	}
 }
 
 // expect tells how large the groups of a service are when whole.
-func (l *leader) expect(service string) {
-	docs := parseDocuments(l.log, nil, control.NewView(), l.fed)
-	doc := (*docs)[service]
-	if doc == nil {
+func (l *leader) expect(service string, in control.Document) {
+	doc, err := config.ParseDocument(service, in.Body)
+	if err != nil {
+		l.log.WithError(err).WithField("service", service).Error("a document in force cannot be read")
 		return
 	}
 	for _, g := range doc.Groups {
