Measure slopes and work out the capacity page

The users ask what each role needs with 4,700 hosts before 8,800 databases. make capacity fills the leader, the agreed state, the tables and the decision systems at that size, measures bytes, processor time (user and system) and memory with the code of the tree, and works out a table for the design as built and as proposed. Benchmarks sit beside the code they measure, since its types are not exported; the arithmetic is one pure function with a test on small numbers. A load of thousands of processes was ruled out: it would measure this machine.

The harness of the end-to-end tests takes testing.TB so that a benchmark can use it. TestCommitTraffic bounds messages and bytes of a commit in virtual time.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 export CGO_ENABLED = 1
 GOFILES = $(shell git ls-files --cached --others --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: setup build lint test generate demo
+.PHONY: setup build lint test generate demo capacity
 
 setup: ## fetch the declared modules and build the pinned tools
 	$(GO) mod download
@@ -30,3 +30,10 @@
 
 generate: ## regenerate the peer protocol (needs protoc from Debian's protobuf-compiler)
 	cd internal/peer/peerpb && protoc --plugin=protoc-gen-go="$$($(GO) tool -n protoc-gen-go)" --plugin=protoc-gen-go-drpc="$$($(GO) tool -n protoc-gen-go-drpc)" --go_out=. --go_opt=paths=source_relative --go-drpc_out=. --go-drpc_opt=paths=source_relative peer.proto
+
+CAPACITY_PACKAGES = ./internal/host ./internal/control ./internal/capacity ./internal/peer ./internal/platform/pgplatform ./internal/e2e
+
+capacity: build ## measure the slopes of docs/CAPACITY.md and print its arithmetic
+	@for p in $(CAPACITY_PACKAGES); do \
+	  $(GO) test -count=1 -run '^(TestCommitTraffic|TestIdleTraffic)$$' -bench '^Benchmark(Capacity|IdleSecond)' -benchtime 1x -v $$p || exit 1; \
+	done | bin/capacity
--- /dev/null
+++ b/internal/capacity/capacitytest/capacitytest.go
@@ -0,0 +1,91 @@
+// Package capacitytest measures what the capacity page is worked out from:
+// processor time, memory, and bytes on connections. It serves benchmarks and
+// is no part of the binary.
+package capacitytest
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"runtime"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/amaranthweir/amaranthweir/internal/capacity"
+)
+
+// Report prints one figure as a JSON line.
+func Report(tb testing.TB, name string, value float64, unit capacity.Unit) {
+	tb.Helper()
+	line, err := json.Marshal(capacity.Figure{Name: name, Value: value, Unit: unit})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	_, _ = fmt.Fprintf(os.Stdout, "\n%s\n", line)
+}
+
+// CPU returns the user and system time that this process has used.
+func CPU() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// PerRun runs f n times and returns the processor time of one run in
+// microseconds, with the garbage collection that it causes.
+func PerRun(n int, f func(i int)) float64 {
+	runtime.GC()
+	begin := CPU()
+	for i := range n {
+		f(i)
+	}
+	return (CPU() - begin).Seconds() * 1e6 / float64(n)
+}
+
+// InUse returns the bytes of heap and stacks in use after a collection.
+func InUse() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC() // what finalizers and pools held
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
+// Listener counts the bytes of the connections it accepts.
+type Listener struct {
+	net.Listener
+	Received, Sent atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: c, listener: l}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	listener *Listener
+}
+
+// Read implements net.Conn.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.listener.Received.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.listener.Sent.Add(int64(n))
+	return n, err
+}
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -77,7 +77,7 @@
 
 // cluster is a deployment of hosts and one group of stand-ins.
 type cluster struct {
-	t     *testing.T
+	t     testing.TB
 	hosts []*process
 	group []*standin.Instance
 }
@@ -86,7 +86,7 @@
 var nextPort atomic.Uint32
 
 // freePorts returns n loopback addresses that nothing listens on.
-func freePorts(t *testing.T, n int) []string {
+func freePorts(t testing.TB, n int) []string {
 	const first, last = 20000, 32000
 	var addresses []string
 	for len(addresses) < n {
@@ -103,7 +103,7 @@
 
 // start runs hosts, the first three of them control hosts, and a group with
 // the given replication lag, and waits until the group is served.
-func start(t *testing.T, hosts int, lag time.Duration) *cluster {
+func start(t testing.TB, hosts int, lag time.Duration) *cluster {
 	t.Helper()
 	c := &cluster{t: t}
 	ports := freePorts(t, 3*hosts)
--- /dev/null
+++ b/standin/cmd/capacity/main.go
@@ -0,0 +1,76 @@
+// Command capacity reads measured slopes as JSON lines, prints them, and the
+// arithmetic of the capacity page as a table. Lines that are no JSON objects
+// are passed over.
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/amaranthweir/amaranthweir/internal/capacity"
+)
+
+func main() {
+	if err := run(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(in io.Reader, out io.Writer) error {
+	slopes, err := read(in, out)
+	if err != nil {
+		return err
+	}
+	if missing := slopes.Missing(); len(missing) > 0 {
+		return fmt.Errorf("not measured: %s", strings.Join(missing, ", "))
+	}
+	z := capacity.UsersSizes()
+	if err := printTable(out, "as built", capacity.Work(slopes, z, capacity.Today())); err != nil {
+		return err
+	}
+	return printTable(out, "as proposed", capacity.Work(slopes, z, capacity.Proposed()))
+}
+
+// read returns the figures and prints each.
+func read(in io.Reader, out io.Writer) (capacity.Slopes, error) {
+	slopes := capacity.Slopes{}
+	lines := bufio.NewScanner(in)
+	for lines.Scan() {
+		var f capacity.Figure
+		if !strings.HasPrefix(lines.Text(), "{") || json.Unmarshal(lines.Bytes(), &f) != nil {
+			continue
+		}
+		slopes[f.Name] = f.Value
+		if _, err := fmt.Fprintln(out, lines.Text()); err != nil {
+			return nil, err
+		}
+	}
+	return slopes, lines.Err()
+}
+
+func printTable(out io.Writer, title string, rows []capacity.Row) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "\n%s\trole\tkB/s\t%% of a core\tMB\n", title)
+	for _, r := range rows {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", r.Mechanism, r.Role, number(r.Bytes/1e3), number(r.Core), number(r.Memory/1e6))
+	}
+	sum := capacity.Control(rows)
+	fmt.Fprintf(w, "control of a host that serves callers\tsum\t%s\t%s\t%s\n", number(sum.Bytes/1e3), number(sum.Core), number(sum.Memory/1e6))
+	l := capacity.UsersLimits()
+	fmt.Fprintf(w, "limit\t\t%s\t%s\t%s\n", number(l.BytesPerSecond/1e3), number(l.CorePercent), number(l.MemoryBytes/1e6))
+	return w.Flush()
+}
+
+// number prints three significant digits.
+func number(v float64) string {
+	if v >= 100 {
+		return fmt.Sprintf("%.0f", v)
+	}
+	return fmt.Sprintf("%.3g", v)
+}
