--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -148,6 +148,14 @@
 // Now returns how many ticks the node has counted.
 func (n *Node) Now() uint64 { return n.tick }
 
+// Silence returns for how many ticks the node has heard no leader.
+func (n *Node) Silence() uint64 {
+	if n.role == RoleLeader {
+		return 0
+	}
+	return n.tick - n.contact
+}
+
 // CaughtUp reports whether the node, since its start, has committed an entry
 // of the term of a leader, and all that it may have applied before its start.
 func (n *Node) CaughtUp() bool { return n.caughtUp }
@@ -320,9 +328,9 @@
 	rd := Ready{
 		Snapshot:  n.install,
 		Entries:   n.log.between(n.log.stable, n.log.lastIndex()),
-		Messages:  n.messages,
 		Committed: n.log.between(n.log.applied, n.log.commit),
 	}
+	rd.Early, rd.Messages = n.splitMessages()
 	if hs := n.hardState(); hs != n.saved {
 		rd.HardState = &hs
 		rd.MustSync = hs.Term != n.saved.Term || hs.Vote != n.saved.Vote
@@ -331,6 +339,20 @@
 	return rd
 }
 
+// splitMessages returns what a leader of a durable term sends to followers,
+// and all else.
+func (n *Node) splitMessages() (early, others []Message) {
+	leads := n.role == RoleLeader && n.saved.Term == n.term
+	for _, m := range n.messages {
+		if leads && m.Term == n.term && (m.Type == MsgAppend || m.Type == MsgSnapshot) {
+			early = append(early, m)
+			continue
+		}
+		others = append(others, m)
+	}
+	return early, others
+}
+
 // Advance tells the node that all of the last Ready is done.
 func (n *Node) Advance() {
 	n.install = nil
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -111,7 +111,7 @@
 		r.arrangeMembers()
 		return nil
 	}
-	if r.node.Members().Contains(r.id) {
+	if r.node.Members().Contains(r.id) && !r.asksAgain() {
 		return nil
 	}
 	for _, host := range r.cfg.Voters {
@@ -171,6 +171,9 @@
 }
 
 func (r *replica) carryOut(rd consensus.Ready) error {
+	for i := range rd.Early {
+		r.send(&rd.Early[i])
+	}
 	if rd.Snapshot != nil {
 		if err := r.wal.ResetTo(*rd.Snapshot); err != nil {
 			return err
--- a/internal/gateway/do.go
+++ b/internal/gateway/do.go
@@ -11,7 +11,6 @@
 	"github.com/amaranthweir/amaranthweir/internal/pg/synthetic"
 	"github.com/amaranthweir/amaranthweir/internal/request"
 	"github.com/amaranthweir/amaranthweir/internal/statement"
-	"github.com/amaranthweir/amaranthweir/internal/system/routing"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
@@ -58,6 +57,10 @@
 	return request.TxFailed
 }
 
+// Fail notes an error that the listener found itself, and returns the state
+// after it.
+func (s *Session) Fail() byte { return s.failed() }
+
 // doAborted answers a unit inside an aborted transaction: its end is answered
 // with ROLLBACK, everything else is refused.
 func (s *Session) doAborted(w *Work, sink request.Sink) (byte, error) {
@@ -224,19 +227,13 @@
 	return c.sink.Answer(p)
 }
 
-// logDecision writes the log line of a routing decision.
-func (r *run) logDecision(q *request.Request, d routing.Decision) {
+// logRefusal writes why an attempt was refused, once for each cause in a row.
+func (r *run) logRefusal(q *request.Request, err, before error) {
+	if before != nil && before.Error() == err.Error() {
+		return
+	}
 	r.session.gateway.cfg.Log.WithFields(logrus.Fields{
-		"request":  q.ID,
-		"service":  q.Service,
-		"class":    q.Class,
-		"rank":     q.Rank.String(),
-		"group":    q.Group,
-		"instance": d.Instance,
-		"owner":    d.Owner,
-		"reason":   d.Reason.String(),
-		"floor":    q.Floor.Position,
-		"term":     q.Floor.Term,
-		"attempt":  r.attempts,
-	}).Info("route")
+		"request": q.ID, "instance": r.instance, "owner": r.owner, "attempt": r.attempts,
+		"kind": errkind.Of(err).Kind.String(),
+	}).WithError(err).Info("attempt refused")
 }
--- a/internal/host/leader.go
+++ b/internal/host/leader.go
@@ -19,6 +19,9 @@
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
+// lastMessages is how long the last messages of the agreement have to go out.
+const lastMessages = 30 * time.Millisecond
+
 // proposeTimeout bounds one command of the leader's systems.
 const proposeTimeout = 2 * time.Second
 
@@ -105,14 +108,20 @@
 	l.mu.Lock()
 	l.ctx = ctx
 	l.mu.Unlock()
+	// The last messages of the agreement hand the leadership over: they go out
+	// after ctx has ended.
+	sending, stopSending := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopSending()
 	l.sender.mu.Lock()
-	l.sender.sender = peer.NewSender(ctx, others, l.host.dir.peers)
+	l.sender.sender = peer.NewSender(sending, others, l.host.dir.peers)
 	l.sender.mu.Unlock()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return l.server.Run(ctx) })
 	group.Go(func() error { return l.host.followControl(ctx, l.server) })
 	group.Go(func() error { return l.decide(ctx) })
-	return group.Wait()
+	err := group.Wait()
+	time.Sleep(lastMessages)
+	return err
 }
 
 // decide runs the systems at intervals and after each change.
@@ -230,9 +239,7 @@
 			continue
 		}
 		l.ownership.Assigned(now, o)
-		if in, ok := l.instances[id]; ok {
-			l.failover.SetOwner(in.Group, o)
-		}
+		l.failover.SetOwner(l.instances[id].Group, o)
 	}
 	for service, doc := range view.Documents {
 		if old.Documents[service].Version != doc.Version {
@@ -285,6 +292,7 @@
 	}
 	reply := heartbeatReply{Leads: true}
 	beat := lease.Beat{Incarnation: hb.Incarnation, Sequence: hb.Sequence}
+	overtaken := l.grantor.Overtaken(hb.Host, beat)
 	if hb.Release {
 		l.grantor.Release(hb.Host, beat)
 	} else if !l.ownership.Barred(hb.Host) {
@@ -296,7 +304,9 @@
 	for _, a := range hb.Announcements {
 		l.announced(now, a)
 	}
-	l.failover.Reported(now, hb.Host, hb.Reports)
+	if !overtaken {
+		l.failover.Reported(now, hb.Host, hb.Reports)
+	}
 	for _, r := range hb.Released {
 		l.ownership.Released(hb.Host, r.Instance, r.Epoch)
 	}
--- a/internal/pg/listener.go
+++ b/internal/pg/listener.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -21,6 +22,10 @@
 // pastDeadline makes a blocked read end at once.
 var pastDeadline = time.Unix(1, 0)
 
+// DefaultIdleTransaction is how long a transaction may wait for its next
+// message. It holds a connection and locks, and holds up changes of owner.
+const DefaultIdleTransaction = 5 * time.Minute
+
 // Config describes a Listener.
 type Config struct {
 	Gateway *gateway.Gateway
@@ -29,6 +34,9 @@
 	// MaxCallers bounds open connections, MaxMessageBytes one message.
 	MaxCallers      int
 	MaxMessageBytes int
+	// IdleTransaction is how long a transaction may wait for its next message;
+	// zero stands for DefaultIdleTransaction.
+	IdleTransaction time.Duration
 	// Counters hears of what happens at the edge; see package metrics.
 	Counters Counters
 }
@@ -41,7 +49,8 @@
 
 // Listener serves callers.
 type Listener struct {
-	cfg Config
+	cfg      Config
+	starting atomic.Int64 // callers in their start-up
 
 	mu       sync.Mutex
 	sessions map[uint32]*entry // by process id, for cancel requests
@@ -58,6 +67,9 @@
 
 // NewListener returns a Listener that serves no connection yet.
 func NewListener(cfg Config) *Listener {
+	if cfg.IdleTransaction <= 0 {
+		cfg.IdleTransaction = DefaultIdleTransaction
+	}
 	return &Listener{cfg: cfg, sessions: map[uint32]*entry{}}
 }
 
@@ -73,21 +85,49 @@
 			}
 			return err
 		}
-		l.work.Add(1)
+		leave := l.enter()
 		go func() {
-			defer l.work.Done()
+			defer leave()
 			l.serve(ctx, nc)
 		}()
 	}
 }
 
+// enter makes Drain wait for a connection, unless it has begun: then the
+// connection is refused.
+func (l *Listener) enter() (leave func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ending {
+		return func() {}
+	}
+	l.work.Add(1)
+	return l.work.Done
+}
+
+// startupError is what a caller is told about a failed start-up.
+func startupError(err error) *errkind.Error {
+	var known *errkind.Error
+	if errors.As(err, &known) {
+		return known
+	}
+	return errkind.Wrap(err, errkind.BadRequest, "%v", err)
+}
+
 // serve runs one connection from start-up to its end.
 func (l *Listener) serve(ctx context.Context, nc net.Conn) {
 	log := l.cfg.Log.WithField("caller", nc.RemoteAddr().String())
+	if l.starting.Add(1) > maxStarting {
+		l.starting.Add(-1)
+		l.refuse(log, nc, errkind.New(errkind.CallerLimit, "too many callers are connecting"))
+		_ = nc.Close()
+		return
+	}
 	nc, start, err := readStartup(nc, l.cfg.TLS)
+	l.starting.Add(-1)
 	defer func() { _ = nc.Close() }()
 	if err != nil {
-		l.refuse(log, nc, errkind.Wrap(err, errkind.BadRequest, "%v", err))
+		l.refuse(log, nc, startupError(err))
 		return
 	}
 	if start.cancel != nil {
@@ -99,6 +139,7 @@
 		l.refuse(log, nc, errkind.Of(err))
 		return
 	}
+	_ = nc.SetDeadline(time.Time{})
 	l.cfg.Counters.Callers(1)
 	defer l.cfg.Counters.Callers(-1)
 	pid := l.add(s)
@@ -109,8 +150,9 @@
 	}
 	err = s.run(ctx)
 	switch {
+	case errkind.Is(err, errkind.IdleInTransaction):
+		l.refuse(log, nc, errkind.Of(err))
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		_ = nc.SetDeadline(time.Now().Add(startupTimeout))
 		_ = s.goodbye()
 	case err != nil:
 		l.refuse(log, nc, errkind.Of(err))
@@ -144,16 +186,20 @@
 	if err != nil {
 		return nil, err
 	}
-	backend := pgproto3.NewBackend(nc, nc)
+	reader, writer := &callerReader{net: nc}, callerWriter{net: nc}
+	backend := pgproto3.NewBackend(reader, writer)
 	backend.SetMaxBodyLen(l.cfg.MaxMessageBytes)
+	known := map[string]prepared{}
 	s := &session{
 		listener: l,
 		net:      nc,
+		reader:   reader,
+		writer:   writer,
 		backend:  backend,
 		gate:     gate,
 		log:      log,
-		known:    map[string]prepared{},
-		unit:     newUnit(),
+		known:    known,
+		unit:     newUnit(known),
 		txStatus: request.TxIdle,
 	}
 	for name, value := range start.params {
@@ -173,7 +219,7 @@
 
 // welcome ends the start-up of a caller.
 func (s *session) welcome(pid, key uint32, start *startup) error {
-	s.backend.Send(&pgproto3.AuthenticationOk{})
+	messages := []pgproto3.BackendMessage{&pgproto3.AuthenticationOk{}}
 	for _, p := range [][2]string{
 		{"server_version", serverVersion},
 		{"server_encoding", "UTF8"},
@@ -183,11 +229,11 @@
 		{"standard_conforming_strings", "on"},
 		{"application_name", start.params["application_name"]},
 	} {
-		s.backend.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
+		messages = append(messages, &pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
 	}
-	s.backend.Send(&pgproto3.BackendKeyData{ProcessID: pid, SecretKey: []byte{byte(key >> 24), byte(key >> 16), byte(key >> 8), byte(key)}})
-	_ = s.net.SetDeadline(time.Time{})
-	return s.ready()
+	secret := []byte{byte(key >> 24), byte(key >> 16), byte(key >> 8), byte(key)}
+	messages = append(messages, &pgproto3.BackendKeyData{ProcessID: pid, SecretKey: secret})
+	return s.ready(messages...)
 }
 
 func (l *Listener) add(s *session) uint32 {
@@ -195,6 +241,9 @@
 	defer l.mu.Unlock()
 	l.nextPID++
 	l.sessions[l.nextPID] = &entry{session: s, key: newCancelKey()}
+	if l.ending { // since the login
+		s.end()
+	}
 	return l.nextPID
 }
 
@@ -244,6 +293,11 @@
 		return nil
 	case <-ctx.Done():
 	}
+	return l.Left()
+}
+
+// Left names the callers that are connected.
+func (l *Listener) Left() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var left []string
