Hand hosts what changed in the tables, not the whole tables

A leader now remembers which entries changed lately and answers with those that the host lacks; a host that has the tables of another leader, or older ones than are remembered, gets them whole. An answer that does not build on what the host has is dropped, and its next heartbeat asks again.

--- a/internal/host/act.go
+++ b/internal/host/act.go
@@ -34,7 +34,7 @@
 			"instance": in.ID, "group": in.Group, "role": in.Role.String(), "term": in.Mark.Term,
 			"address": in.Address, "leaving": in.Leaving,
 		}).Info("instance announced")
-		l.changed()
+		l.instanceChanged(in.ID)
 	}
 }
 
--- a/internal/host/capacity_test.go
+++ b/internal/host/capacity_test.go
@@ -336,11 +336,11 @@
 // measureTables measures the whole tables as they go to a host.
 func (f *large) measureTables() {
 	b := f.b
-	t := f.host.leader.tables()
+	t := f.host.leader.tables(tablesVersion{})
 	capacitytest.Report(b, "tables_host_bytes", size(b, t.Hosts)/float64(len(t.Hosts)), capacity.Bytes)
 	capacitytest.Report(b, "tables_instance_bytes", size(b, t.Instances)/float64(len(t.Instances)), capacity.Bytes)
 	capacitytest.Report(b, "tables_encode_cpu", capacitytest.PerRun(3, func(int) {
-		_ = size(b, f.host.leader.tables())
+		_ = size(b, f.host.leader.tables(tablesVersion{}))
 	}), capacity.Microsecond)
 }
 
@@ -352,7 +352,7 @@
 	whole, err := view.EncodeDelta(0)
 	assert.NilError(b, err)
 	capacitytest.Report(b, "state_bytes", float64(len(whole)), capacity.Bytes)
-	body, err := json.Marshal(f.host.leader.tables())
+	body, err := json.Marshal(f.host.leader.tables(tablesVersion{}))
 	assert.NilError(b, err)
 	before := capacitytest.InUse()
 	d := newDirectory("host-0000", f.host.clock, f.host.log)
@@ -370,6 +370,7 @@
 	}
 	capacitytest.Report(b, "host_tables_cpu", capacitytest.PerRun(3, take), capacity.Microsecond)
 	capacitytest.Report(b, "host_tables_memory", capacitytest.InUse()-before, capacity.Bytes)
+	f.measureTableDelta(d)
 	f.measureDelta(d, "document", f.document(3, 2))
 	f.measureDelta(d, "owner", control.Command{AssignOwners: &control.AssignOwners{
 		Ownerships: []table.Ownership{{Instance: f.instance(3, 1), Host: f.hostID(f.owner(3, 1)), Epoch: 2}},
@@ -379,6 +380,27 @@
 	}})
 }
 
+// measureTableDelta measures a change of one host.
+func (f *large) measureTableDelta(d *directory) {
+	b := f.b
+	l := f.host.leader
+	old := d.tables
+	l.hostChanged(f.hostID(77))
+	delta, err := json.Marshal(l.tables(old.Version))
+	assert.NilError(b, err)
+	capacitytest.Report(b, "tables_delta_bytes", float64(len(delta)), capacity.Bytes)
+	capacitytest.Report(b, "tables_delta_encode_cpu", capacitytest.PerRun(1000, func(int) {
+		_ = size(b, l.tables(old.Version))
+	}), capacity.Microsecond)
+	capacitytest.Report(b, "host_tables_delta_cpu", capacitytest.PerRun(3, func(int) {
+		var t tables
+		assert.NilError(b, json.Unmarshal(delta, &t))
+		d.tables = old
+		d.setTables(t)
+		assert.Equal(b, d.tables.Version, l.version)
+	}), capacity.Microsecond)
+}
+
 // measureDelta measures a change of the agreed state at a host.
 func (f *large) measureDelta(d *directory, name string, c control.Command) {
 	b := f.b
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -201,11 +201,15 @@
 	return &parsed
 }
 
-// setTables takes the tables of the leader.
+// setTables takes the tables of the leader, or what changed in them.
 func (d *directory) setTables(t tables) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.tables = t
+	next, connects := d.tables.with(t)
+	if !connects {
+		return // the next heartbeat says what this host has
+	}
+	d.tables = next
 	d.dialNew()
 	d.rebuild()
 }
--- a/internal/host/leader.go
+++ b/internal/host/leader.go
@@ -47,6 +47,7 @@
 	versions  map[table.HostID]map[string]uint64
 	waits     map[table.GroupName]string
 	version   tablesVersion
+	recent    tableLog
 	ctx       context.Context
 }
 
@@ -199,7 +200,8 @@
 func (l *leader) lead(now, until time.Duration) {
 	l.leading = true
 	number := uint64(time.Now().UnixNano())
-	l.version = tablesVersion{Leadership: number}
+	l.version = tablesVersion{Leadership: number, Number: 1}
+	l.recent = tableLog{forgotten: l.version.Number}
 	t := l.host.dir.currentTables()
 	l.hosts = map[table.HostID]table.Host{}
 	for _, h := range t.Hosts {
@@ -218,7 +220,6 @@
 	l.grantor.Lead(now, until, slices.Collect(maps.Keys(owners)))
 	l.failover.Lead(now, number)
 	l.ownership.Lead(now)
-	l.changed()
 	l.log.WithField("revision", view.Revision).Info("leadership begins")
 }
 
@@ -275,12 +276,9 @@
 		l.failover.RemoveHost(c.Host)
 	}
 	l.hosts[c.Host] = h
-	l.changed()
+	l.hostChanged(c.Host)
 }
 
-// changed makes the tables go out with the next answers to heartbeats.
-func (l *leader) changed() { l.version.Number++ }
-
 // heartbeat takes the heartbeat of a host and answers it.
 func (l *leader) heartbeat(hb *heartbeat) heartbeatReply {
 	l.mu.Lock()
@@ -331,15 +329,7 @@
 		reply.Control = delta
 	}
 	if hb.Tables != l.version {
-		reply.Tables = l.tables()
-	}
-}
-
-func (l *leader) tables() *tables {
-	return &tables{
-		Version:   l.version,
-		Hosts:     slices.Collect(maps.Values(l.hosts)),
-		Instances: slices.Collect(maps.Values(l.instances)),
+		reply.Tables = l.tables(hb.Tables)
 	}
 }
 
@@ -359,5 +349,5 @@
 		return
 	}
 	l.hosts[hb.Host] = next
-	l.changed()
+	l.hostChanged(hb.Host)
 }
--- /dev/null
+++ b/internal/host/tables_test.go
@@ -0,0 +1,92 @@
+package host
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
+
+func tablesLeader(leadership uint64) *leader {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return &leader{
+		log: log, version: tablesVersion{Leadership: leadership, Number: 1}, recent: tableLog{forgotten: 1},
+		hosts: map[table.HostID]table.Host{}, instances: map[table.InstanceID]table.Instance{},
+	}
+}
+
+func (l *leader) setHost(h table.Host) {
+	l.hosts[h.ID] = h
+	l.hostChanged(h.ID)
+}
+
+func (l *leader) setInstance(in table.Instance) {
+	l.instances[in.ID] = in
+	l.instanceChanged(in.ID)
+}
+
+func (t tables) sorted() tables {
+	t.Hosts, t.Instances = slices.Clone(t.Hosts), slices.Clone(t.Instances)
+	slices.SortFunc(t.Hosts, func(a, b table.Host) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(t.Instances, func(a, b table.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	return t
+}
+
+// TestTablesFollow has a host that misses answers, takes some twice and sees
+// leaders change: when it has caught up it has what the leader has.
+func TestTablesFollow(t *testing.T) {
+	const seed, steps = 7, 3000
+	t.Log("seed", seed)
+	random := rand.New(rand.NewPCG(seed, 0))
+	l := tablesLeader(1)
+	var follower, earlier tables
+	for step := range steps {
+		switch n := random.IntN(50); {
+		case n == 0:
+			l.version = tablesVersion{Leadership: l.version.Leadership + 1, Number: 1}
+			l.recent = tableLog{forgotten: 1}
+		case n < 20:
+			l.setHost(table.Host{ID: table.HostID(fmt.Sprint("h", random.IntN(9))), Incarnation: uint64(step)})
+		case n < 40:
+			l.setInstance(table.Instance{ID: table.InstanceID(fmt.Sprint("i", random.IntN(9))), Slots: step})
+		default:
+			answer := *l.tables(follower.Version)
+			kept := follower
+			if random.IntN(3) > 0 {
+				follower, _ = follower.with(answer)
+				assert.DeepEqual(t, follower.sorted(), l.tables(tablesVersion{}).sorted())
+				again, _ := follower.with(answer)
+				assert.DeepEqual(t, again.sorted(), follower.sorted())
+			}
+			_, connects := kept.with(earlier)
+			assert.Assert(t, !connects || earlier.Since == tablesVersion{} || earlier.Since == kept.Version)
+			earlier = answer
+		}
+	}
+}
+
+// TestTablesBringOnlyChanges counts entries.
+func TestTablesBringOnlyChanges(t *testing.T) {
+	l := tablesLeader(1)
+	for n := range 1000 {
+		l.setHost(table.Host{ID: table.HostID(fmt.Sprint("h", n))})
+	}
+	all, _ := tables{}.with(*l.tables(tablesVersion{}))
+	assert.Equal(t, len(all.Hosts), 1000)
+	l.setHost(table.Host{ID: "h7", Draining: true})
+	l.setHost(table.Host{ID: "h7", State: table.HostDead})
+	assert.Equal(t, len(l.tables(all.Version).Hosts), 1)
+	for range 3 * tableChangesKept {
+		l.setHost(table.Host{ID: "h8", Draining: true})
+	}
+	assert.Assert(t, len(l.recent.changes) <= 2*tableChangesKept)
+	assert.Equal(t, len(l.tables(all.Version).Hosts), 1000, "what the leader does not remember comes whole")
+}
--- a/internal/host/wire.go
+++ b/internal/host/wire.go
@@ -73,7 +73,10 @@
 
 // tables are the soft state that the leader gathers and hands out.
 type tables struct {
-	Version   tablesVersion
+	Version tablesVersion
+	// Since is the version that the entries are laid over; zero says that they
+	// are all.
+	Since     tablesVersion
 	Hosts     []table.Host
 	Instances []table.Instance
 }
