--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -176,6 +176,7 @@
 	group.Go(func() error { return h.serveHTTP(inner) })
 	group.Go(func() error { return h.callers.Serve(inner, h.callerSocket) })
 	group.Go(func() error { return h.beats.run(inner) })
+	group.Go(func() error { return h.gateway.Run(inner) })
 	if h.leader != nil {
 		group.Go(func() error { return h.leader.run(inner) })
 	}
@@ -191,11 +192,12 @@
 	})
 	err := group.Wait()
 	h.platform.Close()
-	h.log.WithError(err).Info("host stopped")
-	if errors.Is(err, context.Canceled) {
-		return nil
+	if err != nil && !errors.Is(err, context.Canceled) {
+		h.log.WithError(err).Error("host stopped")
+		return err
 	}
-	return err
+	h.log.Info("host stopped")
+	return nil
 }
 
 func (h *Host) servePeers(ctx context.Context) error {
--- a/internal/host/security_test.go
+++ b/internal/host/security_test.go
@@ -31,6 +31,7 @@
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/peer"
 	"github.com/amaranthweir/amaranthweir/internal/platform"
+	"github.com/amaranthweir/amaranthweir/internal/request"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
@@ -262,6 +263,11 @@
 	stranger.CA = d.ca.File
 	assert.Assert(t, beat(peer.DialTLS(d.loader(stranger).Client()), "127.0.0.1:9") != nil, "a stranger was heard")
 	assert.Assert(t, beat(nil, "127.0.0.1:9") != nil, "plain text was served")
+	r := peer.NewRemote(control, peer.DefaultTiming(), other)
+	defer r.Close()
+	q := &request.Request{Session: request.SessionID{Host: "h2"}, Instance: "g1-a", Deadline: time.Now().Add(patience)}
+	_, err = r.Execute(t.Context(), q, nil)
+	assert.Assert(t, errkind.Is(err, errkind.Unauthenticated), "%v", err)
 	d.testConsensus(t, other)
 }
 
--- a/internal/peer/identity.go
+++ b/internal/peer/identity.go
@@ -81,6 +81,13 @@
 // certificate that does not name the host. Without TLS every host is trusted.
 func CheckSpeaker(ctx context.Context, host table.HostID) error {
 	transport, _ := drpcctx.Transport(ctx)
+	if heard, ok := transport.(*heardConn); ok {
+		return checkCertificate(heard.Conn, host)
+	}
+	return checkCertificate(transport, host)
+}
+
+func checkCertificate(transport any, host table.HostID) error {
 	secured, ok := transport.(interface{ ConnectionState() tls.ConnectionState })
 	if !ok {
 		return nil
--- a/internal/pg/listener.go
+++ b/internal/pg/listener.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -22,6 +23,10 @@
 // pastDeadline makes a blocked read end at once.
 var pastDeadline = time.Unix(1, 0)
 
+// DefaultIdleTransaction is how long a transaction may wait for its next
+// message. It holds a connection and locks, and holds up changes of owner.
+const DefaultIdleTransaction = 5 * time.Minute
+
 // Config describes a Listener.
 type Config struct {
 	Gateway *gateway.Gateway
@@ -34,6 +39,9 @@
 	// MaxCallers bounds open connections, MaxMessageBytes one message.
 	MaxCallers      int
 	MaxMessageBytes int
+	// IdleTransaction is how long a transaction may wait for its next message;
+	// zero stands for DefaultIdleTransaction.
+	IdleTransaction time.Duration
 	// Counters hears of what happens at the edge; see package metrics.
 	Counters Counters
 }
@@ -46,13 +54,13 @@
 
 // Listener serves callers.
 type Listener struct {
-	cfg Config
+	cfg      Config
+	starting atomic.Int64 // callers in their start-up
 
 	mu       sync.Mutex
 	sessions map[uint32]*entry // by process id, for cancel requests
 	nextPID  uint32
 	ending   bool
-	starting int // connections whose start-up is not over
 	work     sync.WaitGroup
 }
 
@@ -64,6 +72,9 @@
 
 // NewListener returns a Listener that serves no connection yet.
 func NewListener(cfg Config) *Listener {
+	if cfg.IdleTransaction <= 0 {
+		cfg.IdleTransaction = DefaultIdleTransaction
+	}
 	return &Listener{cfg: cfg, sessions: map[uint32]*entry{}}
 }
 
@@ -79,28 +90,51 @@
 			}
 			return err
 		}
-		l.work.Add(1)
+		leave := l.enter()
 		go func() {
-			defer l.work.Done()
+			defer leave()
 			l.serve(ctx, nc)
 		}()
 	}
 }
 
+// enter makes Drain wait for a connection, unless it has begun: then the
+// connection is refused.
+func (l *Listener) enter() (leave func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ending {
+		return func() {}
+	}
+	l.work.Add(1)
+	return l.work.Done
+}
+
+// startupError is what a caller is told about a failed start-up.
+func startupError(err error) *errkind.Error {
+	var known *errkind.Error
+	if errors.As(err, &known) {
+		return known
+	}
+	return errkind.Wrap(err, errkind.BadRequest, "%v", err)
+}
+
 // serve runs one connection from start-up to its end.
 func (l *Listener) serve(ctx context.Context, nc net.Conn) {
 	log := l.cfg.Log.WithField("caller", nc.RemoteAddr().String())
-	if !l.beginStart() {
-		l.cfg.Counters.Refused(errkind.CallerLimit)
+	if l.starting.Add(1) > maxStarting {
+		l.starting.Add(-1)
+		l.refuse(log, nc, errkind.New(errkind.CallerLimit, "too many callers are connecting"))
 		_ = nc.Close()
 		return
 	}
 	s, nc := l.start(log, nc)
-	l.endStart()
+	l.starting.Add(-1)
 	defer func() { _ = nc.Close() }()
 	if s == nil {
 		return
 	}
+	_ = nc.SetDeadline(time.Time{})
 	l.cfg.Counters.Callers(1)
 	defer l.cfg.Counters.Callers(-1)
 	defer l.remove(s.pid)
@@ -110,37 +144,21 @@
 	}
 	err := s.run(ctx)
 	switch {
+	case errkind.Is(err, errkind.IdleInTransaction):
+		l.refuse(log, nc, errkind.Of(err))
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		_ = nc.SetDeadline(time.Now().Add(startupTimeout))
 		_ = s.goodbye()
 	case err != nil:
 		l.refuse(log, nc, errkind.Of(err))
 	}
 }
 
-// beginStart takes a place among the connections in start-up.
-func (l *Listener) beginStart() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.starting >= maxStarting {
-		return false
-	}
-	l.starting++
-	return true
-}
-
-func (l *Listener) endStart() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.starting--
-}
-
 // start runs the start-up of a connection. It returns no session where the
 // caller was refused or only cancels a request, and the connection to close.
 func (l *Listener) start(log logrus.FieldLogger, nc net.Conn) (*session, net.Conn) {
 	nc, start, err := readStartup(nc, l.cfg.TLS)
 	if err != nil {
-		l.refuse(log, nc, errkind.Wrap(err, errkind.BadRequest, "%v", err))
+		l.refuse(log, nc, startupError(err))
 		return nil, nc
 	}
 	if start.cancel != nil {
@@ -181,7 +199,8 @@
 	if _, encrypted := nc.(*tls.Conn); l.cfg.RequireTLS && !encrypted {
 		return nil, errkind.New(errkind.Unauthenticated, "this address requires TLS")
 	}
-	backend := pgproto3.NewBackend(nc, nc)
+	reader, writer := &callerReader{net: nc}, callerWriter{net: nc}
+	backend := pgproto3.NewBackend(reader, writer)
 	if l.cfg.Users != nil {
 		backend.SetMaxBodyLen(maxLoginBytes)
 		if err := authenticate(backend, l.cfg.Users, start.user); err != nil {
@@ -189,6 +208,7 @@
 		}
 	}
 	backend.SetMaxBodyLen(l.cfg.MaxMessageBytes)
+	known := map[string]prepared{}
 	gate, err := l.cfg.Gateway.NewSession(start.database, start.user)
 	if err != nil {
 		return nil, err
@@ -196,12 +216,14 @@
 	s := &session{
 		listener: l,
 		net:      nc,
+		reader:   reader,
+		writer:   writer,
 		backend:  backend,
 		gate:     gate,
 		log:      log,
 		begun:    start,
-		known:    map[string]prepared{},
-		unit:     newUnit(),
+		known:    known,
+		unit:     newUnit(known),
 		txStatus: request.TxIdle,
 	}
 	for name, value := range start.params {
@@ -225,7 +247,7 @@
 
 // welcome ends the start-up of a caller.
 func (s *session) welcome(key uint32) error {
-	s.backend.Send(&pgproto3.AuthenticationOk{})
+	s.send(&pgproto3.AuthenticationOk{})
 	for _, p := range [][2]string{
 		{"server_version", serverVersion},
 		{"server_encoding", "UTF8"},
@@ -235,10 +257,9 @@
 		{"standard_conforming_strings", "on"},
 		{"application_name", s.begun.params["application_name"]},
 	} {
-		s.backend.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
+		s.send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
 	}
-	s.backend.Send(&pgproto3.BackendKeyData{ProcessID: s.pid, SecretKey: []byte{byte(key >> 24), byte(key >> 16), byte(key >> 8), byte(key)}})
-	_ = s.net.SetDeadline(time.Time{})
+	s.send(&pgproto3.BackendKeyData{ProcessID: s.pid, SecretKey: []byte{byte(key >> 24), byte(key >> 16), byte(key >> 8), byte(key)}})
 	return s.ready()
 }
 
@@ -252,6 +273,9 @@
 	l.nextPID++
 	s.pid = l.nextPID
 	l.sessions[s.pid] = &entry{session: s, key: newCancelKey()}
+	if l.ending { // since the login
+		s.end()
+	}
 	return true
 }
 
@@ -301,6 +325,11 @@
 		return nil
 	case <-ctx.Done():
 	}
+	return l.Left()
+}
+
+// Left names the callers that are connected.
+func (l *Listener) Left() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var left []string
--- a/internal/pg/login.go
+++ b/internal/pg/login.go
@@ -53,5 +53,5 @@
 		return refused
 	}
 	b.Send(&pgproto3.AuthenticationSASLFinal{Data: []byte(proof)})
-	return nil // goes out with the welcome
+	return b.Flush()
 }
--- a/internal/pg/login_test.go
+++ b/internal/pg/login_test.go
@@ -63,7 +63,7 @@
 			assert.NilError(t, err)
 			assert.Assert(t, strings.Contains(string(answer), "28P01"), "%q", answer)
 			assert.Equal(t, <-counter.kinds, errkind.Unauthenticated)
-			assert.Equal(t, l.starting, 0)
+			assert.Equal(t, l.starting.Load(), int64(0))
 		})
 	}
 }
@@ -72,14 +72,11 @@
 	log, _ := logtest.NewNullLogger()
 	counter := &refusals{kinds: make(chan errkind.Kind, 1)}
 	l := NewListener(Config{Log: log, MaxCallers: 1, MaxMessageBytes: 1 << 20, Counters: counter})
-	for range maxStarting {
-		assert.Assert(t, l.beginStart())
-	}
+	l.starting.Store(maxStarting)
 	near, far := net.Pipe()
 	go l.serve(t.Context(), far)
 	_, err := io.ReadAll(near)
 	assert.NilError(t, err)
 	assert.Equal(t, <-counter.kinds, errkind.CallerLimit)
-	l.endStart()
-	assert.Assert(t, l.beginStart(), "the place is not free again")
+	assert.Equal(t, l.starting.Load(), int64(maxStarting), "a place was lost or won")
 }
--- a/internal/pg/startup.go
+++ b/internal/pg/startup.go
@@ -22,11 +22,10 @@
 	// maxStartupTries bounds the SSLRequest and GSSEncRequest messages before
 	// the start-up message.
 	maxStartupTries = 3
+	// maxStarting bounds the callers in their start-up and login.
+	maxStarting = 1024
 	// maxSessionParameters bounds the parameters of a start-up message.
 	maxSessionParameters = 64
-	// maxStarting bounds the connections whose start-up is not over; more are
-	// closed at once.
-	maxStarting = 4096
 	// maxLoginBytes bounds one message of a caller that has not logged in.
 	maxLoginBytes = 4 << 10
 )
--- a/standin/cmd/figures/figures_test.go
+++ b/standin/cmd/figures/figures_test.go
@@ -7,6 +7,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/amaranthweir/amaranthweir/internal/bench"
+	"github.com/amaranthweir/amaranthweir/internal/bench/ledger"
 )
 
 const output = `=== RUN   TestScenarios
@@ -18,6 +21,9 @@
 BenchmarkChoose
 BenchmarkChoose/groups=3-10         	 2262642	       108.6 ns/op	       0 B/op	       2 allocs/op
 BenchmarkHostLost-10        	   17193	     15924 ns/op	         6.828 moves/op
+{"name":"memory","value":8,"unit":"MiB","bound":9,"pass":true}
+{"name":"memory","value":7,"unit":"MiB","bound":9,"pass":true}
+BenchmarkMemory-10        	   4	     15924 ns/op
 ok  	example.org	0.1s
 `
 
@@ -35,6 +41,7 @@
 		{"routing_choose_groups_3_allocs", 2, "allocs/op", "<= 0", false},
 		{"routing_host_lost_ns", 15924, "ns/op", "", true},
 		{"routing_host_lost_moves", 6.828, "moves/op", "", true},
+		{"memory", 7, "MiB", "<= 9", true},
 	})
 	_, err = readOutput([]byte(`{"name":1}`), nil)
 	assert.ErrorContains(t, err, "name")
@@ -76,3 +83,39 @@
 	assert.Equal(t, percentile(list, percentileLargest), time.Duration(50))
 	assert.Equal(t, percentile(list[:1], percentileMedian), time.Duration(50))
 }
+
+func TestFloodFigures(t *testing.T) {
+	p := profiles("examples")[1]
+	report := func(ticketP99 int64, refused, lookups int) *bench.Report {
+		return &bench.Report{Classes: []bench.Row{
+			{Name: "booking-lookup", Sent: 100, InTime: lookups},
+			{Name: "stock-report", Sent: 100, InTime: 10},
+			{Name: "weighbridge-ticket", Sent: 100, InTime: 100 - refused, NotRun: refused, P99Micros: ticketP99},
+		}}
+	}
+	calm := report(1000, 0, 100)
+	failing := func(flooded *bench.Report, class string) (names []string) {
+		for _, f := range p.figures(calm, flooded, class) {
+			if !f.Pass {
+				names = append(names, strings.TrimPrefix(f.Name, "process_flood_"))
+			}
+		}
+		return names
+	}
+	broken := report(1000, 0, 100)
+	broken.Verdicts = []ledger.Verdict{{Result: ledger.Kept}, {Result: ledger.Broken}}
+	for _, c := range []struct {
+		flooded *bench.Report
+		class   string
+		want    []string
+	}{
+		{report(1200, 0, 95), p.low, nil},
+		{report(1201, 0, 100), p.low, []string{"stock_report_urgent_p99_ratio"}},
+		{report(1000, 1, 100), p.low, []string{"stock_report_urgent_refused"}},
+		{report(1000, 0, 94), p.low, []string{"stock_report_least_kept"}},
+		{report(9000, 50, 20), p.high, nil},
+		{broken, p.low, []string{"stock_report_promises_broken"}},
+	} {
+		assert.DeepEqual(t, failing(c.flooded, c.class), c.want)
+	}
+}
