--- a/internal/host/leader.go
+++ b/internal/host/leader.go
@@ -114,7 +114,7 @@
 	sending, stopSending := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopSending()
 	l.sender.mu.Lock()
-	l.sender.sender = peer.NewSender(sending, others, l.host.dir.peers)
+	l.sender.sender = peer.NewSender(sending, others, l.host.dir.peers, l.host.dir.dial)
 	l.sender.mu.Unlock()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return l.server.Run(ctx) })
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"sync"
 	"time"
 
@@ -73,8 +72,8 @@
 }
 
 // openLink dials a host and serves the link until it is lost.
-func openLink(ctx context.Context, address string, t Timing) (*link, error) {
-	l, err := dialLink(ctx, address, t)
+func openLink(ctx context.Context, address string, t Timing, dial DialFunc) (*link, error) {
+	l, err := dialLink(ctx, address, t, dial)
 	if err != nil {
 		return nil, err
 	}
@@ -85,11 +84,10 @@
 }
 
 // dialLink dials a host and starts the Exchange stream.
-func dialLink(ctx context.Context, address string, t Timing) (*link, error) {
+func dialLink(ctx context.Context, address string, t Timing, dial DialFunc) (*link, error) {
 	dialCtx, stop := context.WithTimeout(ctx, t.Dial)
 	defer stop()
-	var d net.Dialer
-	nc, err := d.DialContext(dialCtx, "tcp", address)
+	nc, err := dial.dial(dialCtx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -100,7 +100,7 @@
 
 func remote(t *testing.T, address string) *Remote {
 	t.Helper()
-	r := NewRemote(address, timing)
+	r := NewRemote(address, timing, nil)
 	t.Cleanup(r.Close)
 	return r
 }
@@ -268,7 +268,7 @@
 		{"cancelled after", true, func(_ *link, c *call) error { _, err := c.next(gone); return err }, errkind.Cancelled, errkind.Unknown},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			l, err := dialLink(t.Context(), startServer(t, &Server{Owner: newOwner(echo)}), timing)
+			l, err := dialLink(t.Context(), startServer(t, &Server{Owner: newOwner(echo)}), timing, nil)
 			assert.NilError(t, err)
 			defer l.close()
 			c, err := l.start(t.Context(), &peerpb.Frame{})
@@ -276,7 +276,7 @@
 			if tc.left {
 				assert.Assert(t, c.leave())
 			}
-			err = NewRemote("", timing).abandon(l, c, 1, tc.end(l, c))
+			err = NewRemote("", timing, nil).abandon(l, c, 1, tc.end(l, c))
 			assert.Assert(t, errkind.Is(err, tc.kind), "%v", err)
 			assert.Equal(t, errkind.Of(err).Effect, tc.want)
 			assert.Equal(t, c.leave(), false, "the frame must not leave any more")
@@ -397,7 +397,7 @@
 
 func TestOnlyOpenTransactionsEndWithTheLink(t *testing.T) {
 	owner := newOwner(echo)
-	r := NewRemote(startServer(t, &Server{Owner: owner}), timing)
+	r := NewRemote(startServer(t, &Server{Owner: owner}), timing, nil)
 	for i, state := range []string{"I", "T", "I", "E", "T"} {
 		q := ask("x")
 		q.Class, q.Session.Number = state, uint64(i%4) // session 0 opens one in the end
@@ -442,10 +442,10 @@
 func TestSenderLeavesASilentConnection(t *testing.T) {
 	for _, dir := range []struct{ up, down bool }{{true, true}, {true, false}, {false, true}} {
 		got := make(chan string, 10000)
-		server := &Server{Owner: newOwner(echo), Deliver: func(body []byte) error { got <- string(body); return nil }}
+		server := &Server{Owner: newOwner(echo), Deliver: func(_ context.Context, body []byte) error { got <- string(body); return nil }}
 		s, address := startSilencer(t, startServer(t, server))
 		ctx, stop := context.WithCancel(context.Background())
-		sender := NewSender(ctx, map[table.HostID]string{"a": address}, timing)
+		sender := NewSender(ctx, map[table.HostID]string{"a": address}, timing, nil)
 		sender.Send("a", []byte("first"))
 		assert.Equal(t, <-got, "first")
 		s.silence(dir.up, dir.down)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -31,7 +31,7 @@
 	Methods map[string]Method
 	// Deliver takes messages of the replicated log; nil on a host that is
 	// no control host.
-	Deliver func(body []byte) error
+	Deliver func(ctx context.Context, body []byte) error
 	Log     logrus.FieldLogger
 	// Timing is that of the links; left out, it is DefaultTiming.
 	Timing Timing
@@ -89,7 +89,7 @@
 		if s.Deliver == nil {
 			return errkind.New(errkind.NotSupported, "not a control host")
 		}
-		if err := s.Deliver(m.GetBody()); err != nil {
+		if err := s.Deliver(stream.Context(), m.GetBody()); err != nil {
 			s.Log.WithError(err).Warn("message of the replicated log refused")
 		}
 		if err := stream.Send(&peerpb.Empty{}); err != nil {
@@ -295,6 +295,10 @@
 		e.answer(id, &peerpb.Answer{Last: true, TxStatus: uint32(request.TxIdle), Failure: encodeFailure(err)})
 		return
 	}
+	if err := CheckSpeaker(e.stream.Context(), r.Session.Host); err != nil {
+		e.answer(id, &peerpb.Answer{Last: true, TxStatus: uint32(request.TxIdle), Failure: encodeFailure(err)})
+		return
+	}
 	ctx, stop := context.WithDeadline(ctx, r.Deadline)
 	defer stop()
 	parts := &sink{exchange: e, ctx: ctx, id: id, call: c}
@@ -349,6 +353,9 @@
 }
 
 func (e *exchange) endSession(s request.SessionID) {
+	if CheckSpeaker(e.stream.Context(), s.Host) != nil {
+		return
+	}
 	e.mu.Lock()
 	delete(e.sessions, s)
 	e.mu.Unlock()
--- a/internal/pg/path_test.go
+++ b/internal/pg/path_test.go
@@ -23,6 +23,7 @@
 	"github.com/amaranthweir/amaranthweir/internal/system/failover"
 	"github.com/amaranthweir/amaranthweir/internal/system/routing"
 	"github.com/amaranthweir/amaranthweir/internal/table"
+	"github.com/amaranthweir/amaranthweir/internal/upstream"
 	"github.com/amaranthweir/amaranthweir/standin"
 )
 
@@ -94,7 +95,7 @@
 	plat, err := pgplatform.New(pgplatform.DefaultConfig())
 	assert.NilError(t, err)
 	o := owner.New(owner.Config{
-		Authority: a, Peers: a, Prober: plat, Fencer: plat, Changed: func() {}, Log: log, User: "u", Database: "ledger",
+		Authority: a, Peers: a, Prober: plat, Fencer: plat, Changed: func() {}, Log: log, Login: upstream.Login{User: "u", Database: "ledger"},
 		Declare: func(table.GroupName) owner.Declaration { return owner.Declaration{} },
 		Stamp:   func() failover.Stamp { return failover.Stamp{} },
 		Timing:  owner.DefaultTiming(),
@@ -106,7 +107,7 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(t, err)
 		go func() { _ = (&peer.Server{Owner: o, Log: log}).Serve(ctx, l) }()
-		r := peer.NewRemote(l.Addr().String(), peer.DefaultTiming())
+		r := peer.NewRemote(l.Addr().String(), peer.DefaultTiming(), nil)
 		a.executor, closeLink = r, r.Close
 	}
 	assert.NilError(t, o.Acquire(ctx, table.Instance{ID: "g1-a", Group: "g1", Address: up.Address(), Slots: 3, Connections: 8}, 1))
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -16,6 +16,7 @@
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/pg/synthetic"
 	"github.com/amaranthweir/amaranthweir/internal/request"
+	"github.com/amaranthweir/amaranthweir/internal/upstream"
 	"github.com/amaranthweir/amaranthweir/standin"
 )
 
@@ -39,7 +40,7 @@
 
 func config(address string, change func(*Config)) Config {
 	cfg := Config{
-		Address: address, User: "u", Database: "ledger", Max: 4,
+		Address: address, Login: upstream.Login{User: "u", Database: "ledger"}, Max: 4,
 		IdleTimeout: time.Minute, DialTimeout: patience, Progress: patience, ProbeTimeout: patience,
 	}
 	if change != nil {
