Say not run only of writes that were lost for certain

Cause: after a change of primary a write was judged by the mark that the upstream reported behind it. Other sessions may have raised that mark past the start of the new term while the write itself lies before it and is kept.

The write lies beyond the position that the primary had reached before it was sent. Lost is said where the first position beyond that was lost; in between the outcome is unknown, and a request with an id is settled. Shown failing first by TestFateOfAWriteWhoseMarkOthersRaised: not run != unknown: start 19.

Ruled out: asking for the position before each write, which costs a round trip; the probes and the marks of other writes give one for nothing.

--- a/internal/owner/claimed.go
+++ b/internal/owner/claimed.go
@@ -149,7 +149,7 @@
 		return idle, errkind.Of(err).WithEffect(errkind.Unknown)
 	}
 	term, _ := in.cfg.Authority.Term(in.group, in.id)
-	e := &execution{r: r, sink: s, tx: &transaction{conn: conn, term: term}}
+	e := &execution{r: r, sink: s, tx: &transaction{conn: conn, term: term}, low: in.reached()}
 	c := newClaim(conn, r)
 	out, err := in.shutOut(ctx, e, c)
 	if err != nil {
--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return idle, err
 	}
-	e := &execution{r: r, sink: s, tx: tx, ticket: t}
+	e := &execution{r: r, sink: s, tx: tx, ticket: t, low: in.reached()}
 	if r.RequestID != "" && r.MayCommit && r.Access == config.AccessWrite {
 		return in.runClaimed(ctx, e)
 	}
@@ -165,6 +165,9 @@
 	sink   request.Sink
 	tx     *transaction
 	ticket *ticket
+	// low is a position that the primary had reached before the request was
+	// sent: what it writes lies beyond.
+	low    table.Mark
 	answer []byte // what is kept back until the write is confirmed
 }
 
@@ -205,6 +208,9 @@
 	if !counts(out) {
 		return res, e.sink.Answer(e.answer)
 	}
+	if out.HasMark && out.Mark.Term == e.tx.term {
+		in.noteReached(out.Mark)
+	}
 	if err := in.confirm(ctx, e, out); err != nil {
 		return res, err
 	}
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -16,6 +16,7 @@
 	"github.com/amaranthweir/amaranthweir/internal/config"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/platform/pgplatform"
+	"github.com/amaranthweir/amaranthweir/internal/pool"
 	"github.com/amaranthweir/amaranthweir/internal/request"
 	"github.com/amaranthweir/amaranthweir/internal/system/failover"
 	"github.com/amaranthweir/amaranthweir/internal/table"
@@ -248,3 +249,48 @@
 	assert.Assert(t, o.HandedOver(table.Ownership{Instance: "g-1", Epoch: 1}))
 	assert.Assert(t, !o.HandedOver(table.Ownership{Instance: "g-1", Epoch: 2}))
 }
+
+// startAuthority has a later term that began at start.
+type startAuthority struct {
+	fakeAuthority
+	start table.Position
+}
+
+func (a *startAuthority) Fate(_ table.GroupName, m table.Mark) Fate {
+	if m.Position <= a.start {
+		return FateKept
+	}
+	return FateLost
+}
+
+// TestFateOfAWriteWhoseMarkOthersRaised has a write that lies somewhere after
+// low, where the primary was before it, and at the latest at mark, where the
+// primary was when it was asked behind the write.
+func TestFateOfAWriteWhoseMarkOthersRaised(t *testing.T) {
+	const low, mark = 10, 20
+	for _, c := range []struct {
+		start  table.Position // of the next term
+		err    bool
+		effect errkind.Effect
+	}{
+		{25, false, 0},
+		{20, false, 0},
+		{19, true, errkind.Unknown}, // others raised the mark: it may be kept
+		{11, true, errkind.Unknown},
+		{10, true, errkind.NotRun},
+		{9, true, errkind.NotRun},
+	} {
+		a := &startAuthority{start: c.start}
+		in := &instance{cfg: Config{Authority: a, Peers: &fakePeers{confirms: true}}, id: "g-1", group: "g"}
+		e := &execution{
+			r:   &request.Request{AckReplicas: 1},
+			tx:  &transaction{term: 1},
+			low: table.Mark{Term: 1, Position: low},
+		}
+		err := in.confirm(t.Context(), e, pool.Outcome{HasMark: true, Mark: table.Mark{Term: 1, Position: mark}})
+		assert.Equal(t, err != nil, c.err, "start %d: %v", c.start, err)
+		if err != nil {
+			assert.Equal(t, errkind.Of(err).Effect, c.effect, "start %d", c.start)
+		}
+	}
+}
--- a/internal/owner/report.go
+++ b/internal/owner/report.go
@@ -115,6 +115,9 @@
 		h.quiesced = quiet
 	}
 	in.age.observeReplica(asked, st)
+	if st.Role == table.RolePrimary && in.seen.Less(st.Mark) {
+		in.seen = st.Mark
+	}
 	if st.Role == table.RolePrimary && (!h.ackedSet || h.acked.Term < st.Mark.Term) {
 		h.acked, h.ackedSet = st.Mark, true // covers what earlier owners acknowledged
 	}
