--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -77,7 +77,7 @@
 
 // cluster is a deployment of hosts and one group of stand-ins.
 type cluster struct {
-	t     *testing.T
+	t     testing.TB
 	hosts []*process
 	group []*standin.Instance
 }
@@ -86,7 +86,7 @@
 var nextPort atomic.Uint32
 
 // freePorts returns n loopback addresses that nothing listens on.
-func freePorts(t *testing.T, n int) []string {
+func freePorts(t testing.TB, n int) []string {
 	const first, last = 20000, 32000
 	var addresses []string
 	for len(addresses) < n {
@@ -103,7 +103,7 @@
 
 // start runs hosts, the first three of them control hosts, and a group with
 // the given replication lag, and waits until the group is served.
-func start(t *testing.T, hosts int, lag time.Duration) *cluster {
+func start(t testing.TB, hosts int, lag time.Duration) *cluster {
 	t.Helper()
 	c := &cluster{t: t}
 	ports := freePorts(t, 3*hosts)
@@ -307,3 +307,22 @@
 	_ = resp.Body.Close()
 	return resp.StatusCode == http.StatusOK
 }
+
+// awaitReady waits until the readiness of a host is as wanted.
+func (c *cluster) awaitReady(p *process, wanted bool) {
+	c.t.Helper()
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		if ready(p) != wanted {
+			return poll.Continue("%s: ready is not %t", p.name, wanted)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(patience), poll.WithDelay(5*time.Millisecond))
+}
+
+// awaitExit waits until a host that was asked to stop has done so in order.
+func (p *process) awaitExit(t *testing.T) {
+	t.Helper()
+	state, err := p.cmd.Process.Wait()
+	assert.NilError(t, err)
+	assert.Assert(t, state.Success(), "%s: %s", p.name, state)
+}
