Send a frame without the detour over the writer where the link is free

Each frame went over a channel to the writer of its link, one wake-up more for each request. Now it is sent at once where no other frame is being sent. A host that reads nothing blocks one sender until the watch closes the link; the others wait in the queue and have not run.

Shown failing first: with a watch that takes a turn of its own, TestHostThatReadsNothing runs into the test time-out.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -57,6 +57,7 @@
 	stream peerpb.DRPCPeer_ExchangeClient
 	cancel context.CancelFunc
 	out    chan outgoing
+	turn   chan struct{} // holds one element while a frame is sent
 	done   chan struct{}
 
 	mu     sync.Mutex
@@ -108,6 +109,7 @@
 		stream: stream,
 		cancel: cancel,
 		out:    make(chan outgoing, sendQueue),
+		turn:   make(chan struct{}, 1),
 		done:   make(chan struct{}),
 		calls:  map[uint64]*call{},
 	}, nil
@@ -120,17 +122,33 @@
 		case <-l.done:
 			return
 		case o := <-l.out:
-			if o.call != nil && !o.call.leave() {
-				continue
-			}
-			if err := l.stream.Send(o.frame); err != nil {
-				l.close()
+			select {
+			case <-l.done:
 				return
+			case l.turn <- struct{}{}:
+				l.transmit(o)
 			}
 		}
 	}
 }
 
+// transmit sends one frame, unless its call is not wanted any more. It ends
+// the turn that its caller took.
+func (l *link) transmit(o outgoing) {
+	defer func() { <-l.turn }()
+	select {
+	case <-l.done: // closed before the connection is
+		return
+	default:
+	}
+	if o.call != nil && !o.call.leave() {
+		return
+	}
+	if err := l.stream.Send(o.frame); err != nil {
+		go l.close()
+	}
+}
+
 // watch pings, and closes a link that went silent. It never waits for the
 // stream, which a silent host may block.
 func (l *link) watch(t Timing) {
@@ -147,7 +165,7 @@
 			l.close()
 			return
 		}
-		select {
+		select { // never waits, as a turn of its own could
 		case l.out <- ping:
 		default:
 		}
@@ -204,10 +222,21 @@
 	return l.queue(ctx, outgoing{frame: f})
 }
 
+// queue sends a frame at once where no other one is being sent, which spares
+// the way over the writer; a silent host holds that up for no longer than
+// Timing.Silence. Frames of different calls may overtake each other.
 func (l *link) queue(ctx context.Context, o outgoing) error {
 	select {
 	case <-l.done:
 		return errLinkLost
+	case <-ctx.Done():
+		return ctx.Err()
+	default:
+	}
+	select {
+	case l.turn <- struct{}{}:
+		l.transmit(o)
+		return nil
 	default:
 	}
 	select {
@@ -244,7 +273,6 @@
 	l.calls = nil
 	l.mu.Unlock()
 	close(l.done)
-	_ = l.heard.Close() // ends a Send that is blocked
 	l.cancel()
 	_ = l.conn.Close()
 	for _, c := range calls {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -250,6 +250,28 @@
 	}
 }
 
+// A host that takes connections and reads nothing blocks the stream; that
+// ends with the link, for the request that is being sent and for others.
+func TestHostThatReadsNothing(t *testing.T) {
+	l := listen(t)
+	defer l.Close()
+	r := remote(t, l.Addr().String())
+	errs := make(chan error, 2)
+	for range cap(errs) {
+		go func() {
+			q := ask("")
+			q.Messages = make([]byte, 32<<20)
+			_, err := r.Execute(context.Background(), q, &collect{})
+			errs <- err
+		}()
+	}
+	effects := map[errkind.Effect]int{}
+	for range cap(errs) {
+		effects[errkind.Of(<-errs).Effect]++
+	}
+	assert.DeepEqual(t, effects, map[errkind.Effect]int{errkind.Unknown: 1, errkind.NotRun: 1})
+}
+
 // What an error says of a call depends on whether its frame was handed to the
 // stream.
 func TestEffectOfALostCall(t *testing.T) {
@@ -271,6 +293,7 @@
 			l, err := dialLink(t.Context(), startServer(t, &Server{Owner: newOwner(echo)}), timing)
 			assert.NilError(t, err)
 			defer l.close()
+			l.turn <- struct{}{} // another frame is being sent
 			c, err := l.start(t.Context(), &peerpb.Frame{})
 			assert.NilError(t, err)
 			if tc.left {
