--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -148,6 +148,14 @@
 // Now returns how many ticks the node has counted.
 func (n *Node) Now() uint64 { return n.tick }
 
+// Silence returns for how many ticks the node has heard no leader.
+func (n *Node) Silence() uint64 {
+	if n.role == RoleLeader {
+		return 0
+	}
+	return n.tick - n.contact
+}
+
 // CaughtUp reports whether the node, since its start, has committed an entry
 // of the term of a leader, and all that it may have applied before its start.
 func (n *Node) CaughtUp() bool { return n.caughtUp }
@@ -160,8 +168,8 @@
 		return
 	}
 	if n.tick >= n.deadline {
-		n.resetDeadline()
-		n.campaign(RolePreCandidate)
+		n.campaignAgainSoon()
+		n.campaign(RolePreCandidate, false)
 	}
 }
 
@@ -195,6 +203,13 @@
 	n.deadline = n.tick + election + n.rng.Uint64N(election)
 }
 
+// campaignAgainSoon sets the next election for the case that this one brings no
+// leader, for example because two candidates split the votes. There is no
+// leader to wait for any more, so it comes sooner than the first.
+func (n *Node) campaignAgainSoon() {
+	n.deadline = n.tick + uint64(n.cfg.HeartbeatTicks) + n.rng.Uint64N(uint64(n.cfg.ElectionTicks))
+}
+
 func (n *Node) becomeFollower(term uint64, leader NodeID) {
 	if term != n.term {
 		n.term = term
@@ -244,6 +259,8 @@
 		return n.handleSnapshot(m)
 	case MsgAppendReply:
 		return n.handleAppendReply(m)
+	case MsgHandover:
+		n.handleHandover(m)
 	}
 	return nil
 }
@@ -264,7 +281,7 @@
 func (n *Node) stepHigherTerm(m Message) bool {
 	switch m.Type {
 	case MsgPreVote, MsgVote:
-		if n.hearsLeader() {
+		if n.hearsLeader() && !m.Handover {
 			return false
 		}
 		if m.Type == MsgPreVote {
@@ -311,9 +328,9 @@
 	rd := Ready{
 		Snapshot:  n.install,
 		Entries:   n.log.between(n.log.stable, n.log.lastIndex()),
-		Messages:  n.messages,
 		Committed: n.log.between(n.log.applied, n.log.commit),
 	}
+	rd.Early, rd.Messages = n.splitMessages()
 	if hs := n.hardState(); hs != n.saved {
 		rd.HardState = &hs
 		rd.MustSync = hs.Term != n.saved.Term || hs.Vote != n.saved.Vote
@@ -322,6 +339,20 @@
 	return rd
 }
 
+// splitMessages returns what a leader of a durable term sends to followers,
+// and all else.
+func (n *Node) splitMessages() (early, others []Message) {
+	leads := n.role == RoleLeader && n.saved.Term == n.term
+	for _, m := range n.messages {
+		if leads && m.Term == n.term && (m.Type == MsgAppend || m.Type == MsgSnapshot) {
+			early = append(early, m)
+			continue
+		}
+		others = append(others, m)
+	}
+	return early, others
+}
+
 // Advance tells the node that all of the last Ready is done.
 func (n *Node) Advance() {
 	n.install = nil
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -191,6 +191,8 @@
 	MsgAppend
 	MsgAppendReply
 	MsgSnapshot
+	// MsgHandover asks a voter to campaign at once, for its leader stops.
+	MsgHandover
 	messageTypeCount
 )
 
@@ -209,17 +211,23 @@
 	// Hint is the highest index at which a refusing follower may agree.
 	Hint uint64
 	// Stamp is the leader's tick at sending; the reply returns it.
-	Stamp    uint64
-	Reject   bool
+	Stamp  uint64
+	Reject bool
+	// Handover marks the votes that a leader asked for when it stopped: its
+	// lease is over, so nobody needs to wait for it.
+	Handover bool
 	Entries  []Entry
 	Snapshot *Snapshot
 }
 
-// Ready is what the caller must do, in this order: make Snapshot, Entries and
-// HardState durable (synced if MustSync), send Messages, load Snapshot into
-// the state machine, apply Committed, call Advance. Between Ready and Advance
-// no other method that changes the node may be called.
+// Ready is what the caller must do, in this order: send Early, make Snapshot,
+// Entries and HardState durable (synced if MustSync), send Messages, load
+// Snapshot into the state machine, apply Committed, call Advance. Between Ready
+// and Advance no other method that changes the node may be called.
 type Ready struct {
+	// Early claims nothing that is not durable yet: a leader sends its entries
+	// while it syncs them itself, and counts itself only after Advance.
+	Early     []Message
 	HardState *HardState
 	Entries   []Entry
 	Snapshot  *Snapshot
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,7 +59,7 @@
 	Observer    Observer
 	// Keys sign and read session tokens.
 	Keys *session.Keyring
-	Log  logrus.FieldLogger
+	Log  *logrus.Logger
 	// Clock returns the moment on the clock of the decision systems.
 	Clock func() time.Duration
 }
@@ -70,11 +70,13 @@
 	sessions atomic.Uint64
 	requests atomic.Uint64
 	budget   retryBudget
+
+	decisions decisionLog
 }
 
 // New returns a Gateway without sessions.
 func New(cfg Config) *Gateway {
-	return &Gateway{cfg: cfg}
+	return &Gateway{cfg: cfg, decisions: decisionLog{queue: make(chan decision, decisionQueue)}}
 }
 
 // NewSession begins the session of a caller that connected to service.
@@ -171,8 +173,8 @@
 	asked := 0
 	for _, c := range v.Candidates {
 		owner, ok := g.cfg.Directory.Executor(c.Owner)
-		if c.Instance == v.Primary || !ok {
-			continue
+		if c.Instance == v.Primary || c.Leaving || !ok {
+			continue // what a leaving instance confirms leaves with it
 		}
 		asked++
 		go func() { answers <- owner.AwaitReplica(ctx, c.Instance, m) }()
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -45,8 +45,14 @@
 type remote struct {
 	address  string
 	executor *peer.Remote
+	// unlisted is since when the host is missing from the tables, or zero.
+	unlisted time.Duration
 }
 
+// unlistedLife is how long the link to a host that is missing from the tables
+// is kept. The tables of a new leader may lack hosts that live.
+const unlistedLife = time.Minute
+
 func newDirectory(self table.HostID, clock func() time.Duration, log logrus.FieldLogger) *directory {
 	d := &directory{
 		self:    self,
@@ -106,8 +112,12 @@
 }
 
 // MayAcknowledge implements owner.Authority: the lease of this host is valid,
-// this host owns the instance, and the instance is the primary of term.
+// this host owns the instance, and the instance is the primary of term. The
+// state is read before the lease, with no renewal in between: a host that was
+// frozen between the two must not judge an old term by a new lease.
 func (d *directory) MayAcknowledge(group table.GroupName, instance table.InstanceID, term table.Term) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	agreed, primary := d.Term(group, instance)
 	if !primary || agreed != term {
 		return errkind.New(errkind.NoPrimary, "term %d of %s is over or not yet served, %d is agreed", term, group, agreed)
@@ -115,7 +125,7 @@
 	if o := d.view.Load().Owners[instance]; o.Host != d.self {
 		return errkind.New(errkind.NoOwner, "%s is owned by %s", instance, o.Host)
 	}
-	if !d.leaseValid() {
+	if !d.holder.Valid(d.clock()) {
 		return errkind.New(errkind.NoPrimary, "the lease of this host ran out")
 	}
 	return nil
@@ -216,6 +226,7 @@
 		seen[h.ID] = true
 		r := d.remotes[h.ID]
 		if r != nil && r.address == h.PeerAddress {
+			r.unlisted = 0
 			continue
 		}
 		if r != nil {
@@ -223,8 +234,13 @@
 		}
 		d.remotes[h.ID] = &remote{address: h.PeerAddress, executor: peer.NewRemote(h.PeerAddress, d.peers)}
 	}
+	now := d.clock()
 	for id, r := range d.remotes {
-		if !seen[id] {
+		switch {
+		case seen[id]:
+		case r.unlisted == 0:
+			r.unlisted = now
+		case now-r.unlisted > unlistedLife:
 			r.executor.Close()
 			delete(d.remotes, id)
 		}
--- a/internal/host/reconcile.go
+++ b/internal/host/reconcile.go
@@ -15,6 +15,9 @@
 	// notReadyPause gives the balancer time to see that this host is not
 	// ready before it refuses callers.
 	notReadyPause = 500 * time.Millisecond
+	// lingerBeats is for how many heartbeats a host whose instances were handed
+	// over goes on answering other hosts, which may not have heard of it yet.
+	lingerBeats = 3
 	// drainPoll is how often a shutdown looks whether the work has ended.
 	drainPoll = 20 * time.Millisecond
 )
@@ -59,17 +62,28 @@
 		h.log.WithField("left", left).Warn("shutting down: not finished")
 	}
 	h.awaitHandOver(ctx)
+	h.linger(ctx)
 	h.dir.releaseLease()
 	h.beats.beat(context.WithoutCancel(ctx), true)
 	h.log.Info("shutting down: done")
 }
 
+// Abandon names what a host that has to end at once leaves unfinished.
+func (h *Host) Abandon() {
+	for _, left := range h.callers.Left() {
+		h.log.WithField("left", left).Warn("shutting down: not finished")
+	}
+	for id := range h.owner.Owned() {
+		h.log.WithField("instance", id).Warn("shutting down: not handed over")
+	}
+}
+
 // awaitHandOver waits until other hosts own what this one owned. While no
 // other host can take an instance, it is kept until the bound.
 func (h *Host) awaitHandOver(ctx context.Context) {
 	tick := time.NewTicker(drainPoll)
 	defer tick.Stop()
-	for h.peerServer.Running() > 0 || len(h.owner.Owned()) > 0 && h.othersAlive() {
+	for h.peerServer.Running() > 0 || len(h.owner.Owned()) > 0 && h.mayHandOver() {
 		select {
 		case <-ctx.Done():
 			for id := range h.owner.Owned() {
@@ -81,8 +95,27 @@
 	}
 }
 
-// othersAlive reports whether a host that does not drain could take over.
-func (h *Host) othersAlive() bool {
+// linger answers other hosts that still send their requests here, by the
+// tables that they had before the hand-over.
+func (h *Host) linger(ctx context.Context) {
+	timer := time.NewTimer(lingerBeats * h.timing.Lease.Heartbeat)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	for h.peerServer.Running() > 0 && ctx.Err() == nil {
+		time.Sleep(drainPoll)
+	}
+}
+
+// mayHandOver reports whether the leader can move instances to another host:
+// it renews the lease of this one, and another host that does not drain is
+// alive.
+func (h *Host) mayHandOver() bool {
+	if !h.dir.leaseValid() {
+		return false
+	}
 	for _, other := range h.dir.currentTables().Hosts {
 		if other.ID != h.settings.Host && other.State == table.HostAlive && !other.Draining {
 			return true
--- a/internal/owner/slots.go
+++ b/internal/owner/slots.go
@@ -17,6 +17,10 @@
 // instance.
 const maxQueued = 1000
 
+// idlePercent is the share of an instance's slots that may stay idle so that
+// urgent work finds one free.
+const idlePercent = 8
+
 // Declaration is what the documents in force say about the work of a group.
 type Declaration struct {
 	Floors  [config.RankCount]int // percent
@@ -40,6 +44,8 @@
 		Floors:    work.Floors,
 		Classes:   work.Classes,
 		MaxQueued: maxQueued,
+
+		IdlePercent: idlePercent,
 	})
 	if err != nil {
 		return nil, err
@@ -106,13 +112,13 @@
 	return nil, errkind.Wrap(ctx.Err(), errkind.DeadlineUnreachable, "gave up waiting for a slot")
 }
 
-// started turns the decision of the queue into an answer, with its log line.
+// started turns the decision of the queue into an answer. A refusal has a log
+// line.
 func (s *slots) started(t *ticket, r *request.Request, o admission.Outcome) (*ticket, error) {
-	s.log.WithFields(logrus.Fields{
-		"request": r.ID, "class": r.Class, "rank": r.Rank.String(), "reason": o.Reason.String(),
-		"started": o.Verdict == admission.Start,
-	}).Debug("admit")
 	if o.Verdict != admission.Start {
+		s.log.WithFields(logrus.Fields{
+			"request": r.ID, "class": r.Class, "rank": r.Rank.String(), "reason": o.Reason.String(),
+		}).Info("not admitted")
 		return nil, errkind.New(o.Kind, "%s", o.Reason)
 	}
 	t.started = time.Now()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -301,6 +301,9 @@
 	res, err := e.server.Owner.Execute(ctx, r, parts)
 	e.note(r.Session, err == nil && res.TxStatus == request.TxIdle)
 	a := &peerpb.Answer{Last: true, TxStatus: uint32(res.TxStatus)}
+	if res.HasHint {
+		a.Hint = encodeHint(&res.Hint)
+	}
 	if res.HasMark {
 		a.Mark = encodeMark(res.Mark)
 	}
--- a/internal/pg/unit.go
+++ b/internal/pg/unit.go
@@ -37,8 +37,10 @@
 	unnamed  string
 	parsed   bool
 	executes bool
-	changes  []change
-	failure  *errkind.Error
+	// onlyCloses is set while the unit has nothing but Close messages.
+	onlyCloses bool
+	changes    []change
+	failure    *errkind.Error
 }
 
 // change is what a Parse or a Close of the unit does to the known statements,
@@ -80,6 +82,8 @@
 	if u.failure != nil {
 		return
 	}
+	_, closes := msg.(*pgproto3.Close)
+	u.onlyCloses = closes && (u.onlyCloses || len(u.messages) == 0)
 	switch m := msg.(type) {
 	case *pgproto3.Parse:
 		u.parse(m)
--- a/internal/system/failover/group.go
+++ b/internal/system/failover/group.go
@@ -25,7 +25,8 @@
 	readAt    time.Duration // the latest probe that succeeded began after this moment
 	readMark  table.Mark    // what it returned
 
-	fencedTerm table.Term // it answered a fence of this term
+	reachedAt  time.Duration // a report said reachable at this moment
+	fencedTerm table.Term    // it answered a fence of this term
 	fenceAt    time.Duration
 	fenceSent  bool
 	failedIn   table.Term // its promotion in this term was given up
@@ -103,6 +104,8 @@
 	// Change of primary, while PhasePromoting.
 	fenced     bool // the owner of the old primary can acknowledge nothing
 	fencedAt   time.Duration
+	termSeen   table.Term // the agreed term that this leader saw at termSeenAt
+	termSeenAt time.Duration
 	floorKnown bool
 	floor      table.Mark // every acknowledged write lies at or below it
 	promotion  promotion
@@ -113,7 +116,8 @@
 	primaryProposed table.Term
 	minTerm         table.Term // the next term is at least this
 
-	planned *switchOver
+	planned   *switchOver
+	departure *departure
 
 	wait      WaitReason
 	waitSince time.Duration
@@ -155,9 +159,6 @@
 // size returns how many instances the group has when whole.
 func (g *group) size() int { return max(g.expected, len(g.members)) }
 
-// primary returns the agreed primary, nil if there is none.
-func (g *group) primary() *member { return g.members[g.agreed.Primary] }
-
 // plausible reports whether a mark may belong to the group.
 func (g *group) plausible(m table.Mark) bool {
 	return m.Term <= g.agreed.Term+maxTermJump
@@ -246,6 +247,8 @@
 	g.clearChange()
 	g.stable = false
 	g.planned = nil
+	g.departure = nil
+	g.termSeen = 0
 	g.proposal = proposal{}
 	for _, m := range g.members {
 		m.reported = false
--- a/internal/system/failover/system.go
+++ b/internal/system/failover/system.go
@@ -26,9 +26,12 @@
 	ledSince   time.Duration
 	groups     map[table.GroupName]*group
 	byInstance map[table.InstanceID]*group
+	unplaced   map[table.InstanceID]table.Ownership // of unknown groups
 	owned      map[table.HostID]map[table.InstanceID]bool
 	hosts      []table.HostID // sorted
 	active     []*group
+	all        []*group
+	reviewAt   int
 	orders     map[table.HostID][]Order
 	told       map[toldKey]time.Duration
 	actions    []Action
@@ -46,6 +49,7 @@
 		leases:     leases,
 		groups:     map[table.GroupName]*group{},
 		byInstance: map[table.InstanceID]*group{},
+		unplaced:   map[table.InstanceID]table.Ownership{},
 		owned:      map[table.HostID]map[table.InstanceID]bool{},
 		orders:     map[table.HostID][]Order{},
 		told:       map[toldKey]time.Duration{},
@@ -83,13 +87,27 @@
 func (s *System) SetGroup(a table.Group) {
 	g := s.group(a.Name)
 	g.adopt(a)
+	for _, id := range []table.InstanceID{a.Primary, a.Candidate} {
+		if o, ok := s.unplaced[id]; ok {
+			s.SetOwner(a.Name, o)
+		}
+	}
 	s.activate(g)
 }
 
-// SetOwner takes the agreed owner of an instance, at each change. The group of
-// the instance is known from its announcement or from name.
+// SetOwner takes the agreed owner of an instance, at each change. An empty name
+// means that the group of the instance is not known yet: its announcement will
+// tell.
 func (s *System) SetOwner(name table.GroupName, o table.Ownership) {
-	g := s.group(name)
+	g := s.byInstance[o.Instance]
+	if name != "" {
+		g = s.group(name)
+	}
+	if g == nil {
+		s.unplaced[o.Instance] = o
+		return
+	}
+	delete(s.unplaced, o.Instance)
 	m := g.member(o.Instance)
 	s.byInstance[o.Instance] = g
 	if m.epoch == o.Epoch && m.owner == o.Host {
@@ -113,6 +131,9 @@
 	s.byInstance[i.ID] = g
 	old := m.inst
 	m.inst = i
+	if o, ok := s.unplaced[i.ID]; ok {
+		s.SetOwner(i.Group, o)
+	}
 	changed := !m.announced || old.Role != i.Role || old.Mark.Term != i.Mark.Term ||
 		old.Leaving != i.Leaving || old.Address != i.Address
 	m.announced = true
@@ -126,7 +147,7 @@
 // caller drops a heartbeat that was sent before one it has already taken.
 func (s *System) Reported(now time.Duration, host table.HostID, reports []Report) {
 	for _, r := range reports {
-		g := s.byInstance[r.Instance]
+		g := s.reportedGroup(r)
 		if g == nil {
 			continue
 		}
@@ -144,6 +165,17 @@
 	}
 }
 
+// reportedGroup returns the group of the instance that is reported on. An owner
+// knows the group also where the leader has no announcement.
+func (s *System) reportedGroup(r Report) *group {
+	g := s.byInstance[r.Instance]
+	if o, ok := s.unplaced[r.Instance]; g == nil && ok && s.groups[r.Group] != nil {
+		s.SetOwner(r.Group, o)
+		g = s.byInstance[r.Instance]
+	}
+	return g
+}
+
 // AddHost names a host that may be asked to probe a primary. A host whose
 // heartbeats are missing is not asked.
 func (s *System) AddHost(host table.HostID) {
@@ -204,6 +236,7 @@
 	}
 	s.actions = nil
 	clear(s.orders)
+	s.reviewOne()
 	kept := s.active[:0]
 	for _, g := range s.active {
 		if s.visit(now, g) {
@@ -247,7 +280,7 @@
 		g.wait, g.waitSince = reason, now
 		s.act(Wait{Group: g.name(), Reason: reason})
 	}
-	return reason != WaitNothing || fencing || g.suspected || g.planned != nil
+	return reason != WaitNothing || fencing || g.suspected || g.planned != nil || g.departure != nil
 }
 
 func (s *System) decide(now time.Duration, g *group) WaitReason {
@@ -271,6 +304,7 @@
 		m.downSince = now - r.UnreachableFor
 		return
 	}
+	m.reachedAt = now
 	if r.After.Leadership == s.leadership && (!m.read || r.After.At >= m.readAt) {
 		m.read = true
 		m.readAt = r.After.At
@@ -290,6 +324,7 @@
 	if g == nil {
 		g = newGroup(name)
 		s.groups[name] = g
+		s.all = append(s.all, g)
 	}
 	return g
 }
--- a/internal/system/routing/survey.go
+++ b/internal/system/routing/survey.go
@@ -41,7 +41,7 @@
 		if c.Instance == v.Primary || c.Leaving || !owned(c) || s.count == maxReplicas {
 			continue
 		}
-		o := option{candidate: c, fitness: judge(now, q, v, c), cost: cost(q, c)}
+		o := option{candidate: c, fitness: judge(now, q, v, c), cost: cost(now, q, c)}
 		if o.fitness == lagging {
 			o.cost += c.Hint.Age
 		}
@@ -86,7 +86,7 @@
 	switch {
 	case c.avoid.covers(now, q):
 		return barred
-	case !h.recent(now):
+	case !h.recent(now) || c.avoid.over(now, h):
 		return fit // nothing recent speaks against it
 	case !h.AgeKnown || h.Age > q.Staleness:
 		return doubted
