Let the relay of the pool tests end a connection at the upstream first

Cause: TestNeverMoreThanMaxOpen failed once with 'upstream saw 4' (, not reproduced): a probe that wrote while the relay cut made it close the pool's side before the upstream had ended its own, which the test promises not to do. Each side now ends by itself.

--- a/internal/pool/relay_test.go
+++ b/internal/pool/relay_test.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"io"
 	"net"
 	"sync"
 	"testing"
@@ -82,16 +81,18 @@
 			*left -= n
 		}
 		r.mu.Unlock()
-		_, werr := to.Write(buf[:n])
-		if err == io.EOF && !over {
-			_ = to.CloseWrite()
-			return
-		}
-		if over || err != nil || werr != nil {
+		_, _ = to.Write(buf[:n]) // one that is closed has ended its other side too
+		if over {
 			_ = p.client.Close()
 			_ = p.server.Close()
 			return
 		}
+		if err != nil {
+			// The other side ends by itself: the upstream always before it is
+			// seen to end.
+			_ = to.CloseWrite()
+			return
+		}
 	}
 }
 
