Look through wrapped connections for the certificate of a host

Since connections of unknown kinds are refused, the counting wrapper of the peer port kept every host out (TestOneOfTwoOperatorsWins: no leader).

--- a/internal/capacity/capacitytest/capacitytest.go
+++ b/internal/capacity/capacitytest/capacitytest.go
@@ -89,3 +89,6 @@
 	c.listener.Sent.Add(int64(n))
 	return n, err
 }
+
+// Unwrap implements peer.Unwrapper.
+func (c *countingConn) Unwrap() net.Conn { return c.Conn }
--- a/internal/host/limit.go
+++ b/internal/host/limit.go
@@ -46,3 +46,6 @@
 	c.done()
 	return c.Conn.Close()
 }
+
+// Unwrap implements peer.Unwrapper.
+func (c *countedConn) Unwrap() net.Conn { return c.Conn }
--- a/internal/owner/instance.go
+++ b/internal/owner/instance.go
@@ -43,7 +43,7 @@
 	mu     sync.Mutex
 	held   map[request.SessionID]*transaction
 	health health
-	seen   table.Mark // the furthest that the primary was seen
+	seen   table.Mark                      // the furthest that the primary was seen
 	waits  [config.RankCount]time.Duration // for a slot, by rank
 	age    ageProof
 }
--- a/internal/peer/heard.go
+++ b/internal/peer/heard.go
@@ -29,6 +29,9 @@
 	return n, err
 }
 
+// Unwrap implements Unwrapper.
+func (c *heardConn) Unwrap() net.Conn { return c.Conn }
+
 // silentFor returns how long ago the last byte came.
 func (c *heardConn) silentFor() time.Duration {
 	return time.Since(c.start) - time.Duration(c.at.Load())
--- a/internal/peer/identity.go
+++ b/internal/peer/identity.go
@@ -77,13 +77,22 @@
 	return c.Conn.Read(p)
 }
 
+// Unwrapper is a connection around another one. A listener whose connections
+// wrap others must offer it, or no host is trusted over them.
+type Unwrapper interface{ Unwrap() net.Conn }
+
 // CheckSpeaker returns an error where the connection behind ctx has a
 // certificate that does not name the host. On plain TCP every host is trusted;
 // a connection of which nothing is known is not.
 func CheckSpeaker(ctx context.Context, host table.HostID) error {
-	transport, _ := drpcctx.Transport(ctx)
-	if heard, ok := transport.(*heardConn); ok {
-		transport = heard.Conn
+	var transport any
+	transport, _ = drpcctx.Transport(ctx)
+	for {
+		wrapper, ok := transport.(Unwrapper)
+		if !ok {
+			break
+		}
+		transport = wrapper.Unwrap()
 	}
 	if _, plain := transport.(*net.TCPConn); plain {
 		return nil
