--- a/internal/peer/fuzz_test.go
+++ b/internal/peer/fuzz_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc"
+	"storj.io/drpc/drpcctx"
 
 	"github.com/amaranthweir/amaranthweir/internal/peer/peerpb"
 	"github.com/amaranthweir/amaranthweir/internal/request"
@@ -14,6 +16,11 @@
 // nullStream takes answers and forgets them.
 type nullStream struct{ drpc.Stream }
 
+// Context is that of a stream over plain TCP.
+func (nullStream) Context() context.Context {
+	return drpcctx.WithTransport(context.Background(), &net.TCPConn{})
+}
+
 func (nullStream) Send(*peerpb.Frame) error     { return nil }
 func (nullStream) Recv() (*peerpb.Frame, error) { return nil, context.Canceled }
 
--- a/internal/peer/identity.go
+++ b/internal/peer/identity.go
@@ -77,20 +77,29 @@
 	return c.Conn.Read(p)
 }
 
+// Unwrapper is a connection around another one. A listener whose connections
+// wrap others must offer it, or no host is trusted over them.
+type Unwrapper interface{ Unwrap() net.Conn }
+
 // CheckSpeaker returns an error where the connection behind ctx has a
-// certificate that does not name the host. Without TLS every host is trusted.
+// certificate that does not name the host. On plain TCP every host is trusted;
+// a connection of which nothing is known is not.
 func CheckSpeaker(ctx context.Context, host table.HostID) error {
-	transport, _ := drpcctx.Transport(ctx)
-	if heard, ok := transport.(*heardConn); ok {
-		return checkCertificate(heard.Conn, host)
+	var transport any
+	transport, _ = drpcctx.Transport(ctx)
+	for {
+		wrapper, ok := transport.(Unwrapper)
+		if !ok {
+			break
+		}
+		transport = wrapper.Unwrap()
+	}
+	if _, plain := transport.(*net.TCPConn); plain {
+		return nil
 	}
-	return checkCertificate(transport, host)
-}
-
-func checkCertificate(transport any, host table.HostID) error {
 	secured, ok := transport.(interface{ ConnectionState() tls.ConnectionState })
 	if !ok {
-		return nil
+		return errkind.New(errkind.Unauthenticated, "nothing is known of the connection of the host %.64q", string(host))
 	}
 	for _, c := range secured.ConnectionState().PeerCertificates[:1] {
 		if c.Subject.CommonName == string(host) || slices.Contains(c.DNSNames, string(host)) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -295,7 +295,7 @@
 		e.answer(id, &peerpb.Answer{Last: true, TxStatus: uint32(request.TxIdle), Failure: encodeFailure(err)})
 		return
 	}
-	if err := CheckSpeaker(ctx, r.Session.Host); err != nil {
+	if err := CheckSpeaker(e.stream.Context(), r.Session.Host); err != nil {
 		e.answer(id, &peerpb.Answer{Last: true, TxStatus: uint32(request.TxIdle), Failure: encodeFailure(err)})
 		return
 	}
@@ -353,7 +353,7 @@
 }
 
 func (e *exchange) endSession(s request.SessionID) {
-	if CheckSpeaker(e.ctx, s.Host) != nil {
+	if CheckSpeaker(e.stream.Context(), s.Host) != nil {
 		return
 	}
 	e.mu.Lock()
--- a/internal/pg/listener.go
+++ b/internal/pg/listener.go
@@ -8,7 +8,6 @@
 	"os"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -54,13 +53,13 @@
 
 // Listener serves callers.
 type Listener struct {
-	cfg      Config
-	starting atomic.Int64 // callers in their start-up
+	cfg Config
 
 	mu       sync.Mutex
 	sessions map[uint32]*entry // by process id, for cancel requests
 	nextPID  uint32
 	ending   bool
+	starting int // connections whose start-up is not over
 	work     sync.WaitGroup
 }
 
@@ -122,14 +121,13 @@
 // serve runs one connection from start-up to its end.
 func (l *Listener) serve(ctx context.Context, nc net.Conn) {
 	log := l.cfg.Log.WithField("caller", nc.RemoteAddr().String())
-	if l.starting.Add(1) > maxStarting {
-		l.starting.Add(-1)
+	if !l.beginStart() {
 		l.refuse(log, nc, errkind.New(errkind.CallerLimit, "too many callers are connecting"))
 		_ = nc.Close()
 		return
 	}
 	s, nc := l.start(log, nc)
-	l.starting.Add(-1)
+	l.endStart()
 	defer func() { _ = nc.Close() }()
 	if s == nil {
 		return
@@ -153,6 +151,23 @@
 	}
 }
 
+// beginStart takes a place among the connections in start-up.
+func (l *Listener) beginStart() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.starting >= maxStarting {
+		return false
+	}
+	l.starting++
+	return true
+}
+
+func (l *Listener) endStart() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.starting--
+}
+
 // start runs the start-up of a connection. It returns no session where the
 // caller was refused or only cancels a request, and the connection to close.
 func (l *Listener) start(log logrus.FieldLogger, nc net.Conn) (*session, net.Conn) {
@@ -208,11 +223,11 @@
 		}
 	}
 	backend.SetMaxBodyLen(l.cfg.MaxMessageBytes)
-	known := map[string]prepared{}
 	gate, err := l.cfg.Gateway.NewSession(start.database, start.user)
 	if err != nil {
 		return nil, err
 	}
+	known := map[string]prepared{}
 	s := &session{
 		listener: l,
 		net:      nc,
