--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -56,6 +56,7 @@
 // Missing returns the names that the arithmetic needs and the slopes lack.
 func (s Slopes) Missing() []string {
 	seen := recorder{slopes: s}
+	work(&seen, UsersSizes(), First())
 	work(&seen, UsersSizes(), Today())
 	work(&seen, UsersSizes(), Proposed())
 	return seen.missing
@@ -87,8 +88,8 @@
 	Served float64
 	// WholeTables hands all tables out at each change, and not what changed.
 	WholeTables bool
-	// AllGroups keeps and rebuilds the views of all groups at each change, and
-	// not of those that the host's callers and instances use.
+	// AllGroups keeps all groups at every host, and not those that its callers
+	// and instances use.
 	AllGroups bool
 	// DocumentVersions names every document in force in each heartbeat.
 	DocumentVersions bool
@@ -160,8 +161,8 @@
 
 func tables(r *recorder, z Sizes, d Design) Row {
 	row := Row{Role: EveryHost, Mechanism: "tables of hosts and instances", Memory: r.get("host_tables_memory") * groupShare(z, d)}
-	row.Bytes = tableRate(z) * r.get("tables_host_bytes")
-	row.Core = core(tableRate(z) * r.get("host_tables_cpu") / float64(z.Hosts+z.Instances()))
+	row.Bytes = tableRate(z) * r.get("tables_delta_bytes")
+	row.Core = core(tableRate(z) * r.get("host_tables_delta_cpu") * groupShare(z, d))
 	if d.WholeTables {
 		row.Bytes = tableRate(z) * tablesBytes(r, z)
 		row.Core = core(tableRate(z) * r.get("host_tables_cpu"))
@@ -299,7 +300,8 @@
 	if d.Relays > 0 {
 		receivers = float64(d.Relays)
 	}
-	out.Bytes = tableRate(z) * receivers * r.get("tables_host_bytes")
+	out.Bytes = tableRate(z) * receivers * r.get("tables_delta_bytes")
+	out.Core = core(tableRate(z) * receivers * r.get("tables_delta_encode_cpu"))
 	if d.WholeTables {
 		out.Bytes = tableRate(z) * receivers * tablesBytes(r, z)
 		out.Core = core(tableRate(z) * receivers * r.get("tables_encode_cpu"))
@@ -319,12 +321,19 @@
 	return []Row{heartbeats, passed, out, changes, log}
 }
 
+// First is the design before tables went out as deltas and versions only when
+// they changed.
+func First() Design {
+	d := Today()
+	d.WholeTables, d.DocumentVersions = true, true
+	return d
+}
+
 // Today is the design as the code has it.
 func Today() Design {
 	z := UsersSizes()
 	return Design{
-		Heartbeat: z.Heartbeat, Probe: z.Probe, Announce: z.Announce, IdlePings: true, Served: 1,
-		WholeTables: true, AllGroups: true, DocumentVersions: true,
+		Heartbeat: z.Heartbeat, Probe: z.Probe, Announce: z.Announce, IdlePings: true, Served: 1, AllGroups: true,
 	}
 }
 
