--- a/internal/owner/instance.go
+++ b/internal/owner/instance.go
@@ -43,6 +43,7 @@
 	mu     sync.Mutex
 	held   map[request.SessionID]*transaction
 	health health
+	seen   table.Mark // the furthest that the primary was seen
 	waits  [config.RankCount]time.Duration // for a slot, by rank
 	age    ageProof
 }
@@ -64,9 +65,7 @@
 	}
 	p, err := pool.New(pool.Config{
 		Address:     desc.Address,
-		User:        cfg.User,
-		Password:    cfg.Password,
-		Database:    cfg.Database,
+		Login:       cfg.Login,
 		Epoch:       epoch,
 		Max:         max(1, desc.Connections-reservedConnections),
 		Warm:        min(desc.Slots, max(1, desc.Connections-reservedConnections)),
--- a/internal/peer/capacity_test.go
+++ b/internal/peer/capacity_test.go
@@ -66,7 +66,7 @@
 	before := capacitytest.InUse()
 	var remotes []*Remote
 	for range links {
-		r := NewRemote(l.Addr().String(), DefaultTiming())
+		r := NewRemote(l.Addr().String(), DefaultTiming(), nil)
 		_, err := r.Position(b.Context(), "instance")
 		assert.NilError(b, err)
 		remotes = append(remotes, r)
@@ -88,7 +88,7 @@
 func BenchmarkCapacityCalls(b *testing.B) {
 	const calls = 5000
 	l := serveCounted(b)
-	r := NewRemote(l.Addr().String(), DefaultTiming())
+	r := NewRemote(l.Addr().String(), DefaultTiming(), nil)
 	defer r.Close()
 	q := &request.Request{
 		ID: "host-0001-1", Session: request.SessionID{Host: "host-0001", Incarnation: 1 << 60, Number: 7},
--- a/internal/pg/startup.go
+++ b/internal/pg/startup.go
@@ -22,10 +22,13 @@
 	// maxStartupTries bounds the SSLRequest and GSSEncRequest messages before
 	// the start-up message.
 	maxStartupTries = 3
-	// maxStarting bounds the callers in their start-up.
+	// maxStarting bounds the callers in their start-up, their login included;
+	// more are refused at once.
 	maxStarting = 1024
 	// maxSessionParameters bounds the parameters of a start-up message.
 	maxSessionParameters = 64
+	// maxLoginBytes bounds one message of a caller that has not logged in.
+	maxLoginBytes = 4 << 10
 )
 
 // Parameters of the start-up message and of SET that the proxy itself reads.
