Keep one map of document versions for hosts that have the same

Shown failing first: pace_test.go:77 30 (int) != 2 (int) without sharing, 3 != 2 where no versions are taken for new ones.

--- a/internal/host/leader.go
+++ b/internal/host/leader.go
@@ -44,7 +44,7 @@
 	fed       *control.View // the control state that the systems have
 	hosts     map[table.HostID]table.Host
 	instances map[table.InstanceID]table.Instance
-	versions  map[table.HostID]map[string]uint64
+	versions  hostVersions
 	waits     map[table.GroupName]string
 	version   tablesVersion
 	recent    tableLog
@@ -82,7 +82,7 @@
 		fed:       control.NewView(),
 		hosts:     map[table.HostID]table.Host{},
 		instances: map[table.InstanceID]table.Instance{},
-		versions:  map[table.HostID]map[string]uint64{},
+		versions:  newHostVersions(),
 		waits:     map[table.GroupName]string{},
 	}
 	l.failover = failover.New(h.timing, l.grantor)
@@ -206,7 +206,7 @@
 	number := uint64(time.Now().UnixNano())
 	l.version = tablesVersion{Leadership: number, Number: 1}
 	l.recent = tableLog{forgotten: l.version.Number}
-	l.versions = map[table.HostID]map[string]uint64{}
+	l.versions = newHostVersions()
 	t := l.host.dir.currentTables()
 	l.hosts = map[table.HostID]table.Host{}
 	for _, h := range t.Hosts {
@@ -325,9 +325,7 @@
 	reply.Stamp = l.failover.Stamp(now)
 	reply.Orders = l.failover.Orders(hb.Host)
 	reply.HandOvers = l.ownership.HandOvers(hb.Host)
-	if hb.Documents != nil {
-		l.versions[hb.Host] = hb.Documents
-	}
+	l.versions.told(hb.Host, hb.Documents)
 	if hb.Revision < l.fed.Revision {
 		delta, err := l.deltas.encode(l.fed, hb.Revision)
 		if err != nil {
--- a/internal/host/pace_test.go
+++ b/internal/host/pace_test.go
@@ -1,12 +1,15 @@
 package host
 
 import (
+	"fmt"
+	"reflect"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/amaranthweir/amaranthweir/internal/control"
+	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
 // TestPaceLeavesTime asks for a run each 32 us, as often as the heartbeats of
@@ -58,3 +61,20 @@
 	told.answered(2, told.next(two))
 	assert.Assert(t, told.next(two) == nil)
 }
+
+// TestHostsShareVersions counts maps: a leader keeps one for all hosts with the
+// same versions.
+func TestHostsShareVersions(t *testing.T) {
+	v := newHostVersions()
+	for n := range 30 {
+		v.told(table.HostID(fmt.Sprint("h", n)), map[string]uint64{"s": 1 + uint64(n/20)})
+	}
+	v.told("h0", nil)
+	kept := map[uintptr]uint64{}
+	for _, versions := range v.byHost {
+		kept[reflect.ValueOf(versions).Pointer()]++
+	}
+	assert.Equal(t, len(kept), 2)
+	assert.Equal(t, v.byHost["h0"]["s"], uint64(1))
+	assert.Equal(t, v.byHost["h29"]["s"], uint64(2))
+}
--- a/internal/host/status.go
+++ b/internal/host/status.go
@@ -50,7 +50,7 @@
 		Ages:     map[table.InstanceID]time.Duration{},
 		Marks:    map[table.InstanceID]table.Mark{},
 	}
-	for id, versions := range l.versions {
+	for id, versions := range l.versions.byHost {
 		r.Versions[id] = versions
 	}
 	for group, wait := range l.waits {
--- a/internal/host/versions.go
+++ b/internal/host/versions.go
@@ -4,6 +4,7 @@
 	"maps"
 
 	"github.com/amaranthweir/amaranthweir/internal/control"
+	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
 // toldVersions is what the leader knows of the documents in force at this
@@ -34,3 +35,25 @@
 	}
 	t.leadership = leadership
 }
+
+// hostVersions is what the leader knows of the documents in force at each
+// host. Hosts with the same versions share one map.
+type hostVersions struct {
+	byHost map[table.HostID]map[string]uint64
+	latest map[string]uint64
+}
+
+func newHostVersions() hostVersions {
+	return hostVersions{byHost: map[table.HostID]map[string]uint64{}}
+}
+
+// told takes the versions of a heartbeat; nil says that they are as before.
+func (v *hostVersions) told(host table.HostID, versions map[string]uint64) {
+	if versions == nil {
+		return
+	}
+	if !maps.Equal(versions, v.latest) {
+		v.latest = versions
+	}
+	v.byHost[host] = v.latest
+}
