Keep e2e hosts from outliving their tests, and links from ending under load

Hosts of test runs that had panicked went on for 40 minutes: they took most of a processor and probed and fenced the addresses of their killed instances, which the system had given to instances of other tests. That is why TestSlowStatementIsNotSilent failed twice (unexpected EOF; 1 of 576 and 1 of 1800 runs in parallel): a stranger fenced its upstream. Hosts now end with the process that started them, and instances of e2e tests listen on ports that the system does not hand out.

A link was taken for silent after 400 ms, which a busy machine exceeds (6 x 08007 in one run at a load of 16 to 60). It is 1 s now, as long as a lease, so a request to a frozen owner waits no longer than the move of its instance; the pings of an idle link are 2.5 times fewer.

--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -42,6 +43,10 @@
 }
 
 func runHost(file string) int {
+	go func() { // the pipe ends with the tests, also when they panic
+		_, _ = io.Copy(io.Discard, os.Stdin)
+		os.Exit(1)
+	}()
 	src, err := os.ReadFile(file)
 	if err == nil {
 		var s *config.Settings
@@ -121,6 +126,9 @@
 	for i, d := range domains {
 		cfg := standin.DefaultConfig("ledger-1", table.InstanceID(fmt.Sprintf("ledger-1-%d", i+1)))
 		cfg.Domain, cfg.Primary, cfg.Lag = d, i == 0, lag
+		// Not ports that the system hands out: hosts go on probing a killed
+		// instance, and must not meet the instance of another test there.
+		cfg.Address = freePorts(t, 1)[0]
 		cfg.Work = time.Millisecond
 		for _, p := range c.hosts {
 			cfg.Entries = append(cfg.Entries, p.http)
@@ -209,6 +217,8 @@
 	p.cmd = exec.Command(os.Args[0])
 	p.cmd.Env = append(os.Environ(), settingsVariable+"="+p.settings)
 	p.cmd.Stdout, p.cmd.Stderr = out, out
+	_, err = p.cmd.StdinPipe() // held open as long as this process runs
+	assert.NilError(c.t, err)
 	assert.NilError(c.t, p.cmd.Start())
 	cmd := p.cmd
 	c.t.Cleanup(func() {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -46,7 +46,7 @@
 
 // DefaultTiming suits failure domains a few milliseconds apart.
 func DefaultTiming() Timing {
-	return Timing{Dial: 500 * time.Millisecond, Ping: 100 * time.Millisecond, Silence: 400 * time.Millisecond}
+	return Timing{Dial: 500 * time.Millisecond, Ping: 250 * time.Millisecond, Silence: time.Second}
 }
 
 // link is an open Exchange stream to one host.
