--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -202,9 +202,9 @@
 		median   float64 // bound in ms
 		longest  float64 // bound in ms
 	}{
-		{15, false, 300, 900},
-		{DefaultElectionTicks, false, 600, 1800},
-		{60, false, 1200, 3600},
+		{15, false, 300, 450},
+		{DefaultElectionTicks, false, 600, 900},
+		{60, false, 1200, 1800},
 		{DefaultElectionTicks, true, 50, 50},
 	}
 	for _, c := range cases {
