--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,8 +25,8 @@
 	Document(service string) *config.Document
 	// Groups holds the view of each group.
 	Groups() *routing.Table
-	// History returns the agreed state of a group, or false when unknown.
-	History(group table.GroupName) (table.Group, bool)
+	// Agreed returns the agreed state of a group, or false when unknown.
+	Agreed(group table.GroupName) (table.Group, bool)
 	// Executor reaches a host.
 	Executor(host table.HostID) (request.Executor, bool)
 	// Changed returns a channel that is closed at the next change of a group.
@@ -137,13 +137,6 @@
 	return best, nil
 }
 
-// groupFloor samples the position of the primary of a group, for a session
-// that brought no token.
-func (g *Gateway) groupFloor(ctx context.Context, group table.GroupName) (table.Mark, error) {
-	p, err := g.PrimaryPosition(ctx, group)
-	return p.Mark, err
-}
-
 // PrimaryPosition samples the position of the primary of a group at its owner.
 func (g *Gateway) PrimaryPosition(ctx context.Context, group table.GroupName) (request.PositionSample, error) {
 	v := g.cfg.Directory.Groups().Lookup(group)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -72,8 +72,8 @@
 	}
 	return nil
 }
-func (f *fakeDirectory) Groups() *routing.Table                      { return &f.groups }
-func (f *fakeDirectory) History(table.GroupName) (table.Group, bool) { return f.agreed, true }
+func (f *fakeDirectory) Groups() *routing.Table                     { return &f.groups }
+func (f *fakeDirectory) Agreed(table.GroupName) (table.Group, bool) { return f.agreed, true }
 
 func (f *fakeDirectory) Executor(table.HostID) (request.Executor, bool) { return f.upstream, true }
 func (f *fakeDirectory) Changed() <-chan struct{}                       { return nil }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -101,10 +101,8 @@
 		Continues:       open,
 		Deadline:        r.deadline,
 		Staleness:       c.Staleness,
-		Repeatable:      c.Repeatable,
 		RequestID:       r.plan.requestID,
 		AckReplicas:     c.AckReplicas,
-		RatePerSecond:   c.RatePerSecond,
 		Settings:        s.settings,
 		Digest:          r.digest(),
 		Prepares:        r.work.Prepares,
@@ -138,13 +136,13 @@
 	if q.HasFloor || s.given {
 		return nil
 	}
-	floor, err := s.gateway.groupFloor(ctx, q.Group)
+	primary, err := s.gateway.PrimaryPosition(ctx, q.Group)
 	if err != nil {
 		return err
 	}
-	s.token.Raise(q.Group, floor)
-	s.assumed[q.Group] = floor
-	q.Floor, q.HasFloor = floor, true
+	s.token.Raise(q.Group, primary.Mark)
+	s.assumed[q.Group] = primary.Mark
+	q.Floor, q.HasFloor = primary.Mark, true
 	return nil
 }
 
@@ -152,7 +150,7 @@
 // old term. A floor that was only assumed is asked for anew instead.
 func (r *run) checkLost(group table.GroupName) error {
 	s := r.session
-	agreed, ok := s.gateway.cfg.Directory.History(group)
+	agreed, ok := s.gateway.cfg.Directory.Agreed(group)
 	if !ok {
 		return nil
 	}
--- a/internal/host/backend.go
+++ b/internal/host/backend.go
@@ -47,7 +47,7 @@
 			return errkind.New(errkind.BadRequest, "instance %s belongs to the group %s", a.Instance, in.Group)
 		}
 	}
-	g, ok := b.host.dir.History(a.Group)
+	g, ok := b.host.dir.Agreed(a.Group)
 	if ok && a.Role == table.RolePrimary.String() && a.Term < g.Term {
 		b.host.beats.announce(a)
 		return errkind.New(errkind.BadRequest, "term %d of %s is over, %d is agreed", a.Term, a.Group, g.Term)
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -76,8 +76,8 @@
 // Groups implements gateway.Directory.
 func (d *directory) Groups() *routing.Table { return &d.groups }
 
-// History implements gateway.Directory.
-func (d *directory) History(group table.GroupName) (table.Group, bool) {
+// Agreed implements gateway.Directory.
+func (d *directory) Agreed(group table.GroupName) (table.Group, bool) {
 	g, ok := d.view.Load().Groups[group]
 	return g, ok
 }
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -5,7 +5,6 @@
 package peer
 
 import (
-	"math"
 	"time"
 
 	"github.com/amaranthweir/amaranthweir/internal/config"
@@ -88,11 +87,9 @@
 		Continues:       r.Continues,
 		RemainingNanos:  int64(r.Deadline.Sub(now)),
 		StalenessNanos:  int64(r.Staleness),
-		Repeatable:      r.Repeatable,
 		RequestId:       r.RequestID,
 		Digest:          r.Digest,
 		AckReplicas:     uint32(r.AckReplicas),
-		RatePerSecond:   r.RatePerSecond,
 		Settings:        r.Settings,
 		Messages:        r.Messages,
 		ChangesSettings: r.ChangesSettings,
@@ -116,9 +113,6 @@
 	if n := len(p.GetSettings()) + len(p.GetPrepares()); n > maxParts {
 		return nil, errkind.New(errkind.TooLarge, "%d settings and statements", n)
 	}
-	if rate := p.GetRatePerSecond(); math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
-		return nil, errkind.New(errkind.BadRequest, "rate %v", rate)
-	}
 	r := &request.Request{
 		ID:              p.GetId(),
 		Session:         decodeSession(p.GetSession()),
@@ -134,11 +128,9 @@
 		Staleness:       time.Duration(p.GetStalenessNanos()),
 		Floor:           decodeMark(p.GetFloor()),
 		HasFloor:        p.GetFloor() != nil,
-		Repeatable:      p.GetRepeatable(),
 		RequestID:       p.GetRequestId(),
 		Digest:          p.GetDigest(),
 		AckReplicas:     int(p.GetAckReplicas()),
-		RatePerSecond:   p.GetRatePerSecond(),
 		Settings:        p.GetSettings(),
 		Messages:        p.GetMessages(),
 		ChangesSettings: p.GetChangesSettings(),
--- a/internal/peer/fuzz_test.go
+++ b/internal/peer/fuzz_test.go
@@ -29,7 +29,7 @@
 func FuzzFrame(f *testing.F) {
 	for _, frame := range []*peerpb.Frame{
 		{Id: 1, Body: &peerpb.Frame_Request{Request: encodeRequest(ask("x"), ask("x").Deadline)}},
-		{Id: 1, Body: &peerpb.Frame_Request{Request: &peerpb.Request{Rank: 77, RatePerSecond: -1}}},
+		{Id: 1, Body: &peerpb.Frame_Request{Request: &peerpb.Request{Rank: 77, RemainingNanos: -1}}},
 		{Id: 1, Body: &peerpb.Frame_Credit{Credit: &peerpb.Credit{Bytes: 1 << 63}}},
 		{Body: &peerpb.Frame_EndSession{}},
 		{Id: 2, Body: &peerpb.Frame_Answer{Answer: &peerpb.Answer{Last: true, Failure: &peerpb.Failure{Effect: 512}}}},
--- a/internal/pg/path_test.go
+++ b/internal/pg/path_test.go
@@ -54,8 +54,8 @@
 	}
 	return nil
 }
-func (a *alone) Groups() *routing.Table                      { return &a.groups }
-func (a *alone) History(table.GroupName) (table.Group, bool) { return table.Group{}, false }
+func (a *alone) Groups() *routing.Table                     { return &a.groups }
+func (a *alone) Agreed(table.GroupName) (table.Group, bool) { return table.Group{}, false }
 
 func (a *alone) Executor(table.HostID) (request.Executor, bool)            { return a.executor, true }
 func (a *alone) Changed() <-chan struct{}                                  { return a.changed }
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -48,8 +48,6 @@
 	// Floor is the mark that a read must not be older than.
 	Floor    table.Mark
 	HasFloor bool
-	// Repeatable is false for work that must not run twice.
-	Repeatable bool
 	// RequestID is the caller's idempotency key, or empty.
 	RequestID string
 	// Digest identifies the content of the request for RequestID.
@@ -60,8 +58,6 @@
 	// AckReplicas is how many replicas must hold a write before it is
 	// acknowledged.
 	AckReplicas int
-	// RatePerSecond is the declared arrival rate of the class, or zero.
-	RatePerSecond float64
 	// Settings are the SET statements of the session, in order.
 	Settings []string
 	// Prepares are installed where the connection lacks them.
