--- a/internal/capacity/sizes.go
+++ b/internal/capacity/sizes.go
@@ -67,7 +67,7 @@
 		Restarts:          4800,
 		Failures:          31,
 		Heartbeat:         150 * time.Millisecond,
-		Ping:              100 * time.Millisecond,
+		Ping:              250 * time.Millisecond,
 		Probe:             100 * time.Millisecond,
 		Announce:          500 * time.Millisecond,
 	}
--- a/standin/cmd/figures/collect.go
+++ b/standin/cmd/figures/collect.go
@@ -157,6 +157,7 @@
 	if i := strings.Index(line, `{"name":`); i >= 0 {
 		var f figure
 		err := json.Unmarshal([]byte(line[i:]), &f)
+		f.Pass = f.Pass || f.Bound == "" // a slope has no bound to pass
 		return []figure{f}, err
 	}
 	if m := gapLine.FindStringSubmatch(line); m != nil {
--- a/standin/cmd/figures/figures_test.go
+++ b/standin/cmd/figures/figures_test.go
@@ -43,6 +43,9 @@
 		{"routing_host_lost_moves", 6.828, "moves/op", "", true},
 		{"memory", 7, "MiB", "<= 9", true},
 	})
+	figures, err = readOutput([]byte(`{"name":"slope","value":3,"unit":"B"}`), nil)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, figures, []figure{unbounded("slope", 3, "B")})
 	_, err = readOutput([]byte(`{"name":1}`), nil)
 	assert.ErrorContains(t, err, "name")
 }
