--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -90,18 +90,20 @@
 // nextPort counts through ports below those that the system hands out itself.
 var nextPort atomic.Uint32
 
-// freePorts returns n loopback addresses that nothing listens on.
+// freePorts returns n loopback addresses that nothing listens on. It asks by
+// dialling: a host that is being started holds copies of all sockets of this
+// process for a moment, and a listener that was closed would still be there.
 func freePorts(t testing.TB, n int) []string {
 	const first, last = 20000, 32000
 	var addresses []string
 	for len(addresses) < n {
 		port := first + (uint32(os.Getpid())*97+nextPort.Add(1))%(last-first)
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if nc, err := net.Dial("tcp", address); err == nil {
+			assert.NilError(t, nc.Close())
 			continue
 		}
-		addresses = append(addresses, l.Addr().String())
-		assert.NilError(t, l.Close())
+		addresses = append(addresses, address)
 	}
 	return addresses
 }
