--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -7,13 +7,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"os/signal"
 	"path/filepath"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -25,6 +23,7 @@
 	"github.com/amaranthweir/amaranthweir/internal/api"
 	"github.com/amaranthweir/amaranthweir/internal/config"
 	"github.com/amaranthweir/amaranthweir/internal/host"
+	"github.com/amaranthweir/amaranthweir/internal/porttest"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 	"github.com/amaranthweir/amaranthweir/standin"
 )
@@ -87,33 +86,12 @@
 	group []*standin.Instance
 }
 
-// nextPort counts through ports below those that the system hands out itself.
-var nextPort atomic.Uint32
-
-// freePorts returns n loopback addresses that nothing listens on. It asks by
-// dialling: a host that is being started holds copies of all sockets of this
-// process for a moment, and a listener that was closed would still be there.
-func freePorts(t testing.TB, n int) []string {
-	const first, last = 20000, 32000
-	var addresses []string
-	for len(addresses) < n {
-		port := first + (uint32(os.Getpid())*97+nextPort.Add(1))%(last-first)
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		if nc, err := net.Dial("tcp", address); err == nil {
-			assert.NilError(t, nc.Close())
-			continue
-		}
-		addresses = append(addresses, address)
-	}
-	return addresses
-}
-
 // start runs hosts, the first three of them control hosts, and a group with
 // the given replication lag, and waits until the group is served.
 func start(t testing.TB, hosts int, lag time.Duration) *cluster {
 	t.Helper()
 	c := &cluster{t: t}
-	ports := freePorts(t, 3*hosts)
+	ports := porttest.Free(t, 3*hosts)
 	for i := range hosts {
 		c.hosts = append(c.hosts, &process{
 			name: fmt.Sprintf("h%d", i+1), domain: domains[i%len(domains)],
@@ -130,7 +108,7 @@
 		cfg.Domain, cfg.Primary, cfg.Lag = d, i == 0, lag
 		// Not ports that the system hands out: hosts go on probing a killed
 		// instance, and must not meet the instance of another test there.
-		cfg.Address = freePorts(t, 1)[0]
+		cfg.Address = porttest.Free(t, 1)[0]
 		cfg.Work = time.Millisecond
 		for _, p := range c.hosts {
 			cfg.Entries = append(cfg.Entries, p.http)
--- a/internal/host/security_test.go
+++ b/internal/host/security_test.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/url"
 	"os"
 	"path/filepath"
@@ -31,6 +30,7 @@
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/peer"
 	"github.com/amaranthweir/amaranthweir/internal/platform"
+	"github.com/amaranthweir/amaranthweir/internal/porttest"
 	"github.com/amaranthweir/amaranthweir/internal/request"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
@@ -72,22 +72,14 @@
 	log   lockedBuffer
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func startProtected(t *testing.T) *deployment {
 	t.Helper()
 	d := &deployment{t: t, ca: certtest.NewCA(t)}
-	control := freeAddress(t)
+	control := porttest.Free(t, 1)[0]
 	for _, name := range []string{"h1", "h2"} {
 		peerAddress := control
 		if name != "h1" {
-			peerAddress = freeAddress(t)
+			peerAddress = porttest.Free(t, 1)[0]
 		}
 		s := d.settings(name, peerAddress, control)
 		h, err := New(s)
@@ -121,8 +113,8 @@
 	password := filepath.Join(d.t.TempDir(), "password")
 	assert.NilError(d.t, os.WriteFile(password, []byte(upstreamPassword), 0o600))
 	m := map[string]any{
-		"host": name, "failure_domain": "coventry", "caller_address": freeAddress(d.t), "peer_address": peerAddress,
-		"http_address": freeAddress(d.t), "join": []string{control}, "require_tls": true,
+		"host": name, "failure_domain": "coventry", "caller_address": porttest.Free(d.t, 1)[0], "peer_address": peerAddress,
+		"http_address": porttest.Free(d.t, 1)[0], "join": []string{control}, "require_tls": true,
 		"tls_certificate": f.Certificate, "tls_key": f.Key,
 		"users":                 []any{map[string]string{"name": "ann", "scram": verifier.Text()}},
 		"upstream":              map[string]string{"password_file": password, "ca": f.CA},
