--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -26,6 +26,7 @@
 	group    table.GroupName
 	floor    table.Mark
 	hasFloor bool
+	known    table.Mark // of the instance, as its owner said last
 	attempt  int
 	routing.Decision
 }
@@ -77,6 +78,7 @@
 	}
 	if d.hasFloor {
 		fields["floor_term"], fields["floor_position"] = d.floor.Term, d.floor.Position
+		fields["instance_term"], fields["instance_position"] = d.known.Term, d.known.Position
 	}
 	if d.Refused() {
 		fields["refused"] = d.Refuse.String()
@@ -87,8 +89,8 @@
 	g.cfg.Log.WithTime(d.at).WithFields(fields).Info("route")
 }
 
-// logDecision hands a decision to the log.
-func (r *run) logDecision(q *request.Request, d routing.Decision) {
+// logDecision hands a decision on view to the log.
+func (r *run) logDecision(q *request.Request, view *routing.GroupView, d routing.Decision) {
 	log := &r.session.gateway.decisions
 	select {
 	case log.queue <- decision{
@@ -100,6 +102,7 @@
 		group:    q.Group,
 		floor:    q.Floor,
 		hasFloor: q.HasFloor,
+		known:    knownMark(view, d.Instance),
 		attempt:  r.attempts,
 		Decision: d,
 	}:
@@ -107,3 +110,16 @@
 		log.dropped.Add(1)
 	}
 }
+
+// knownMark returns the mark that the owner of an instance reported last.
+func knownMark(view *routing.GroupView, id table.InstanceID) table.Mark {
+	if view == nil {
+		return table.Mark{}
+	}
+	for i := range view.Candidates {
+		if view.Candidates[i].Instance == id {
+			return view.Candidates[i].Hint.Mark
+		}
+	}
+	return table.Mark{}
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -185,7 +185,7 @@
 		Seed:      rand.Uint64(),
 	}, view)
 	if r.attempts == 1 || d != r.decided {
-		r.logDecision(q, d)
+		r.logDecision(q, view, d)
 	}
 	r.decided = d
 	if d.Refused() {
