--- a/internal/pg/listener.go
+++ b/internal/pg/listener.go
@@ -38,6 +38,9 @@
 	// MaxCallers bounds open connections, MaxMessageBytes one message.
 	MaxCallers      int
 	MaxMessageBytes int
+	// StartupTimeout bounds the start-up of a caller; zero stands for
+	// DefaultStartupTimeout.
+	StartupTimeout time.Duration
 	// IdleTransaction is how long a transaction may wait for its next message;
 	// zero stands for DefaultIdleTransaction.
 	IdleTransaction time.Duration
@@ -71,6 +74,9 @@
 
 // NewListener returns a Listener that serves no connection yet.
 func NewListener(cfg Config) *Listener {
+	if cfg.StartupTimeout <= 0 {
+		cfg.StartupTimeout = DefaultStartupTimeout
+	}
 	if cfg.IdleTransaction <= 0 {
 		cfg.IdleTransaction = DefaultIdleTransaction
 	}
@@ -171,7 +177,7 @@
 // start runs the start-up of a connection. It returns no session where the
 // caller was refused or only cancels a request, and the connection to close.
 func (l *Listener) start(log logrus.FieldLogger, nc net.Conn) (*session, net.Conn) {
-	nc, start, err := readStartup(nc, l.cfg.TLS)
+	nc, start, err := readStartup(nc, l.cfg.TLS, l.cfg.StartupTimeout)
 	if err != nil {
 		l.refuse(log, nc, startupError(err))
 		return nil, nc
--- a/internal/pg/login_test.go
+++ b/internal/pg/login_test.go
@@ -55,7 +55,7 @@
 			counter := &refusals{kinds: make(chan errkind.Kind, 1)}
 			l := NewListener(Config{Log: log, MaxCallers: 1, MaxMessageBytes: 1 << 20, Users: users, Counters: counter})
 			near, far := net.Pipe()
-			_ = near.SetDeadline(time.Now().Add(startupTimeout))
+			_ = near.SetDeadline(time.Now().Add(DefaultStartupTimeout))
 			go l.serve(t.Context(), far)
 			start := &pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersionNumber, Parameters: map[string]string{"user": "ann"}}
 			go func() { _, _ = near.Write(append(encode(t, start), encode(t, sent...)...)) }()
--- a/internal/pg/pg_test.go
+++ b/internal/pg/pg_test.go
@@ -249,6 +249,25 @@
 	assert.DeepEqual(t, c.answers(), []string{"57P01"})
 }
 
+// TestHalfOpenStartupIsEnded has a caller that stops in the middle of its
+// start-up and keeps the connection open.
+func TestHalfOpenStartupIsEnded(t *testing.T) {
+	p := startPath(t, false)
+	other := p.connect(t)
+	p.listener.cfg.StartupTimeout = 50 * time.Millisecond
+	nc, err := net.Dial("tcp", p.address)
+	assert.NilError(t, err)
+	defer nc.Close()
+	_, err = nc.Write([]byte("\x00\x00\x00\x20\x00\x03\x00\x00us"))
+	assert.NilError(t, err)
+	_ = nc.SetReadDeadline(time.Now().Add(patience))
+	got, err := io.ReadAll(nc)
+	assert.NilError(t, err, "the connection must end")
+	assert.Assert(t, bytes.Contains(got, []byte("C42601\x00")), "%q", got)
+	other.send(query("SELECT 1"))
+	assert.DeepEqual(t, other.answers(), []string{"columns", "row 1", "SELECT 1", "I"})
+}
+
 func TestIdleTransactionIsEnded(t *testing.T) {
 	p := startPath(t, false)
 	p.listener.cfg.IdleTransaction = 50 * time.Millisecond
@@ -267,7 +286,7 @@
 	f.Add([]byte("\x00\x00\x00\x0f\x00\x03\x00\x00user\x00u\x00\x00"))
 	f.Add([]byte("\x40\x00\x00\x00"))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		_, s, err := readStartup(&memoryConn{r: bytes.NewReader(data)}, nil)
+		_, s, err := readStartup(&memoryConn{r: bytes.NewReader(data)}, nil, patience)
 		assert.Assert(t, err != nil || s.cancel != nil || s.user != "")
 	})
 }
--- a/internal/pg/startup.go
+++ b/internal/pg/startup.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// startupTimeout bounds the start-up of a caller.
-	startupTimeout = 10 * time.Second
+	// DefaultStartupTimeout bounds the start-up of a caller, its login included.
+	DefaultStartupTimeout = 10 * time.Second
 	// maxStartupTries bounds the SSLRequest and GSSEncRequest messages before
 	// the start-up message.
 	maxStartupTries = 3
@@ -54,9 +54,10 @@
 var errBadStartup = errors.New("the start-up message cannot be read")
 
 // readStartup answers SSLRequest and reads the start-up message. The returned
-// connection is the TLS one where the caller asked for it.
-func readStartup(nc net.Conn, tlsConfig *tls.Config) (net.Conn, *startup, error) {
-	_ = nc.SetDeadline(time.Now().Add(startupTimeout))
+// connection is the TLS one where the caller asked for it. All must be there
+// within timeout.
+func readStartup(nc net.Conn, tlsConfig *tls.Config, timeout time.Duration) (net.Conn, *startup, error) {
+	_ = nc.SetDeadline(time.Now().Add(timeout))
 	for range maxStartupTries {
 		// A Backend of its own for each try: it must not read ahead into the
 		// TLS handshake.
