--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -1,7 +1,6 @@
 package host
 
 import (
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,7 +13,6 @@
 	"github.com/amaranthweir/amaranthweir/internal/owner"
 	"github.com/amaranthweir/amaranthweir/internal/peer"
 	"github.com/amaranthweir/amaranthweir/internal/request"
-	"github.com/amaranthweir/amaranthweir/internal/system/admission"
 	"github.com/amaranthweir/amaranthweir/internal/system/lease"
 	"github.com/amaranthweir/amaranthweir/internal/system/routing"
 	"github.com/amaranthweir/amaranthweir/internal/table"
@@ -68,11 +66,6 @@
 	return d
 }
 
-// Document implements gateway.Directory.
-func (d *directory) Document(service string) *config.Document {
-	return (*d.documents.Load())[service]
-}
-
 // Groups implements gateway.Directory.
 func (d *directory) Groups() *routing.Table { return &d.groups }
 
@@ -184,26 +177,6 @@
 	})
 }
 
-// parseDocuments reads the documents that changed. They were checked before
-// they were agreed; one that cannot be read keeps its last version.
-func parseDocuments(log logrus.FieldLogger, known map[string]*config.Document, old, next *control.View) *map[string]*config.Document {
-	parsed := make(map[string]*config.Document, len(next.Documents))
-	for service, doc := range next.Documents {
-		parsed[service] = known[service]
-		if old.Documents[service].Version == doc.Version && parsed[service] != nil {
-			continue
-		}
-		d, err := config.ParseDocument(service, doc.Body)
-		if err != nil {
-			log.WithError(err).WithField("service", service).Error("a document in force cannot be read")
-			continue
-		}
-		parsed[service] = d
-		log.WithFields(logrus.Fields{"service": service, "version": doc.Version, "digest": doc.Digest}).Info("document in force")
-	}
-	return &parsed
-}
-
 // setTables takes the tables of the leader, or what changed in them.
 func (d *directory) setTables(t tables) {
 	d.mu.Lock()
@@ -328,37 +301,3 @@
 	}
 	return v
 }
-
-// declaration gathers what the documents say about the work of a group. Where
-// services share a group, the lowest floors count. The declared rate of a
-// class is spread over its groups.
-func (d *directory) declaration(group table.GroupName) owner.Declaration {
-	var out owner.Declaration
-	first := true
-	for _, doc := range *d.documents.Load() {
-		named := false
-		for i := range doc.Classes {
-			c := &doc.Classes[i]
-			if !slices.Contains(c.Groups, group) {
-				continue
-			}
-			named = true
-			out.Classes = append(out.Classes, admission.Class{
-				Name:          c.Name,
-				Rank:          c.Rank,
-				RatePerSecond: c.RatePerSecond / float64(len(c.Groups)),
-				Weight:        c.Worth,
-			})
-		}
-		if !named {
-			continue
-		}
-		for rank, floor := range doc.RankFloors {
-			if first || floor < out.Floors[rank] {
-				out.Floors[rank] = floor
-			}
-		}
-		first = false
-	}
-	return out
-}
