Read the status row of an instance in one place

Cause: the pool and the platform each had the query and a parser for the row of amaranthweir.status(); the pool's kept a role and a term start that nobody read, and named a method Usable that does not exist. Change: upstream.StatusQuery and upstream.ParseStatus serve both. Behaviour: a well-formed row reads as before. For a malformed one (more columns, an unknown role) the pool now reports no mark; it took one before, though the probe of such an instance failed already.

--- a/internal/platform/pgplatform/pgplatform.go
+++ b/internal/platform/pgplatform/pgplatform.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"strconv"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -78,11 +77,14 @@
 
 // Probe implements platform.Prober.
 func (p *Platform) Probe(ctx context.Context, address string) (platform.Status, error) {
-	rows, err := p.call(ctx, address, "SELECT * FROM amaranthweir.status()")
+	rows, err := p.call(ctx, address, upstream.StatusQuery)
 	if err != nil {
 		return platform.Status{}, fmt.Errorf("probe %s: %w", address, err)
 	}
-	status, err := parseStatus(rows)
+	if len(rows) != 1 {
+		return platform.Status{}, fmt.Errorf("probe %s: %w", address, upstream.ErrStatus)
+	}
+	status, err := upstream.ParseStatus(rows[0])
 	if err != nil {
 		return platform.Status{}, fmt.Errorf("probe %s: %w", address, err)
 	}
@@ -149,31 +151,3 @@
 	defer cancel()
 	return c.query(ctx, query)
 }
-
-var errStatus = errors.New("the status is malformed")
-
-func parseStatus(rows [][]string) (platform.Status, error) {
-	if len(rows) != 1 || len(rows[0]) != 4 {
-		return platform.Status{}, errStatus
-	}
-	var status platform.Status
-	switch rows[0][0] {
-	case table.RolePrimary.String():
-		status.Role = table.RolePrimary
-	case table.RoleReplica.String():
-		status.Role = table.RoleReplica
-	default:
-		return platform.Status{}, errStatus
-	}
-	var numbers [3]uint64
-	for i := range numbers {
-		n, err := strconv.ParseUint(rows[0][i+1], 10, 64)
-		if err != nil {
-			return platform.Status{}, fmt.Errorf("%w: %w", errStatus, err)
-		}
-		numbers[i] = n
-	}
-	status.Mark = table.Mark{Term: table.Term(numbers[0]), Position: table.Position(numbers[1])}
-	status.TermStart = table.Position(numbers[2])
-	return status, nil
-}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -270,7 +270,7 @@
 	r := startRelay(t, up.Address())
 	p := newPool(t, r.listener.Addr().String(), nil)
 	write := func(n int) string { return fmt.Sprintf("INSERT INTO k (key, value) VALUES ('%05d', 'v')", n) }
-	request := len(encode(t, &pgproto3.Query{String: write(0)}, &pgproto3.Query{String: statusQuery}))
+	request := len(encode(t, &pgproto3.Query{String: write(0)}, &pgproto3.Query{String: upstream.StatusQuery}))
 	for _, side := range []struct {
 		name     string
 		up, down int
--- a/internal/pool/run.go
+++ b/internal/pool/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"strconv"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -12,14 +11,12 @@
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/request"
 	"github.com/amaranthweir/amaranthweir/internal/table"
+	"github.com/amaranthweir/amaranthweir/internal/upstream"
 )
 
 // chunkBytes is how much of an answer is gathered before it is passed on.
 const chunkBytes = 32 << 10
 
-// statusQuery asks for the term and the position; see docs/ops/upstreams.md.
-const statusQuery = "SELECT * FROM amaranthweir.status()"
-
 // readOnlyTransaction is the SQLSTATE of a write where none are taken.
 const readOnlyTransaction = "25006"
 
@@ -67,7 +64,7 @@
 }
 
 // Run does one exchange. Errors are *errkind.Error; after one, the connection
-// must be discarded, unless the effect is NotRun and Usable says so.
+// must be discarded.
 func (c *Conn) Run(ctx context.Context, deadline time.Time, x *Exchange) (Outcome, error) {
 	if x.KeepSettings && !c.fit() { // lent long ago
 		c.doomed, c.gone = true, true
@@ -137,7 +134,7 @@
 	}
 	buf = append(buf, x.Messages...)
 	if x.AskMark {
-		buf, _ = (&pgproto3.Query{String: statusQuery}).Encode(buf)
+		buf, _ = (&pgproto3.Query{String: upstream.StatusQuery}).Encode(buf)
 	}
 	return buf, injected
 }
@@ -226,31 +223,13 @@
 	return err
 }
 
-// statusRow reads the row of amaranthweir.status(): role, term, position and
-// term start as text.
+// statusRow reads the mark from an answer to upstream.StatusQuery.
 type statusRow struct {
-	mark      table.Mark
-	termStart table.Position
-	role      table.Role
-	ok        bool
+	mark table.Mark
+	ok   bool
 }
 
 func (s *statusRow) row(values [][]byte) {
-	if len(values) < 4 {
-		return
-	}
-	var numbers [3]uint64
-	for i, v := range values[1:4] {
-		n, err := strconv.ParseUint(string(v), 10, 64)
-		if err != nil {
-			return
-		}
-		numbers[i] = n
-	}
-	if string(values[0]) == table.RolePrimary.String() {
-		s.role = table.RolePrimary
-	}
-	s.mark = table.Mark{Term: table.Term(numbers[0]), Position: table.Position(numbers[1])}
-	s.termStart = table.Position(numbers[2])
-	s.ok = true
+	status, err := upstream.ParseStatus(values)
+	s.mark, s.ok = status.Mark, err == nil
 }
--- /dev/null
+++ b/internal/upstream/status.go
@@ -0,0 +1,48 @@
+package upstream
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+
+	"github.com/amaranthweir/amaranthweir/internal/platform"
+	"github.com/amaranthweir/amaranthweir/internal/table"
+)
+
+// StatusQuery asks an instance for its status, in one row; see
+// docs/ops/upstreams.md.
+const StatusQuery = "SELECT * FROM amaranthweir.status()"
+
+// statusColumns is the length of the row: role, term, position, term start.
+const statusColumns = 4
+
+// ErrStatus is returned for a row that is no status.
+var ErrStatus = errors.New("the status is malformed")
+
+// ParseStatus reads the row that answers StatusQuery, as text. Its errors are
+// ErrStatus.
+func ParseStatus[T string | []byte](row []T) (platform.Status, error) {
+	if len(row) != statusColumns {
+		return platform.Status{}, ErrStatus
+	}
+	var status platform.Status
+	switch string(row[0]) {
+	case table.RolePrimary.String():
+		status.Role = table.RolePrimary
+	case table.RoleReplica.String():
+		status.Role = table.RoleReplica
+	default:
+		return platform.Status{}, ErrStatus
+	}
+	var numbers [statusColumns - 1]uint64
+	for i := range numbers {
+		n, err := strconv.ParseUint(string(row[i+1]), 10, 64)
+		if err != nil {
+			return platform.Status{}, fmt.Errorf("%w: %w", ErrStatus, err)
+		}
+		numbers[i] = n
+	}
+	status.Mark = table.Mark{Term: table.Term(numbers[0]), Position: table.Position(numbers[1])}
+	status.TermStart = table.Position(numbers[2])
+	return status, nil
+}
