Call one lookup of a candidate and one statement for a claim

The gateway searched the candidates of a view in three loops beside GroupView.find, which is exported now. The claim of a request id had its INSERT and its rolled-back SELECT twice. The leader's report copied maps by hand. Behaviour is unchanged.

--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -116,10 +116,9 @@
 	if view == nil {
 		return table.Mark{}
 	}
-	for i := range view.Candidates {
-		if view.Candidates[i].Instance == id {
-			return view.Candidates[i].Hint.Mark
-		}
+	c := view.Find(id)
+	if c == nil {
+		return table.Mark{}
 	}
-	return table.Mark{}
+	return c.Hint.Mark
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,7 +104,7 @@
 	return string(g.cfg.Host) + "-" + strconv.FormatUint(g.cfg.Incarnation, 36) + "-" + strconv.FormatUint(n, 36)
 }
 
-// class finds a class of the document by name.
+// findClass finds a class of the document by name.
 func findClass(doc *config.Document, name string) (*config.Class, error) {
 	if name == "" {
 		name = doc.Default
@@ -143,10 +143,7 @@
 	if v == nil || v.Primary == "" {
 		return request.PositionSample{}, errkind.New(errkind.NoPrimary, "group %s", group)
 	}
-	for _, c := range v.Candidates {
-		if c.Instance != v.Primary {
-			continue
-		}
+	if c := v.Find(v.Primary); c != nil {
 		if owner, ok := g.cfg.Directory.Executor(c.Owner); ok {
 			return owner.Position(ctx, c.Instance)
 		}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -243,12 +243,8 @@
 	if v == nil {
 		return false
 	}
-	for i := range v.Candidates {
-		if v.Candidates[i].Instance == id {
-			return now-v.Candidates[i].Hint.At > hintInterval
-		}
-	}
-	return false
+	c := v.Find(id)
+	return c != nil && now-c.Hint.At > hintInterval
 }
 
 // mayRetry reports whether the request may be sent again: it has not run, or
--- a/internal/host/status.go
+++ b/internal/host/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -45,17 +46,11 @@
 	}
 	r := &leaderReport{
 		Leader:   l.host.settings.Host,
-		Versions: map[table.HostID]map[string]uint64{},
-		Waits:    map[table.GroupName]string{},
+		Versions: maps.Clone(l.versions.byHost),
+		Waits:    maps.Clone(l.waits),
 		Ages:     map[table.InstanceID]time.Duration{},
 		Marks:    map[table.InstanceID]table.Mark{},
 	}
-	for id, versions := range l.versions.byHost {
-		r.Versions[id] = versions
-	}
-	for group, wait := range l.waits {
-		r.Waits[group] = wait
-	}
 	for id, in := range l.instances {
 		r.Ages[id] = now - in.SeenAt
 		r.Marks[id] = in.Mark
--- a/internal/owner/claim.go
+++ b/internal/owner/claim.go
@@ -43,6 +43,20 @@
 // key is the row of the attempt, as an SQL literal.
 func (c *claim) key() string { return quote(c.id + "#" + strconv.Itoa(c.number)) }
 
+// insert is the statement that writes the row of the attempt.
+func (c *claim) insert(value string) string {
+	return "INSERT INTO " + claimTable + " (key, value) VALUES (" + c.key() + ", " + quote(value) + ")"
+}
+
+// lookUp rolls the open transaction back and returns the value in the row of
+// the attempt, or the empty string when there is none.
+func (c *claim) lookUp(ctx context.Context) (string, error) {
+	if err := c.conn.Exec(ctx, "ROLLBACK"); err != nil {
+		return "", err
+	}
+	return c.conn.QueryText(ctx, "SELECT value FROM "+claimTable+" WHERE key = "+c.key())
+}
+
 // quote returns text as an SQL literal.
 func quote(text string) string {
 	return "'" + strings.ReplaceAll(text, "'", "''") + "'"
@@ -54,18 +68,14 @@
 // running, it waits for its end.
 func (c *claim) take(ctx context.Context, value string) (found string, err error) {
 	for c.number = 0; c.number < maxVoids; c.number++ {
-		insert := "INSERT INTO " + claimTable + " (key, value) VALUES (" + c.key() + ", " + quote(value) + ")"
-		err := c.conn.Exec(ctx, "BEGIN", insert)
+		err := c.conn.Exec(ctx, "BEGIN", c.insert(value))
 		if err == nil {
 			return "", nil
 		}
 		if !isDuplicate(err) {
 			return "", err
 		}
-		if err := c.conn.Exec(ctx, "ROLLBACK"); err != nil {
-			return "", err
-		}
-		found, err := c.conn.QueryText(ctx, "SELECT value FROM "+claimTable+" WHERE key = "+c.key())
+		found, err := c.lookUp(ctx)
 		if err != nil {
 			return "", err
 		}
@@ -99,15 +109,11 @@
 // before its COMMIT. When the request has run already, the transaction is
 // rolled back and the value that stands there is returned.
 func (c *claim) takeAtCommit(ctx context.Context, value string) (found string, err error) {
-	insert := "INSERT INTO " + claimTable + " (key, value) VALUES (" + c.key() + ", " + quote(value) + ")"
-	err = c.conn.Exec(ctx, insert)
+	err = c.conn.Exec(ctx, c.insert(value))
 	if err == nil || !isDuplicate(err) {
 		return "", err
 	}
-	if err := c.conn.Exec(ctx, "ROLLBACK"); err != nil {
-		return "", err
-	}
-	found, err = c.conn.QueryText(ctx, "SELECT value FROM "+claimTable+" WHERE key = "+c.key())
+	found, err = c.lookUp(ctx)
 	if err == nil && found == void {
 		err = errkind.New(errkind.UpstreamLost, "an earlier attempt was shut out: run the transaction again under a new request id").WithEffect(errkind.NotRun)
 	}
--- a/internal/system/routing/routing.go
+++ b/internal/system/routing/routing.go
@@ -95,7 +95,7 @@
 	if o.cost <= budget(now, q) {
 		return false
 	}
-	c := v.find(v.Primary)
+	c := v.Find(v.Primary)
 	return c != nil && !c.Leaving && owned(c) && 2*cost(now, q, c) < o.cost
 }
 
@@ -105,7 +105,7 @@
 	switch {
 	case s.per[lagging] > 0:
 		o := s.pick(q.Seed, lagging)
-		if d.Refused() || q.Rank != config.RankUrgent || o.cost <= cost(now, q, v.find(v.Primary)) {
+		if d.Refused() || q.Rank != config.RankUrgent || o.cost <= cost(now, q, v.Find(v.Primary)) {
 			return toReplica(now, q, o, ReasonReplicaWait)
 		}
 		// Only urgent work takes the primary's slots to be sooner.
@@ -122,7 +122,7 @@
 
 // toPrimary sends the request to the primary, or refuses it.
 func toPrimary(v *GroupView, why Reason) Decision {
-	c := v.find(v.Primary)
+	c := v.Find(v.Primary)
 	switch {
 	case v.Primary == "" || c == nil:
 		return refuse(errkind.NoPrimary, ReasonNoPrimary)
--- a/internal/system/routing/view.go
+++ b/internal/system/routing/view.go
@@ -156,7 +156,7 @@
 	}
 	for i := range next.Candidates {
 		c := &next.Candidates[i]
-		old := v.find(c.Instance)
+		old := v.Find(c.Instance)
 		if old == nil {
 			continue
 		}
@@ -168,7 +168,8 @@
 	return next
 }
 
-func (v *GroupView) find(id table.InstanceID) *Candidate {
+// Find returns the candidate of an instance, or nil when v has none.
+func (v *GroupView) Find(id table.InstanceID) *Candidate {
 	for i := range v.Candidates {
 		if v.Candidates[i].Instance == id {
 			return &v.Candidates[i]
@@ -180,7 +181,7 @@
 func (v *GroupView) with(id table.InstanceID, change func(*Candidate)) *GroupView {
 	next := *v
 	next.Candidates = append([]Candidate(nil), v.Candidates...)
-	if c := next.find(id); c != nil {
+	if c := next.Find(id); c != nil {
 		change(c)
 	}
 	return &next
