Remove what nothing calls; one report of figures

Owner.Running and pool.Conn.TxStatus had no caller, and a branch set a zero time to zero. The benchmarks of the control package printed figures with a copy of figuretest and began their server twice the same way. Bounds and assertions are unchanged.

--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"os"
 	"runtime"
 	"slices"
 	"sync/atomic"
@@ -13,28 +11,12 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/amaranthweir/amaranthweir/internal/system/figuretest"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 )
 
-// figure is one measurement as a JSON line.
-type figure struct {
-	Name  string  `json:"name"`
-	Value float64 `json:"value"`
-	Unit  string  `json:"unit"`
-	Bound float64 `json:"bound"`
-	Pass  bool    `json:"pass"`
-}
-
-func report(tb testing.TB, name string, value float64, unit string, bound float64) {
-	tb.Helper()
-	line, err := json.Marshal(figure{name, value, unit, bound, value <= bound})
-	assert.NilError(tb, err)
-	_, _ = fmt.Fprintln(os.Stdout, string(line))
-	assert.Check(tb, value <= bound, string(line))
-}
-
 type nowhere struct{}
 
 func (nowhere) Send(table.HostID, []byte) {}
@@ -93,31 +75,40 @@
 					assert.Equal(b, s.Revision(), uint64(changes))
 					assert.NilError(b, s.replica.wal.Close())
 				}
-				report(b, name, float64(b.Elapsed().Microseconds())/1000/float64(b.N), "ms", bound)
+				figuretest.Report(b, name, float64(b.Elapsed().Microseconds())/1000/float64(b.N), "ms", bound)
 			})
 		}
 	}
 }
 
-// BenchmarkPropose measures a change on one host with a disk, one at a time.
-func BenchmarkPropose(b *testing.B) {
+// runLeader runs a server on one host with a disk, which leads, up to the end
+// of the benchmark.
+func runLeader(b *testing.B) *Server {
 	s, err := NewServer(diskConfig(b.TempDir(), 0))
 	assert.NilError(b, err)
-	ctx, cancel := context.WithCancel(b.Context())
+	ctx, cancel := context.WithCancel(context.WithoutCancel(b.Context()))
 	done := make(chan error, 1)
 	go func() { done <- s.Run(ctx) }()
+	b.Cleanup(func() {
+		cancel()
+		assert.Check(b, <-done)
+	})
 	for _, _, leased := s.Leader(); !leased; _, _, leased = s.Leader() {
 		<-s.Changed()
 	}
+	return s
+}
+
+// BenchmarkPropose measures a change on one host with a disk, one at a time.
+func BenchmarkPropose(b *testing.B) {
+	s := runLeader(b)
 	b.ResetTimer()
 	for i := range b.N {
-		r, err := s.Propose(ctx, put("s", uint64(i)+1, "body"))
+		r, err := s.Propose(b.Context(), put("s", uint64(i)+1, "body"))
 		assert.NilError(b, err)
 		assert.NilError(b, r.Err())
 	}
-	report(b, "control_propose", float64(b.Elapsed().Microseconds())/1000/float64(b.N), "ms", 50)
-	cancel()
-	assert.NilError(b, <-done)
+	figuretest.Report(b, "control_propose", float64(b.Elapsed().Microseconds())/1000/float64(b.N), "ms", 50)
 }
 
 // BenchmarkIdleSecond measures what a second of an idle leader takes: one
@@ -141,7 +132,7 @@
 	for range b.N {
 		second()
 	}
-	report(b, "control_idle_cpu", float64(b.Elapsed().Microseconds())/1000/float64(b.N), "ms/s", 5)
+	figuretest.Report(b, "control_idle_cpu", float64(b.Elapsed().Microseconds())/1000/float64(b.N), "ms/s", 5)
 }
 
 // BenchmarkView measures taking a snapshot of the state, and a change after it.
@@ -181,8 +172,8 @@
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			name := fmt.Sprintf("control_idle_leader_%d_hosts", hosts)
-			report(t, name+"_messages", float64(n.sent[leader].messages)/seconds, "1/s", float64(21*(hosts-1)))
-			report(t, name+"_bytes", float64(n.sent[leader].bytes)/seconds, "B/s", float64(1000*(hosts-1)))
+			figuretest.Report(t, name+"_messages", float64(n.sent[leader].messages)/seconds, "1/s", float64(21*(hosts-1)))
+			figuretest.Report(t, name+"_bytes", float64(n.sent[leader].bytes)/seconds, "B/s", float64(1000*(hosts-1)))
 			for host, sent := range n.sent {
 				if host != leader {
 					assert.Assert(t, sent.bytes/seconds <= 1000, "%s sends %d B/s", host, sent.bytes/seconds)
@@ -225,8 +216,8 @@
 			}
 			slices.Sort(gaps)
 			name := fmt.Sprintf("control_leader_gap_election_%d_ms_graceful_%t", c.election*10, c.graceful)
-			report(t, name+"_p50", float64(gaps[kills/2].Milliseconds()), "ms", c.median)
-			report(t, name+"_max", float64(gaps[kills-1].Milliseconds()), "ms", c.longest)
+			figuretest.Report(t, name+"_p50", float64(gaps[kills/2].Milliseconds()), "ms", c.median)
+			figuretest.Report(t, name+"_max", float64(gaps[kills-1].Milliseconds()), "ms", c.longest)
 		})
 	}
 }
@@ -244,7 +235,7 @@
 		for version := uint64(2); version <= 21; version++ {
 			assert.NilError(t, n.persist(t, put("s", version, "a")).Err())
 		}
-		report(t, "control_propose_3_hosts_sync_10_ms", float64(time.Since(begin).Milliseconds())/20, "ms", 15)
+		figuretest.Report(t, "control_propose_3_hosts_sync_10_ms", float64(time.Since(begin).Milliseconds())/20, "ms", 15)
 	})
 }
 
@@ -272,24 +263,15 @@
 
 // BenchmarkProposeTogether is BenchmarkPropose with 64 operators at once.
 func BenchmarkProposeTogether(b *testing.B) {
-	s, err := NewServer(diskConfig(b.TempDir(), 0))
-	assert.NilError(b, err)
-	ctx, cancel := context.WithCancel(b.Context())
-	done := make(chan error, 1)
-	go func() { done <- s.Run(ctx) }()
-	for _, _, leased := s.Leader(); !leased; _, _, leased = s.Leader() {
-		<-s.Changed()
-	}
+	s := runLeader(b)
 	var services atomic.Uint64
 	b.SetParallelism(64 / runtime.GOMAXPROCS(0))
 	b.ResetTimer()
 	b.RunParallel(func(pb *testing.PB) {
 		service := fmt.Sprint(services.Add(1))
 		for version := uint64(1); pb.Next(); version++ {
-			_, err := s.Propose(ctx, put(service, version, "body"))
+			_, err := s.Propose(b.Context(), put(service, version, "body"))
 			assert.Check(b, err)
 		}
 	})
-	cancel()
-	assert.NilError(b, <-done)
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -137,8 +137,8 @@
 	return nil
 }
 
-// Release stops serving an instance. It returns at once; Running tells when
-// the last transaction has ended.
+// Release stops serving an instance. It returns at once; transactions go on
+// to their end.
 func (o *Owner) Release(id table.InstanceID) {
 	o.mu.Lock()
 	in := o.instances[id]
@@ -160,17 +160,6 @@
 	return owned
 }
 
-// Running returns how many transactions and statements are still going on.
-func (o *Owner) Running() int {
-	o.mu.RLock()
-	defer o.mu.RUnlock()
-	n := 0
-	for _, in := range o.instances {
-		n += in.running()
-	}
-	return n
-}
-
 func (o *Owner) instance(id table.InstanceID) (*instance, error) {
 	o.mu.RLock()
 	in := o.instances[id]
--- a/internal/pool/command.go
+++ b/internal/pool/command.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
 
@@ -49,10 +48,7 @@
 
 // within runs one exchange that ends with ctx.
 func (c *Conn) within(ctx context.Context, run func() error) error {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		deadline = time.Time{}
-	}
+	deadline, _ := ctx.Deadline() // without one it is zero: no deadline
 	lift := c.guard(ctx, deadline, c.reader.progress)
 	err := run()
 	lift()
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -90,9 +90,6 @@
 	}, nil
 }
 
-// TxStatus returns the transaction state after the latest answer.
-func (c *Conn) TxStatus() byte { return c.txStatus }
-
 // reusable reports whether another session may use the connection.
 func (c *Conn) reusable() bool {
 	return !c.doomed && !c.asked && c.txStatus == request.TxIdle && len(c.prepared) <= maxPrepared
