Walk encoded messages, refuse a call, and read a cancel key in one place

gateway.digest repeated the loop of synthetic.Each, which hands out bodies now. The peer server built the same refusal three times. The cancel key was packed and unpacked by hand. A doc comment stood above the wrong function. Behaviour is unchanged.

--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -6,10 +6,9 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/jackc/pgx/v5/pgproto3"
-)
 
-// messageHeader is the length of a message's type and length, in bytes.
-const messageHeader = 5
+	"github.com/amaranthweir/amaranthweir/internal/pg/synthetic"
+)
 
 // digest identifies the content of a unit: its SQL texts without comments at
 // their start, and its parameters. A repeat under the same request id must
@@ -21,19 +20,15 @@
 			addPart(h, []byte(st.Text))
 		}
 	}
-	for rest := w.Messages; len(rest) >= messageHeader; {
-		n := 1 + int(binary.BigEndian.Uint32(rest[1:]))
-		if n < messageHeader || n > len(rest) {
-			break
-		}
+	synthetic.Each(w.Messages, func(kind byte, body []byte) {
 		var b pgproto3.Bind
-		if rest[0] == 'B' && b.Decode(rest[messageHeader:n]) == nil {
-			for _, p := range b.Parameters {
-				addPart(h, p)
-			}
+		if kind != 'B' || b.Decode(body) != nil {
+			return
 		}
-		rest = rest[n:]
-	}
+		for _, p := range b.Parameters {
+			addPart(h, p)
+		}
+	})
 	return hex.EncodeToString(h.Sum(nil))
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -176,7 +176,7 @@
 	c := &running{stop: stop, credited: make(chan struct{}, 1)}
 	if err := e.add(id, c); err != nil {
 		stop()
-		e.answer(id, &peerpb.Answer{Last: true, TxStatus: uint32(request.TxIdle), Failure: encodeFailure(err)})
+		e.refuse(id, err)
 		return
 	}
 	e.work.Add(1)
@@ -257,6 +257,11 @@
 	e.send(&peerpb.Frame{Id: id, Body: &peerpb.Frame_Answer{Answer: a}})
 }
 
+// refuse answers a call that was not begun.
+func (e *exchange) refuse(id uint64, err error) {
+	e.answer(id, &peerpb.Answer{Last: true, TxStatus: uint32(request.TxIdle), Failure: encodeFailure(err)})
+}
+
 // lastPartBytes bounds what is kept back of an answer to go with its end.
 const lastPartBytes = 32 << 10
 
@@ -292,11 +297,11 @@
 func (e *exchange) execute(ctx context.Context, id uint64, c *running, p *peerpb.Request) {
 	r, err := decodeRequest(p, time.Now())
 	if err != nil {
-		e.answer(id, &peerpb.Answer{Last: true, TxStatus: uint32(request.TxIdle), Failure: encodeFailure(err)})
+		e.refuse(id, err)
 		return
 	}
 	if err := CheckSpeaker(e.stream.Context(), r.Session.Host); err != nil {
-		e.answer(id, &peerpb.Answer{Last: true, TxStatus: uint32(request.TxIdle), Failure: encodeFailure(err)})
+		e.refuse(id, err)
 		return
 	}
 	ctx, stop := context.WithDeadline(ctx, r.Deadline)
--- a/internal/pg/listener.go
+++ b/internal/pg/listener.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"encoding/binary"
 	"errors"
 	"net"
 	"os"
@@ -280,7 +281,7 @@
 	} {
 		s.send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
 	}
-	s.send(&pgproto3.BackendKeyData{ProcessID: s.pid, SecretKey: []byte{byte(key >> 24), byte(key >> 16), byte(key >> 8), byte(key)}})
+	s.send(&pgproto3.BackendKeyData{ProcessID: s.pid, SecretKey: binary.BigEndian.AppendUint32(nil, key)})
 	return s.ready()
 }
 
@@ -317,11 +318,10 @@
 	l.mu.Lock()
 	e := l.sessions[m.ProcessID]
 	l.mu.Unlock()
-	if e == nil || len(m.SecretKey) != 4 {
+	if e == nil || len(m.SecretKey) != cancelKeyBytes {
 		return
 	}
-	key := uint32(m.SecretKey[0])<<24 | uint32(m.SecretKey[1])<<16 | uint32(m.SecretKey[2])<<8 | uint32(m.SecretKey[3])
-	if key == e.key {
+	if binary.BigEndian.Uint32(m.SecretKey) == e.key {
 		e.session.interrupt()
 	}
 }
--- a/internal/pg/session.go
+++ b/internal/pg/session.go
@@ -102,7 +102,6 @@
 	}
 }
 
-// endOfCaller tells a caller that went away from one that breaks the protocol.
 // receive reads the next message. An open transaction waits for it only so
 // long.
 func (s *session) receive() (pgproto3.FrontendMessage, error) {
@@ -118,6 +117,7 @@
 	return msg, err
 }
 
+// endOfCaller tells a caller that went away from one that breaks the protocol.
 func endOfCaller(err error) error {
 	var tooLong *pgproto3.ExceededMaxBodyLenErr
 	var network net.Error
@@ -287,7 +287,7 @@
 
 // Answer implements request.Sink. The parts of an answer hold whole messages.
 func (w *watchAnswer) Answer(p []byte) error {
-	synthetic.Each(p, func(kind byte) {
+	synthetic.Each(p, func(kind byte, _ []byte) {
 		if kind == '1' || kind == '3' {
 			w.confirmed++
 		}
--- a/internal/pg/startup.go
+++ b/internal/pg/startup.go
@@ -134,9 +134,12 @@
 	return s, nil
 }
 
+// cancelKeyBytes is the length of a cancel key.
+const cancelKeyBytes = 4
+
 // newCancelKey returns the secret that a caller shows to cancel a request.
 func newCancelKey() uint32 {
-	var b [4]byte
+	var b [cancelKeyBytes]byte
 	_, _ = rand.Read(b[:]) // never fails
 	return binary.BigEndian.Uint32(b[:])
 }
