Refuse a session one group too many, as the design says

Cause: session.Token.CheckRoom, which bounds a token to 256 groups before a statement runs, had no caller. The 257th group ran, and the token then named more groups than any host accepts, so the session could not go on elsewhere. Ruled out: a bound in Raise, which comes after the write has run. Change: the gateway asks CheckRoom before it routes; TestOneGroupTooMany, shown failing first (the statement ran).

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"testing"
 	"time"
@@ -269,3 +270,19 @@
 		assert.Assert(t, n > 60, "%s: %d of 300", g, n)
 	}
 }
+
+// TestOneGroupTooMany has a session use as many groups as its token can name,
+// and then one more.
+func TestOneGroupTooMany(t *testing.T) {
+	s, d := newSession(t)
+	for i := range session.MaxGroups {
+		s.token.Raise(table.GroupName(fmt.Sprint("other-", i)), table.Mark{Term: 1, Position: 1})
+	}
+	d.upstream.mark = table.Mark{Term: 1, Position: 7}
+	_, err := do(t, s, "INSERT 1")
+	assert.Assert(t, errkind.Is(err, errkind.CallerLimit), "%v", err)
+	assert.Equal(t, errkind.Of(err).Effect, errkind.NotRun)
+	assert.Equal(t, len(d.upstream.seen), 0)
+	_, err = s.gateway.cfg.Keys.Decode("shop", s.Token())
+	assert.NilError(t, err, "the token must still be of use")
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -129,6 +129,9 @@
 	if err := r.checkLost(q.Group); err != nil {
 		return err
 	}
+	if err := s.token.CheckRoom(q.Group); err != nil {
+		return err
+	}
 	if q.Access != config.AccessRead || q.Staleness == 0 {
 		return nil
 	}
