Find a class by Document.Class; compare and trim by the standard library

The gateway searched the classes of a document beside config.Document.Class. Orderings by name and the trimming of a secret were written by hand where cmp and strings have them.

--- a/internal/certs/certs.go
+++ b/internal/certs/certs.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -224,10 +225,7 @@
 	if err != nil {
 		return "", err
 	}
-	secret := string(raw)
-	for len(secret) > 0 && (secret[len(secret)-1] == '\n' || secret[len(secret)-1] == '\r') {
-		secret = secret[:len(secret)-1]
-	}
+	secret := strings.TrimRight(string(raw), "\r\n")
 	if secret == "" {
 		return "", fmt.Errorf("%s: expected a secret, found nothing", name)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -109,10 +109,8 @@
 	if name == "" {
 		name = doc.Default
 	}
-	for i := range doc.Classes {
-		if doc.Classes[i].Name == name {
-			return &doc.Classes[i], nil
-		}
+	if class, ok := doc.Class(name); ok {
+		return class, nil
 	}
 	return nil, errkind.New(errkind.UnknownClass, "service %s, class %q", doc.Service, name)
 }
--- a/internal/host/backend.go
+++ b/internal/host/backend.go
@@ -1,10 +1,10 @@
 package host
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -158,7 +158,7 @@
 			State: api.StateName(in.State), Control: in.Control, Draining: in.Draining,
 		})
 	}
-	slices.SortFunc(st.Hosts, func(a, b api.HostStatus) int { return strings.Compare(string(a.Host), string(b.Host)) })
+	slices.SortFunc(st.Hosts, func(a, b api.HostStatus) int { return cmp.Compare(a.Host, b.Host) })
 	st.Documents = documentStatus(view.Documents, report.Versions)
 	for _, g := range view.Groups {
 		st.Groups = append(st.Groups, api.GroupStatus{
@@ -166,7 +166,7 @@
 			Candidate: g.Candidate, WaitsFor: report.Waits[g.Name],
 		})
 	}
-	slices.SortFunc(st.Groups, func(a, b api.GroupStatus) int { return strings.Compare(string(a.Group), string(b.Group)) })
+	slices.SortFunc(st.Groups, func(a, b api.GroupStatus) int { return cmp.Compare(a.Group, b.Group) })
 	for _, in := range t.Instances {
 		o := view.Owners[in.ID]
 		if m, known := report.Marks[in.ID]; known {
@@ -178,7 +178,7 @@
 			Leaving: in.Leaving, Owner: o.Host, Epoch: o.Epoch, AgeMillis: report.Ages[in.ID].Milliseconds(),
 		})
 	}
-	slices.SortFunc(st.Instances, func(a, b api.InstanceStatus) int { return strings.Compare(string(a.Instance), string(b.Instance)) })
+	slices.SortFunc(st.Instances, func(a, b api.InstanceStatus) int { return cmp.Compare(a.Instance, b.Instance) })
 	return st, nil
 }
 
--- a/internal/host/status.go
+++ b/internal/host/status.go
@@ -1,10 +1,10 @@
 package host
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/amaranthweir/amaranthweir/internal/api"
@@ -68,9 +68,9 @@
 		for id, inForce := range versions {
 			st.InForce = append(st.InForce, api.HostVersion{Host: id, Version: inForce[service]})
 		}
-		slices.SortFunc(st.InForce, func(a, b api.HostVersion) int { return strings.Compare(string(a.Host), string(b.Host)) })
+		slices.SortFunc(st.InForce, func(a, b api.HostVersion) int { return cmp.Compare(a.Host, b.Host) })
 		out = append(out, st)
 	}
-	slices.SortFunc(out, func(a, b api.DocumentStatus) int { return strings.Compare(a.Service, b.Service) })
+	slices.SortFunc(out, func(a, b api.DocumentStatus) int { return cmp.Compare(a.Service, b.Service) })
 	return out
 }
--- a/internal/system/ownership/entity.go
+++ b/internal/system/ownership/entity.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -39,16 +40,7 @@
 // names, so that every leader makes the same choices.
 type pool struct{ hosts []*host }
 
-func byID(h *host, id table.HostID) int {
-	switch {
-	case h.ID < id:
-		return -1
-	case h.ID > id:
-		return 1
-	default:
-		return 0
-	}
-}
+func byID(h *host, id table.HostID) int { return cmp.Compare(h.ID, id) }
 
 func (p *pool) add(h *host) {
 	at, found := slices.BinarySearchFunc(p.hosts, h.ID, byID)
