Take an element out of an unordered list in one place

The admission queue had the same swap and cut for classes and for running requests, and a request remembered a list that nobody read.

--- a/internal/system/admission/hold.go
+++ b/internal/system/admission/hold.go
@@ -38,17 +38,7 @@
 
 func (h *holder) started(r *Request) { h.running = append(h.running, r) }
 
-func (h *holder) finished(r *Request) {
-	for i, o := range h.running {
-		if o == r {
-			last := len(h.running) - 1
-			h.running[i] = h.running[last]
-			h.running[last] = nil
-			h.running = h.running[:last]
-			return
-		}
-	}
-}
+func (h *holder) finished(r *Request) { h.running = removeUnordered(h.running, r) }
 
 // nextFree estimates how long it takes until the next running request ends.
 func (h *holder) nextFree(now time.Duration) time.Duration {
--- a/internal/system/admission/rank.go
+++ b/internal/system/admission/rank.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// creditWindow is how much of its floor a rank with queued work can save
@@ -90,18 +93,22 @@
 	}
 	c := r.class
 	c.dequeue(r)
-	if c.count > 0 {
-		return
+	if c.count == 0 {
+		q.classes = removeUnordered(q.classes, c)
 	}
-	for i, o := range q.classes {
-		if o == c {
-			last := len(q.classes) - 1
-			q.classes[i] = q.classes[last]
-			q.classes[last] = nil
-			q.classes = q.classes[:last]
-			return
-		}
+}
+
+// removeUnordered returns all without x; the last element takes its place.
+func removeUnordered[T comparable](all []T, x T) []T {
+	i := slices.Index(all, x)
+	if i < 0 {
+		return all
 	}
+	var none T
+	last := len(all) - 1
+	all[i] = all[last]
+	all[last] = none
+	return all[:last]
 }
 
 // first returns the request of the rank whose turn it is: statements of
--- a/internal/system/admission/request.go
+++ b/internal/system/admission/request.go
@@ -28,7 +28,6 @@
 	cancelled bool
 	class     *class
 	caller    *caller
-	list      *list // the list that holds the request while it is queued
 	prev      *Request
 	next      *Request
 	heapPlace int           // place in the heap of start limits
@@ -115,7 +114,7 @@
 }
 
 func (l *list) push(r *Request) {
-	r.list, r.prev, r.next = l, l.tail, nil
+	r.prev, r.next = l.tail, nil
 	if l.tail == nil {
 		l.head = r
 	} else {
@@ -135,5 +134,5 @@
 	} else {
 		r.next.prev = r.prev
 	}
-	r.list, r.prev, r.next = nil, nil, nil
+	r.prev, r.next = nil, nil
 }
