--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 generate: ## regenerate the peer protocol (needs protoc from Debian's protobuf-compiler)
 	cd internal/peer/peerpb && protoc --plugin=protoc-gen-go="$$($(GO) tool -n protoc-gen-go)" --plugin=protoc-gen-go-drpc="$$($(GO) tool -n protoc-gen-go-drpc)" --go_out=. --go_opt=paths=source_relative --go-drpc_out=. --go-drpc_opt=paths=source_relative peer.proto
 
-CAPACITY_PACKAGES = ./internal/host ./internal/control ./internal/capacity ./internal/peer ./internal/platform/pgplatform ./internal/e2e
+CAPACITY_PACKAGES = ./internal/host ./internal/control ./internal/capacity ./internal/peer ./internal/dbedge/pgedge ./internal/e2e
 
 capacity: build ## measure the slopes of docs/CAPACITY.md and print its arithmetic
 	@for p in $(CAPACITY_PACKAGES); do \
--- a/internal/api/announcement.go
+++ b/internal/api/announcement.go
@@ -10,8 +10,8 @@
 	"reflect"
 
 	"github.com/amaranthweir/amaranthweir/internal/config"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
-	"github.com/amaranthweir/amaranthweir/internal/platform"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
@@ -23,13 +23,13 @@
 
 // announcementFields are the members of an announcement; all but "leaving" are
 // required.
-var announcementFields = jsonNames(reflect.TypeFor[platform.Announcement]())
+var announcementFields = jsonNames(reflect.TypeFor[dbedge.Announcement]())
 
 // DecodeAnnouncement reads and checks an announcement. Unknown, duplicate and
 // missing members are refused, as are values out of range. The error is an
 // errkind.BadRequest.
-func DecodeAnnouncement(body []byte) (platform.Announcement, error) {
-	var a platform.Announcement
+func DecodeAnnouncement(body []byte) (dbedge.Announcement, error) {
+	var a dbedge.Announcement
 	if err := checkMembers(body, announcementFields); err != nil {
 		return a, errkind.Wrap(err, errkind.BadRequest, "announcement: %v", err)
 	}
@@ -43,7 +43,7 @@
 }
 
 // validateAnnouncement checks the values of an announcement.
-func validateAnnouncement(a platform.Announcement) error {
+func validateAnnouncement(a dbedge.Announcement) error {
 	names := []struct{ field, value string }{
 		{"group", string(a.Group)},
 		{"instance", string(a.Instance)},
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -16,8 +16,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/amaranthweir/amaranthweir/internal/config"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
-	"github.com/amaranthweir/amaranthweir/internal/platform"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
@@ -31,7 +31,7 @@
 // fakeBackend answers with what it holds and records what it was asked.
 type fakeBackend struct {
 	err      error
-	announce platform.Announcement
+	announce dbedge.Announcement
 	applied  []byte
 	doc      *config.Document
 	query    ExplainQuery
@@ -39,9 +39,9 @@
 	switched SwitchOver
 }
 
-func (f *fakeBackend) Announce(_ context.Context, a platform.Announcement) (platform.AnnounceReply, error) {
+func (f *fakeBackend) Announce(_ context.Context, a dbedge.Announcement) (dbedge.AnnounceReply, error) {
 	f.announce = a
-	return platform.AnnounceReply{IntervalMillis: 500}, f.err
+	return dbedge.AnnounceReply{IntervalMillis: 500}, f.err
 }
 
 func (f *fakeBackend) Apply(_ context.Context, doc *config.Document, src []byte) (ApplyReply, error) {
@@ -188,7 +188,7 @@
 	defer server.Close()
 	ctx, client := t.Context(), NewClient(server.Listener.Addr().String(), DefaultClientTimeout)
 
-	var want platform.Announcement
+	var want dbedge.Announcement
 	assert.NilError(t, json.Unmarshal([]byte(goodAnnouncement), &want))
 	interval, err := client.Announce(ctx, want)
 	assert.NilError(t, err)
--- a/internal/api/client.go
+++ b/internal/api/client.go
@@ -12,7 +12,7 @@
 	"net/url"
 	"time"
 
-	"github.com/amaranthweir/amaranthweir/internal/platform"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge"
 )
 
 // Limits of the client.
@@ -55,8 +55,8 @@
 }
 
 // Announce sends an announcement.
-func (c *Client) Announce(ctx context.Context, a platform.Announcement) (platform.AnnounceReply, error) {
-	var reply platform.AnnounceReply
+func (c *Client) Announce(ctx context.Context, a dbedge.Announcement) (dbedge.AnnounceReply, error) {
+	var reply dbedge.AnnounceReply
 	body, err := json.Marshal(a)
 	if err != nil {
 		return reply, err
--- a/internal/api/handler.go
+++ b/internal/api/handler.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"github.com/amaranthweir/amaranthweir/internal/config"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
-	"github.com/amaranthweir/amaranthweir/internal/platform"
 )
 
 // Limits of one request.
@@ -41,7 +41,7 @@
 // others are answered as internal. The methods are called concurrently and
 // return when the context ends.
 type Backend interface {
-	platform.Announcer
+	dbedge.Announcer
 	// Apply hands a checked document, with its text, to agreement. A conflict
 	// is a *ConflictError.
 	Apply(ctx context.Context, doc *config.Document, src []byte) (ApplyReply, error)
--- a/internal/api/types.go
+++ b/internal/api/types.go
@@ -5,7 +5,7 @@
 
 import (
 	"github.com/amaranthweir/amaranthweir/internal/config"
-	"github.com/amaranthweir/amaranthweir/internal/platform"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
@@ -195,4 +195,4 @@
 	return "stable"
 }
 
-var _ platform.Announcer = (*Client)(nil)
+var _ dbedge.Announcer = (*Client)(nil)
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -19,8 +19,8 @@
 	"github.com/amaranthweir/amaranthweir/internal/api"
 	"github.com/amaranthweir/amaranthweir/internal/auth"
 	"github.com/amaranthweir/amaranthweir/internal/config"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
-	"github.com/amaranthweir/amaranthweir/internal/platform"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
@@ -30,8 +30,8 @@
 	token string // of the only operator; empty admits anyone
 }
 
-func (f *fakeHost) Announce(context.Context, platform.Announcement) (platform.AnnounceReply, error) {
-	return platform.AnnounceReply{}, f.err
+func (f *fakeHost) Announce(context.Context, dbedge.Announcement) (dbedge.AnnounceReply, error) {
+	return dbedge.AnnounceReply{}, f.err
 }
 
 func (f *fakeHost) Apply(_ context.Context, doc *config.Document, src []byte) (api.ApplyReply, error) {
--- a/internal/platform/platform.go
+++ b/internal/dbedge/dbedge.go
@@ -1,8 +1,8 @@
-// Package platform is the narrow edge to the platform that runs the
+// Package dbedge is the narrow edge to the platform that runs the
 // databases. The interfaces here are all that the system asks of it; each has
-// a contract test (package platformtest) that any implementation can be put
+// a contract test (package edgetest) that any implementation can be put
 // through.
-package platform
+package dbedge
 
 import (
 	"context"
@@ -45,10 +45,28 @@
 	Announce(ctx context.Context, a Announcement) (AnnounceReply, error)
 }
 
+// Target is the instance that a call is for. An address may pass to another
+// instance, so an implementation whose protocol can checks the instance too.
+type Target struct {
+	Group    table.GroupName
+	Instance table.InstanceID
+	Address  string // ip:port
+}
+
+// Promotion is the order to make an instance the primary of its group.
+type Promotion struct {
+	Target
+	// Term is the agreed term of the group.
+	Term table.Term
+	// Leadership numbers the time in office of the leader that orders it: a
+	// later leader has a higher one.
+	Leadership uint64
+}
+
 // Prober asks an instance for its state. It fails when no answer comes before
 // the context ends.
 type Prober interface {
-	Probe(ctx context.Context, address string) (Status, error)
+	Probe(ctx context.Context, t Target) (Status, error)
 }
 
 // ErrTermOver is what a Promoter returns when the instance has seen a higher
@@ -59,14 +77,14 @@
 // idempotent: a second call with the same term succeeds. An instance that has
 // seen a higher term refuses with ErrTermOver.
 type Promoter interface {
-	Promote(ctx context.Context, address string, term table.Term) (Status, error)
+	Promote(ctx context.Context, p Promotion) (Status, error)
 }
 
 // Fencer tells an instance that terms below term are over: a primary of an
 // older term accepts no further write, and connections of owners with an
 // epoch below epoch are closed.
 type Fencer interface {
-	Fence(ctx context.Context, address string, term table.Term, epoch table.Epoch) error
+	Fence(ctx context.Context, t Target, term table.Term, epoch table.Epoch) error
 }
 
 // AnnounceInterval is how often instances are asked to announce themselves.
--- a/internal/platform/platformtest/announcer.go
+++ b/internal/dbedge/edgetest/announcer.go
@@ -1,4 +1,4 @@
-package platformtest
+package edgetest
 
 import (
 	"context"
@@ -6,23 +6,23 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/amaranthweir/amaranthweir/internal/platform"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
 // AnnouncerFixture is an Announcer that knows one group.
 type AnnouncerFixture struct {
-	Announcer platform.Announcer
+	Announcer dbedge.Announcer
 	// Group is known and in a term of at least 2.
 	Group table.GroupName
 	// Taken returns what was taken so far of an instance.
-	Taken func(table.InstanceID) (platform.Announcement, bool)
+	Taken func(table.InstanceID) (dbedge.Announcement, bool)
 }
 
 // RunAnnouncer puts an implementation of Announcer through its contract.
 func RunAnnouncer(t *testing.T, f *AnnouncerFixture) {
 	const term = 2
-	good := platform.Announcement{
+	good := dbedge.Announcement{
 		Group: f.Group, Instance: "announced", Address: "127.0.0.1:5432", Domain: "coventry",
 		Role: "replica", Term: term, Position: 7, Slots: 3, Connections: 45,
 	}
--- a/internal/platform/platformtest/platformtest.go
+++ b/internal/dbedge/edgetest/edgetest.go
@@ -1,6 +1,6 @@
-// Package platformtest is the contract of the platform interfaces as a test.
+// Package edgetest is the contract of the platform interfaces as a test.
 // Every implementation of Prober, Promoter and Fencer is put through it.
-package platformtest
+package edgetest
 
 import (
 	"context"
@@ -12,15 +12,15 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	"gotest.tools/v3/assert"
 
-	"github.com/amaranthweir/amaranthweir/internal/platform"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
 // Platform is the implementation under test.
 type Platform interface {
-	platform.Prober
-	platform.Promoter
-	platform.Fencer
+	dbedge.Prober
+	dbedge.Promoter
+	dbedge.Fencer
 }
 
 // Fixture is a group of two instances, fresh for each case.
@@ -64,30 +64,35 @@
 	}
 }
 
+func at(address string) dbedge.Target { return dbedge.Target{Address: address} }
+
 func probeRoles(t *testing.T, f *Fixture) {
 	for address, role := range map[string]table.Role{f.Primary: table.RolePrimary, f.Replica: table.RoleReplica} {
-		st, err := f.Platform.Probe(t.Context(), address)
+		st, err := f.Platform.Probe(t.Context(), at(address))
 		assert.NilError(t, err)
 		assert.Equal(t, st.Role, role)
 		assert.Equal(t, st.Mark.Term, f.Term)
 		assert.Assert(t, st.TermStart <= st.Mark.Position)
 	}
-	before, err := f.Platform.Probe(t.Context(), f.Primary)
+	before, err := f.Platform.Probe(t.Context(), at(f.Primary))
 	assert.NilError(t, err)
 	assert.NilError(t, insert(t, open(t, f.Primary, ownerEpoch), "probe"))
-	after, err := f.Platform.Probe(t.Context(), f.Primary)
+	after, err := f.Platform.Probe(t.Context(), at(f.Primary))
 	assert.NilError(t, err)
 	assert.Assert(t, before.Mark.Less(after.Mark), "a commit moves the position")
 }
 
 func frozenEnds(t *testing.T, f *Fixture) {
-	_, err := f.Platform.Probe(t.Context(), f.Primary)
+	_, err := f.Platform.Probe(t.Context(), at(f.Primary))
 	assert.NilError(t, err)
 	f.Freeze(f.Primary)
 	calls := map[string]func(context.Context) error{
-		"probe":   func(ctx context.Context) error { _, err := f.Platform.Probe(ctx, f.Primary); return err },
-		"promote": func(ctx context.Context) error { _, err := f.Platform.Promote(ctx, f.Primary, f.Term); return err },
-		"fence":   func(ctx context.Context) error { return f.Platform.Fence(ctx, f.Primary, f.Term, 0) },
+		"probe": func(ctx context.Context) error { _, err := f.Platform.Probe(ctx, at(f.Primary)); return err },
+		"promote": func(ctx context.Context) error {
+			_, err := f.Platform.Promote(ctx, dbedge.Promotion{Target: at(f.Primary), Term: f.Term})
+			return err
+		},
+		"fence": func(ctx context.Context) error { return f.Platform.Fence(ctx, at(f.Primary), f.Term, 0) },
 	}
 	for name, call := range calls {
 		ctx, cancel := context.WithTimeout(t.Context(), frozenTimeout)
@@ -96,61 +101,61 @@
 		assert.Assert(t, errors.Is(err, context.DeadlineExceeded), "%s: %v", name, err)
 	}
 	f.Thaw(f.Primary)
-	_, err = f.Platform.Probe(t.Context(), f.Primary)
+	_, err = f.Platform.Probe(t.Context(), at(f.Primary))
 	assert.NilError(t, err)
 }
 
 func silentReplaced(t *testing.T, f *Fixture) {
-	_, err := f.Platform.Probe(t.Context(), f.Primary)
+	_, err := f.Platform.Probe(t.Context(), at(f.Primary))
 	assert.NilError(t, err)
 	f.Silence(f.Primary)
-	_, err = f.Platform.Probe(t.Context(), f.Primary)
+	_, err = f.Platform.Probe(t.Context(), at(f.Primary))
 	assert.NilError(t, err)
 }
 
 func promoteIdempotent(t *testing.T, f *Fixture) {
-	first, err := f.Platform.Promote(t.Context(), f.Replica, f.Term+1)
+	first, err := f.Platform.Promote(t.Context(), dbedge.Promotion{Target: at(f.Replica), Term: f.Term + 1})
 	assert.NilError(t, err)
 	assert.Equal(t, first.Role, table.RolePrimary)
 	assert.Equal(t, first.Mark.Term, f.Term+1)
 	assert.NilError(t, insert(t, open(t, f.Replica, ownerEpoch), "after"))
-	second, err := f.Platform.Promote(t.Context(), f.Replica, f.Term+1)
+	second, err := f.Platform.Promote(t.Context(), dbedge.Promotion{Target: at(f.Replica), Term: f.Term + 1})
 	assert.NilError(t, err)
 	assert.Equal(t, second.TermStart, first.TermStart, "the term keeps its start")
 	assert.Assert(t, first.Mark.Less(second.Mark))
 }
 
 func lowerTermRefused(t *testing.T, f *Fixture) {
-	_, err := f.Platform.Promote(t.Context(), f.Replica, f.Term)
-	assert.Assert(t, errors.Is(err, platform.ErrTermOver), "a replica in the term of its primary: %v", err)
-	_, err = f.Platform.Promote(t.Context(), f.Replica, f.Term+2)
+	_, err := f.Platform.Promote(t.Context(), dbedge.Promotion{Target: at(f.Replica), Term: f.Term})
+	assert.Assert(t, errors.Is(err, dbedge.ErrTermOver), "a replica in the term of its primary: %v", err)
+	_, err = f.Platform.Promote(t.Context(), dbedge.Promotion{Target: at(f.Replica), Term: f.Term + 2})
 	assert.NilError(t, err)
-	_, err = f.Platform.Promote(t.Context(), f.Replica, f.Term+1)
-	assert.Assert(t, errors.Is(err, platform.ErrTermOver), "a primary of a later term: %v", err)
-	assert.NilError(t, f.Platform.Fence(t.Context(), f.Primary, f.Term+2, 0))
-	_, err = f.Platform.Promote(t.Context(), f.Primary, f.Term+1)
-	assert.Assert(t, errors.Is(err, platform.ErrTermOver), "an instance fenced against the term: %v", err)
+	_, err = f.Platform.Promote(t.Context(), dbedge.Promotion{Target: at(f.Replica), Term: f.Term + 1})
+	assert.Assert(t, errors.Is(err, dbedge.ErrTermOver), "a primary of a later term: %v", err)
+	assert.NilError(t, f.Platform.Fence(t.Context(), at(f.Primary), f.Term+2, 0))
+	_, err = f.Platform.Promote(t.Context(), dbedge.Promotion{Target: at(f.Primary), Term: f.Term + 1})
+	assert.Assert(t, errors.Is(err, dbedge.ErrTermOver), "an instance fenced against the term: %v", err)
 }
 
 func fencedCandidate(t *testing.T, f *Fixture) {
-	assert.NilError(t, f.Platform.Fence(t.Context(), f.Replica, f.Term+1, ownerEpoch))
-	st, err := f.Platform.Promote(t.Context(), f.Replica, f.Term+1)
+	assert.NilError(t, f.Platform.Fence(t.Context(), at(f.Replica), f.Term+1, ownerEpoch))
+	st, err := f.Platform.Promote(t.Context(), dbedge.Promotion{Target: at(f.Replica), Term: f.Term + 1})
 	assert.NilError(t, err)
 	assert.Equal(t, st.Role, table.RolePrimary)
 }
 
 func fenceStopsWrite(t *testing.T, f *Fixture) {
-	before, err := f.Platform.Probe(t.Context(), f.Primary)
+	before, err := f.Platform.Probe(t.Context(), at(f.Primary))
 	assert.NilError(t, err)
 	conn := open(t, f.Primary, ownerEpoch)
 	_, err = conn.Exec(t.Context(), "BEGIN").ReadAll()
 	assert.NilError(t, err)
 	assert.NilError(t, insert(t, conn, "running"))
-	assert.NilError(t, f.Platform.Fence(t.Context(), f.Primary, f.Term+1, ownerEpoch))
+	assert.NilError(t, f.Platform.Fence(t.Context(), at(f.Primary), f.Term+1, ownerEpoch))
 	_, err = conn.Exec(t.Context(), "COMMIT").ReadAll()
 	assert.Equal(t, stateOf(err), "25006", "the running write")
 	assert.Equal(t, stateOf(insert(t, open(t, f.Primary, ownerEpoch), "new")), "25006", "a new write")
-	after, err := f.Platform.Probe(t.Context(), f.Primary)
+	after, err := f.Platform.Probe(t.Context(), at(f.Primary))
 	assert.NilError(t, err)
 	assert.Equal(t, after.Mark, before.Mark, "nothing was committed")
 	assert.Equal(t, after.Role, table.RoleReplica, "it accepts no write")
@@ -162,7 +167,7 @@
 	assert.NilError(t, err)
 	assert.NilError(t, insert(t, old, "old"))
 	current := open(t, f.Primary, ownerEpoch)
-	assert.NilError(t, f.Platform.Fence(t.Context(), f.Primary, f.Term, ownerEpoch))
+	assert.NilError(t, f.Platform.Fence(t.Context(), at(f.Primary), f.Term, ownerEpoch))
 	_, err = old.Exec(t.Context(), "COMMIT").ReadAll()
 	assert.Assert(t, err != nil, "the old epoch is over")
 	assert.NilError(t, insert(t, current, "old"), "the lock and the write of the old epoch are gone")
--- a/internal/platform/pgplatform/capacity_test.go
+++ b/internal/dbedge/pgedge/capacity_test.go
@@ -1,4 +1,4 @@
-package pgplatform_test
+package pgedge_test
 
 import (
 	"io"
@@ -9,7 +9,8 @@
 
 	"github.com/amaranthweir/amaranthweir/internal/capacity"
 	"github.com/amaranthweir/amaranthweir/internal/capacity/capacitytest"
-	"github.com/amaranthweir/amaranthweir/internal/platform/pgplatform"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge/pgedge"
 	"github.com/amaranthweir/amaranthweir/standin"
 )
 
@@ -22,11 +23,11 @@
 	in, err := standin.Start(cfg)
 	assert.NilError(b, err)
 	defer in.Close()
-	p, err := pgplatform.New(pgplatform.DefaultConfig())
+	p, err := pgedge.New(pgedge.DefaultConfig())
 	assert.NilError(b, err)
 	defer p.Close()
 	probe := func(address string) {
-		_, err := p.Probe(b.Context(), address)
+		_, err := p.Probe(b.Context(), dbedge.Target{Address: address})
 		assert.NilError(b, err)
 	}
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/platform/pgplatform/conn.go
+++ b/internal/dbedge/pgedge/conn.go
@@ -1,4 +1,4 @@
-package pgplatform
+package pgedge
 
 import (
 	"context"
--- a/internal/platform/pgplatform/pgplatform.go
+++ b/internal/dbedge/pgedge/pgedge.go
@@ -1,7 +1,7 @@
-// Package pgplatform probes, promotes and fences instances over the PostgreSQL
+// Package pgedge probes, promotes and fences instances over the PostgreSQL
 // protocol. It calls the SQL functions of the schema amaranthweir, which
 // docs/ops/upstreams.md describes.
-package pgplatform
+package pgedge
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 
 	"github.com/jackc/pgx/v5/pgconn"
 
-	"github.com/amaranthweir/amaranthweir/internal/platform"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 	"github.com/amaranthweir/amaranthweir/internal/upstream"
 )
@@ -59,9 +59,9 @@
 }
 
 var (
-	_ platform.Prober   = (*Platform)(nil)
-	_ platform.Promoter = (*Platform)(nil)
-	_ platform.Fencer   = (*Platform)(nil)
+	_ dbedge.Prober   = (*Platform)(nil)
+	_ dbedge.Promoter = (*Platform)(nil)
+	_ dbedge.Fencer   = (*Platform)(nil)
 )
 
 // New returns a Platform. Close ends it.
@@ -75,44 +75,47 @@
 // Close closes the kept connections.
 func (p *Platform) Close() { p.kept.close() }
 
-// Probe implements platform.Prober.
-func (p *Platform) Probe(ctx context.Context, address string) (platform.Status, error) {
+// Probe implements dbedge.Prober.
+func (p *Platform) Probe(ctx context.Context, t dbedge.Target) (dbedge.Status, error) {
+	address := t.Address
 	rows, err := p.call(ctx, address, upstream.StatusQuery)
 	if err != nil {
-		return platform.Status{}, fmt.Errorf("probe %s: %w", address, err)
+		return dbedge.Status{}, fmt.Errorf("probe %s: %w", address, err)
 	}
 	if len(rows) != 1 {
-		return platform.Status{}, fmt.Errorf("probe %s: %w", address, upstream.ErrStatus)
+		return dbedge.Status{}, fmt.Errorf("probe %s: %w", address, upstream.ErrStatus)
 	}
 	status, err := upstream.ParseStatus(rows[0])
 	if err != nil {
-		return platform.Status{}, fmt.Errorf("probe %s: %w", address, err)
+		return dbedge.Status{}, fmt.Errorf("probe %s: %w", address, err)
 	}
 	return status, nil
 }
 
-// Promote implements platform.Promoter.
-func (p *Platform) Promote(ctx context.Context, address string, term table.Term) (platform.Status, error) {
+// Promote implements dbedge.Promoter.
+func (p *Platform) Promote(ctx context.Context, order dbedge.Promotion) (dbedge.Status, error) {
+	address, term := order.Address, order.Term
 	_, err := p.call(ctx, address, fmt.Sprintf("SELECT amaranthweir.promote(%d)", term))
 	var refused *pgconn.PgError
 	if errors.As(err, &refused) && refused.Code == stateTermOver {
-		err = fmt.Errorf("%w: %w", platform.ErrTermOver, err)
+		err = fmt.Errorf("%w: %w", dbedge.ErrTermOver, err)
 	}
 	if err != nil {
-		return platform.Status{}, fmt.Errorf("promote %s: %w", address, err)
+		return dbedge.Status{}, fmt.Errorf("promote %s: %w", address, err)
 	}
-	status, err := p.Probe(ctx, address)
+	status, err := p.Probe(ctx, order.Target)
 	if err != nil {
-		return platform.Status{}, err
+		return dbedge.Status{}, err
 	}
 	if status.Role != table.RolePrimary || status.Mark.Term != term {
-		return status, fmt.Errorf("promote %s: it is %s of term %d by now: %w", address, status.Role, status.Mark.Term, platform.ErrTermOver)
+		return status, fmt.Errorf("promote %s: it is %s of term %d by now: %w", address, status.Role, status.Mark.Term, dbedge.ErrTermOver)
 	}
 	return status, nil
 }
 
-// Fence implements platform.Fencer.
-func (p *Platform) Fence(ctx context.Context, address string, term table.Term, epoch table.Epoch) error {
+// Fence implements dbedge.Fencer.
+func (p *Platform) Fence(ctx context.Context, t dbedge.Target, term table.Term, epoch table.Epoch) error {
+	address := t.Address
 	if _, err := p.call(ctx, address, fmt.Sprintf("SELECT amaranthweir.fence(%d, %d)", term, epoch)); err != nil {
 		return fmt.Errorf("fence %s: %w", address, err)
 	}
--- a/internal/platform/pgplatform/pgplatform_test.go
+++ b/internal/dbedge/pgedge/pgedge_test.go
@@ -1,4 +1,4 @@
-package pgplatform_test
+package pgedge_test
 
 import (
 	"testing"
@@ -7,14 +7,15 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
-	"github.com/amaranthweir/amaranthweir/internal/platform/pgplatform"
-	"github.com/amaranthweir/amaranthweir/internal/platform/platformtest"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge/edgetest"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge/pgedge"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 	"github.com/amaranthweir/amaranthweir/standin"
 )
 
 func TestContract(t *testing.T) {
-	platformtest.Run(t, func(t *testing.T) *platformtest.Fixture {
+	edgetest.Run(t, func(t *testing.T) *edgetest.Fixture {
 		primary, replica := instance(t, "a", true), instance(t, "b", false)
 		primary.SetPeers(replica.ControlAddress())
 		replica.SetPeers(primary.ControlAddress())
@@ -25,8 +26,8 @@
 			return poll.Continue("the replica follows")
 		}, poll.WithDelay(time.Millisecond))
 		byAddress := map[string]*standin.Instance{primary.Address(): primary, replica.Address(): replica}
-		return &platformtest.Fixture{
-			Platform: newPlatform(t, pgplatform.DefaultConfig()),
+		return &edgetest.Fixture{
+			Platform: newPlatform(t, pgedge.DefaultConfig()),
 			Primary:  primary.Address(),
 			Replica:  replica.Address(),
 			Term:     1,
@@ -47,20 +48,20 @@
 	return in
 }
 
-func newPlatform(t *testing.T, cfg pgplatform.Config) *pgplatform.Platform {
+func newPlatform(t *testing.T, cfg pgedge.Config) *pgedge.Platform {
 	t.Helper()
-	p, err := pgplatform.New(cfg)
+	p, err := pgedge.New(cfg)
 	assert.NilError(t, err)
 	t.Cleanup(p.Close)
 	return p
 }
 
 func TestProbesKeepOneConnection(t *testing.T) {
-	cfg := pgplatform.DefaultConfig()
+	cfg := pgedge.DefaultConfig()
 	cfg.KeptTimeout = time.Hour // a slow machine must not look like a silent connection
 	in, p := instance(t, "a", true), newPlatform(t, cfg)
 	for range 10 {
-		_, err := p.Probe(t.Context(), in.Address())
+		_, err := p.Probe(t.Context(), dbedge.Target{Address: in.Address()})
 		assert.NilError(t, err)
 	}
 	assert.Equal(t, in.Stats().MaxReserved, 1)
@@ -75,13 +76,13 @@
 	defer in.Close()
 	for name, maxKept := range map[string]int{"kept": 1, "dialed": 0} {
 		b.Run(name, func(b *testing.B) {
-			cfg := pgplatform.DefaultConfig()
+			cfg := pgedge.DefaultConfig()
 			cfg.MaxKept = maxKept
-			p, err := pgplatform.New(cfg)
+			p, err := pgedge.New(cfg)
 			assert.NilError(b, err)
 			defer p.Close()
 			for b.Loop() {
-				_, err := p.Probe(b.Context(), in.Address())
+				_, err := p.Probe(b.Context(), dbedge.Target{Address: in.Address()})
 				assert.NilError(b, err)
 			}
 		})
--- a/internal/host/act.go
+++ b/internal/host/act.go
@@ -8,9 +8,9 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/amaranthweir/amaranthweir/internal/control"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/peer"
-	"github.com/amaranthweir/amaranthweir/internal/platform"
 	"github.com/amaranthweir/amaranthweir/internal/system/failover"
 	"github.com/amaranthweir/amaranthweir/internal/system/ownership"
 	"github.com/amaranthweir/amaranthweir/internal/table"
@@ -20,7 +20,7 @@
 const nudgeTimeout = 200 * time.Millisecond
 
 // announced takes an announcement that reached the leader.
-func (l *leader) announced(now time.Duration, a platform.Announcement) {
+func (l *leader) announced(now time.Duration, a dbedge.Announcement) {
 	in := instanceOf(a)
 	in.SeenAt = now
 	l.failover.Announced(in)
@@ -38,7 +38,7 @@
 	}
 }
 
-func instanceOf(a platform.Announcement) table.Instance {
+func instanceOf(a dbedge.Announcement) table.Instance {
 	in := table.Instance{
 		ID:          a.Instance,
 		Group:       a.Group,
@@ -117,7 +117,11 @@
 func (l *leader) promote(a failover.Promote) {
 	ctx, stop := context.WithTimeout(l.ctx, l.host.timing.PromoteBound)
 	defer stop()
-	st, err := l.host.platform.Promote(ctx, a.Address, a.Term)
+	st, err := l.host.platform.Promote(ctx, dbedge.Promotion{
+		Target:     dbedge.Target{Group: a.Group, Instance: a.Instance, Address: a.Address},
+		Term:       a.Term,
+		Leadership: a.Leadership,
+	})
 	if err != nil {
 		l.log.WithError(err).WithField("instance", a.Instance).Warn("promotion failed")
 	}
@@ -133,7 +137,7 @@
 func (l *leader) fence(a failover.Fence) {
 	ctx, stop := context.WithTimeout(l.ctx, l.host.timing.FenceRetry)
 	defer stop()
-	if err := l.host.platform.Fence(ctx, a.Address, a.Term, a.Epoch); err != nil {
+	if err := l.host.platform.Fence(ctx, dbedge.Target{Group: a.Group, Instance: a.Instance, Address: a.Address}, a.Term, a.Epoch); err != nil {
 		return // ordered again until it succeeds
 	}
 	l.log.WithFields(logrus.Fields{"instance": a.Instance, "term": a.Term}).Info("fenced")
--- a/internal/host/backend.go
+++ b/internal/host/backend.go
@@ -11,10 +11,10 @@
 
 	"github.com/amaranthweir/amaranthweir/internal/api"
 	"github.com/amaranthweir/amaranthweir/internal/config"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/gateway"
 	"github.com/amaranthweir/amaranthweir/internal/peer"
-	"github.com/amaranthweir/amaranthweir/internal/platform"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
@@ -24,13 +24,13 @@
 }
 
 // Announce implements api.Backend.
-func (b *backend) Announce(_ context.Context, a platform.Announcement) (platform.AnnounceReply, error) {
-	reply := platform.AnnounceReply{IntervalMillis: platform.AnnounceInterval.Milliseconds()}
+func (b *backend) Announce(_ context.Context, a dbedge.Announcement) (dbedge.AnnounceReply, error) {
+	reply := dbedge.AnnounceReply{IntervalMillis: dbedge.AnnounceInterval.Milliseconds()}
 	err := b.checkAnnouncement(a)
 	b.host.metrics.Announced(err)
 	if err != nil {
 		b.host.log.WithError(err).WithField("instance", a.Instance).Warn("announcement refused")
-		return platform.AnnounceReply{}, err
+		return dbedge.AnnounceReply{}, err
 	}
 	b.host.beats.announce(a)
 	return reply, nil
@@ -38,7 +38,7 @@
 
 // checkAnnouncement refuses what contradicts the agreed state. An old primary
 // is passed on all the same, for the leader fences it.
-func (b *backend) checkAnnouncement(a platform.Announcement) error {
+func (b *backend) checkAnnouncement(a dbedge.Announcement) error {
 	if !b.host.dir.groupInForce(a.Group) {
 		return errkind.New(errkind.BadRequest, "no document in force has the group %s", a.Group)
 	}
--- a/internal/host/backend_test.go
+++ b/internal/host/backend_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/amaranthweir/amaranthweir/internal/config"
 	"github.com/amaranthweir/amaranthweir/internal/control"
-	"github.com/amaranthweir/amaranthweir/internal/platform"
-	"github.com/amaranthweir/amaranthweir/internal/platform/platformtest"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge/edgetest"
 	"github.com/amaranthweir/amaranthweir/internal/porttest"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
@@ -42,10 +42,10 @@
 
 func TestAnnouncerContract(t *testing.T) {
 	h := newIdleHost(t)
-	platformtest.RunAnnouncer(t, &platformtest.AnnouncerFixture{
+	edgetest.RunAnnouncer(t, &edgetest.AnnouncerFixture{
 		Announcer: &backend{host: h},
 		Group:     "g1",
-		Taken: func(id table.InstanceID) (platform.Announcement, bool) {
+		Taken: func(id table.InstanceID) (dbedge.Announcement, bool) {
 			h.beats.mu.Lock()
 			defer h.beats.mu.Unlock()
 			a, ok := h.beats.heard[id]
@@ -57,7 +57,7 @@
 func TestContradictingAnnouncementsAreCounted(t *testing.T) {
 	h := newIdleHost(t)
 	b := &backend{host: h}
-	for want, a := range map[string]platform.Announcement{
+	for want, a := range map[string]dbedge.Announcement{
 		"no document in force has the group": {Group: "g9", Instance: "x"},
 		"belongs to the group g2":            {Group: "g1", Instance: "elsewhere"},
 		"term 1 of g1 is over, 2 is agreed":  {Group: "g1", Instance: "x", Role: "primary", Term: 1},
--- a/internal/host/beats.go
+++ b/internal/host/beats.go
@@ -9,8 +9,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/amaranthweir/amaranthweir/internal/control"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge"
 	"github.com/amaranthweir/amaranthweir/internal/peer"
-	"github.com/amaranthweir/amaranthweir/internal/platform"
 	"github.com/amaranthweir/amaranthweir/internal/system/failover"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
@@ -35,7 +35,7 @@
 	mu       sync.Mutex
 	sequence uint64
 	stamp    failover.Stamp
-	heard    map[table.InstanceID]platform.Announcement
+	heard    map[table.InstanceID]dbedge.Announcement
 	checks   []failover.Report // as a witness, for the next heartbeat
 	sent     map[table.InstanceID]failover.Report
 	told     toldVersions
@@ -53,7 +53,7 @@
 		conn:    peer.Caller{Dial: h.dir.dial},
 		log:     h.log,
 		now:     make(chan struct{}, 1),
-		heard:   map[table.InstanceID]platform.Announcement{},
+		heard:   map[table.InstanceID]dbedge.Announcement{},
 		sent:    map[table.InstanceID]failover.Report{},
 		ordered: map[table.InstanceID]bool{},
 	}
@@ -95,7 +95,7 @@
 }
 
 // announce takes an announcement to be passed on.
-func (b *beats) announce(a platform.Announcement) {
+func (b *beats) announce(a dbedge.Announcement) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if _, known := b.heard[a.Instance]; known || len(b.heard) < maxHeard {
@@ -279,7 +279,7 @@
 	stamp := b.latestStamp()
 	ctx, stop := context.WithTimeout(ctx, b.host.timing.ProbeTimeout)
 	defer stop()
-	st, err := b.host.platform.Probe(ctx, o.Address)
+	st, err := b.host.platform.Probe(ctx, dbedge.Target{Group: o.Group, Instance: o.Instance, Address: o.Address})
 	r := failover.Report{
 		Group:     o.Group,
 		Instance:  o.Instance,
--- a/internal/host/capacity_test.go
+++ b/internal/host/capacity_test.go
@@ -17,7 +17,7 @@
 	"github.com/amaranthweir/amaranthweir/internal/capacity/capacitytest"
 	"github.com/amaranthweir/amaranthweir/internal/config"
 	"github.com/amaranthweir/amaranthweir/internal/control"
-	"github.com/amaranthweir/amaranthweir/internal/platform"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge"
 	"github.com/amaranthweir/amaranthweir/internal/system/failover"
 	"github.com/amaranthweir/amaranthweir/internal/system/lease"
 	"github.com/amaranthweir/amaranthweir/internal/table"
@@ -155,8 +155,8 @@
 	}}
 }
 
-func (f *large) announcement(g, n int) platform.Announcement {
-	a := platform.Announcement{
+func (f *large) announcement(g, n int) dbedge.Announcement {
+	a := dbedge.Announcement{
 		Instance: f.instance(g, n), Group: f.groupName(g), Address: fmt.Sprintf("127.2.%d.%d:1", g/250, g%250),
 		Domain: table.Domain(fmt.Sprint("domain-", f.domain(g, n))), Role: "replica", Term: 1, Position: 123456789,
 		Slots: 3, Connections: 45,
@@ -303,7 +303,7 @@
 	announcement, err := json.Marshal(f.announcement(7, 1))
 	assert.NilError(b, err)
 	capacitytest.Report(b, "leader_announcement_cpu", capacitytest.PerRun(20_000, func(int) {
-		var a platform.Announcement
+		var a dbedge.Announcement
 		assert.NilError(b, json.Unmarshal(announcement, &a))
 		f.host.leader.announced(f.now, a)
 	}), capacity.Microsecond)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -20,13 +20,13 @@
 
 	"github.com/amaranthweir/amaranthweir/internal/api"
 	"github.com/amaranthweir/amaranthweir/internal/config"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge/pgedge"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/gateway"
 	"github.com/amaranthweir/amaranthweir/internal/metrics"
 	"github.com/amaranthweir/amaranthweir/internal/owner"
 	"github.com/amaranthweir/amaranthweir/internal/peer"
 	"github.com/amaranthweir/amaranthweir/internal/pg"
-	"github.com/amaranthweir/amaranthweir/internal/platform/pgplatform"
 	"github.com/amaranthweir/amaranthweir/internal/session"
 	"github.com/amaranthweir/amaranthweir/internal/system/failover"
 )
@@ -41,7 +41,7 @@
 	metrics     *metrics.Metrics
 	dir         *directory
 	security    *security
-	platform    *pgplatform.Platform
+	platform    *pgedge.Platform
 	owner       *owner.Owner
 	gateway     *gateway.Gateway
 	callers     *pg.Listener
@@ -77,9 +77,9 @@
 	if h.security, err = newSecurity(s, h.clock, log); err != nil {
 		return nil, eris.Wrap(err, "security")
 	}
-	platformConfig := pgplatform.DefaultConfig()
+	platformConfig := pgedge.DefaultConfig()
 	platformConfig.Login = h.security.upstream
-	if h.platform, err = pgplatform.New(platformConfig); err != nil {
+	if h.platform, err = pgedge.New(platformConfig); err != nil {
 		return nil, eris.Wrap(err, "platform")
 	}
 	h.dir = newDirectory(s.Host, h.clock, log)
--- a/internal/host/security_test.go
+++ b/internal/host/security_test.go
@@ -27,9 +27,9 @@
 	"github.com/amaranthweir/amaranthweir/internal/certs/certtest"
 	"github.com/amaranthweir/amaranthweir/internal/config"
 	"github.com/amaranthweir/amaranthweir/internal/consensus"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/peer"
-	"github.com/amaranthweir/amaranthweir/internal/platform"
 	"github.com/amaranthweir/amaranthweir/internal/porttest"
 	"github.com/amaranthweir/amaranthweir/internal/request"
 	"github.com/amaranthweir/amaranthweir/internal/table"
@@ -211,7 +211,7 @@
 func (d *deployment) testOperators(t *testing.T) {
 	assert.Assert(t, strings.Contains(d.log.String(), `"msg":"audit: apply","operator":"alex"`), "no operator in the audit line")
 	assert.Assert(t, strings.Contains(d.log.String(), `"msg":"put document: accepted","operator":"alex"`), "no operator in the agreed command")
-	a := platform.Announcement{Group: "g1", Instance: "g1-a", Address: "127.0.0.1:1", Domain: "coventry", Role: "replica", Term: 1, Slots: 1, Connections: 3}
+	a := dbedge.Announcement{Group: "g1", Instance: "g1-a", Address: "127.0.0.1:1", Domain: "coventry", Role: "replica", Term: 1, Slots: 1, Connections: 3}
 	for _, c := range []struct {
 		token              string
 		operator, announce bool
--- a/internal/host/wire.go
+++ b/internal/host/wire.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/amaranthweir/amaranthweir/internal/platform"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge"
 	"github.com/amaranthweir/amaranthweir/internal/system/failover"
 	"github.com/amaranthweir/amaranthweir/internal/system/ownership"
 	"github.com/amaranthweir/amaranthweir/internal/table"
@@ -39,7 +39,7 @@
 	// asked for them.
 	Reports []failover.Report
 	// Announcements arrived at the host since its last heartbeat.
-	Announcements []platform.Announcement
+	Announcements []dbedge.Announcement
 	// Released names what the host handed over.
 	Released []table.Ownership
 }
--- a/internal/owner/age.go
+++ b/internal/owner/age.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/amaranthweir/amaranthweir/internal/dbedge"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
-	"github.com/amaranthweir/amaranthweir/internal/platform"
 	"github.com/amaranthweir/amaranthweir/internal/request"
 	"github.com/amaranthweir/amaranthweir/internal/system/freshness"
 )
@@ -28,7 +28,7 @@
 func since(t time.Time) time.Duration { return t.Sub(processStart) }
 
 // observeReplica takes a probe of the replica that was sent at asked.
-func (a *ageProof) observeReplica(asked time.Time, st platform.Status) {
+func (a *ageProof) observeReplica(asked time.Time, st dbedge.Status) {
 	a.tracker.ObserveReplica(since(asked), st.Mark)
 }
 
--- a/internal/owner/instance.go
+++ b/internal/owner/instance.go
@@ -9,8 +9,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/amaranthweir/amaranthweir/internal/config"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
-	"github.com/amaranthweir/amaranthweir/internal/platform"
 	"github.com/amaranthweir/amaranthweir/internal/pool"
 	"github.com/amaranthweir/amaranthweir/internal/request"
 	"github.com/amaranthweir/amaranthweir/internal/table"
@@ -90,16 +90,20 @@
 		trackNow: make(chan struct{}, 1),
 		held:     map[request.SessionID]*transaction{},
 	}
-	in.probe = newSampler(func(ctx context.Context) (platform.Status, error) {
+	in.probe = newSampler(func(ctx context.Context) (dbedge.Status, error) {
 		ctx, stop := context.WithTimeout(ctx, cfg.Timing.ProbeTimeout)
 		defer stop()
-		return cfg.Prober.Probe(ctx, desc.Address)
+		return cfg.Prober.Probe(ctx, in.target())
 	})
 	go in.watch(ctx)
 	go in.trackPrimary(ctx)
 	return in, nil
 }
 
+func (in *instance) target() dbedge.Target {
+	return dbedge.Target{Group: in.group, Instance: in.id, Address: in.address}
+}
+
 // resize takes a new number of slots and what the documents say now.
 func (in *instance) resize(desc table.Instance) error {
 	return in.slots.update(desc.Slots, in.cfg.Declare(in.group))
@@ -148,7 +152,7 @@
 	term, _ := in.cfg.Authority.Term(in.group, in.id)
 	ctx, stop := context.WithTimeout(ctx, in.cfg.Timing.ProbeTimeout)
 	defer stop()
-	if err := in.cfg.Fencer.Fence(ctx, in.address, term, in.epoch); err != nil {
+	if err := in.cfg.Fencer.Fence(ctx, in.target(), term, in.epoch); err != nil {
 		in.log.WithError(err).Debug("take-over")
 		return false
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -10,8 +10,8 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/amaranthweir/amaranthweir/internal/dbedge"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
-	"github.com/amaranthweir/amaranthweir/internal/platform"
 	"github.com/amaranthweir/amaranthweir/internal/request"
 	"github.com/amaranthweir/amaranthweir/internal/system/failover"
 	"github.com/amaranthweir/amaranthweir/internal/table"
@@ -58,8 +58,8 @@
 type Config struct {
 	Authority Authority
 	Peers     Peers
-	Prober    platform.Prober
-	Fencer    platform.Fencer
+	Prober    dbedge.Prober
+	Fencer    dbedge.Fencer
 	// Declare returns what the documents in force say about a group.
 	Declare func(group table.GroupName) Declaration
 	// Stamp returns the latest stamp of the control leader.
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -14,8 +14,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/amaranthweir/amaranthweir/internal/config"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge/pgedge"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
-	"github.com/amaranthweir/amaranthweir/internal/platform/pgplatform"
 	"github.com/amaranthweir/amaranthweir/internal/pool"
 	"github.com/amaranthweir/amaranthweir/internal/request"
 	"github.com/amaranthweir/amaranthweir/internal/system/failover"
@@ -85,7 +85,7 @@
 	in, err := standin.Start(cfg)
 	assert.NilError(t, err)
 	t.Cleanup(func() { assert.NilError(t, in.Close()) })
-	platform, err := pgplatform.New(pgplatform.DefaultConfig())
+	platform, err := pgedge.New(pgedge.DefaultConfig())
 	assert.NilError(t, err)
 	t.Cleanup(platform.Close)
 	log := logrus.New()
--- a/internal/owner/report.go
+++ b/internal/owner/report.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/amaranthweir/amaranthweir/internal/platform"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge"
 	"github.com/amaranthweir/amaranthweir/internal/system/failover"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
@@ -14,7 +14,7 @@
 	probed    bool
 	reachable bool
 	downSince time.Time // of the first probe that failed
-	status    platform.Status
+	status    dbedge.Status
 	after     failover.Stamp
 	quiesced  uint64 // the hold during which status was read, or zero
 	acked     table.Mark
--- a/internal/owner/sampler.go
+++ b/internal/owner/sampler.go
@@ -4,14 +4,14 @@
 	"context"
 	"sync"
 
-	"github.com/amaranthweir/amaranthweir/internal/platform"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge"
 )
 
 // sampler runs one probe at a time and shares its outcome among all who asked
 // before it began. Who asks during a probe waits for the next one, so an
 // outcome is never older than the question.
 type sampler struct {
-	probe func(ctx context.Context) (platform.Status, error)
+	probe func(ctx context.Context) (dbedge.Status, error)
 
 	mu   sync.Mutex
 	next *flight
@@ -21,16 +21,16 @@
 // flight is one probe and those who wait for it.
 type flight struct {
 	done   chan struct{}
-	status platform.Status
+	status dbedge.Status
 	err    error
 }
 
-func newSampler(probe func(ctx context.Context) (platform.Status, error)) *sampler {
+func newSampler(probe func(ctx context.Context) (dbedge.Status, error)) *sampler {
 	return &sampler{probe: probe}
 }
 
 // sample returns the outcome of a probe that began after the call.
-func (s *sampler) sample(ctx context.Context) (platform.Status, error) {
+func (s *sampler) sample(ctx context.Context) (dbedge.Status, error) {
 	s.mu.Lock()
 	if s.next == nil {
 		s.next = &flight{done: make(chan struct{})}
@@ -45,7 +45,7 @@
 	case <-f.done:
 		return f.status, f.err
 	case <-ctx.Done():
-		return platform.Status{}, ctx.Err()
+		return dbedge.Status{}, ctx.Err()
 	}
 }
 
--- a/internal/pg/path_test.go
+++ b/internal/pg/path_test.go
@@ -13,11 +13,11 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/amaranthweir/amaranthweir/internal/config"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge/pgedge"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/gateway"
 	"github.com/amaranthweir/amaranthweir/internal/owner"
 	"github.com/amaranthweir/amaranthweir/internal/peer"
-	"github.com/amaranthweir/amaranthweir/internal/platform/pgplatform"
 	"github.com/amaranthweir/amaranthweir/internal/request"
 	tokens "github.com/amaranthweir/amaranthweir/internal/session"
 	"github.com/amaranthweir/amaranthweir/internal/system/failover"
@@ -92,7 +92,7 @@
 	a := &alone{changed: make(chan struct{})}
 	a.doc, err = config.ParseDocument("ledger", []byte(document))
 	assert.NilError(t, err)
-	plat, err := pgplatform.New(pgplatform.DefaultConfig())
+	plat, err := pgedge.New(pgedge.DefaultConfig())
 	assert.NilError(t, err)
 	o := owner.New(owner.Config{
 		Authority: a, Peers: a, Prober: plat, Fencer: plat, Changed: func() {}, Log: log, Login: upstream.Login{User: "u", Database: "ledger"},
--- a/internal/system/failover/action.go
+++ b/internal/system/failover/action.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/amaranthweir/amaranthweir/internal/control"
-	"github.com/amaranthweir/amaranthweir/internal/platform"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
@@ -22,6 +22,8 @@
 	Address  string
 	Term     table.Term
 	Owner    table.HostID // owner of Instance, empty if it has none
+	// Leadership is the time in office that orders it.
+	Leadership uint64
 }
 
 // Fence tells an old primary that terms below Term are over. The answer goes
@@ -138,7 +140,7 @@
 	Term     table.Term
 	// OK means that Instance is the primary in Term; Status is its answer.
 	OK     bool
-	Status platform.Status
+	Status dbedge.Status
 	// HigherTerm is a term above Term that the instance has seen, zero if it
 	// named none.
 	HigherTerm table.Term
--- a/internal/system/failover/promote.go
+++ b/internal/system/failover/promote.go
@@ -185,6 +185,7 @@
 	pr.sent, pr.lastAt = true, now
 	s.act(Promote{
 		Group: g.name(), Instance: c.inst.ID, Address: c.inst.Address, Term: g.agreed.Term, Owner: c.owner,
+		Leadership: s.leadership,
 	})
 	return WaitPromotion
 }
--- a/internal/system/failover/world_test.go
+++ b/internal/system/failover/world_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/amaranthweir/amaranthweir/internal/control"
-	"github.com/amaranthweir/amaranthweir/internal/platform"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge"
 	"github.com/amaranthweir/amaranthweir/internal/system/failover"
 	"github.com/amaranthweir/amaranthweir/internal/system/lease"
 	"github.com/amaranthweir/amaranthweir/internal/system/ownership"
@@ -63,9 +63,9 @@
 	leaves bool
 }
 
-func (i *instance) status() platform.Status {
+func (i *instance) status() dbedge.Status {
 	mark := table.Mark{Term: i.mark.Term, Position: table.Position(len(i.log))}
-	return platform.Status{Role: i.role, Mark: mark, TermStart: i.start}
+	return dbedge.Status{Role: i.role, Mark: mark, TermStart: i.start}
 }
 
 func (i *instance) holds(pos int, e entry) bool { return len(i.log) >= pos && i.log[pos-1] == e }
--- a/internal/upstream/status.go
+++ b/internal/upstream/status.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"strconv"
 
-	"github.com/amaranthweir/amaranthweir/internal/platform"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
@@ -21,24 +21,24 @@
 
 // ParseStatus reads the row that answers StatusQuery, as text. Its errors are
 // ErrStatus.
-func ParseStatus[T string | []byte](row []T) (platform.Status, error) {
+func ParseStatus[T string | []byte](row []T) (dbedge.Status, error) {
 	if len(row) != statusColumns {
-		return platform.Status{}, ErrStatus
+		return dbedge.Status{}, ErrStatus
 	}
-	var status platform.Status
+	var status dbedge.Status
 	switch string(row[0]) {
 	case table.RolePrimary.String():
 		status.Role = table.RolePrimary
 	case table.RoleReplica.String():
 		status.Role = table.RoleReplica
 	default:
-		return platform.Status{}, ErrStatus
+		return dbedge.Status{}, ErrStatus
 	}
 	var numbers [statusColumns - 1]uint64
 	for i := range numbers {
 		n, err := strconv.ParseUint(string(row[i+1]), 10, 64)
 		if err != nil {
-			return platform.Status{}, fmt.Errorf("%w: %w", ErrStatus, err)
+			return dbedge.Status{}, fmt.Errorf("%w: %w", ErrStatus, err)
 		}
 		numbers[i] = n
 	}
--- a/standin/announce.go
+++ b/standin/announce.go
@@ -8,7 +8,7 @@
 	"net/http"
 	"time"
 
-	"github.com/amaranthweir/amaranthweir/internal/platform"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge"
 )
 
 const (
@@ -61,7 +61,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return 0, fmt.Errorf("announcement refused: %s", resp.Status)
 	}
-	var reply platform.AnnounceReply
+	var reply dbedge.AnnounceReply
 	if err := json.NewDecoder(resp.Body).Decode(&reply); err != nil {
 		return 0, err
 	}
@@ -69,9 +69,9 @@
 	return max(interval, minAnnounceInterval), nil
 }
 
-func (in *Instance) announcement() platform.Announcement {
+func (in *Instance) announcement() dbedge.Announcement {
 	st := in.store.state()
-	return platform.Announcement{
+	return dbedge.Announcement{
 		Group:       in.cfg.Group,
 		Instance:    in.cfg.Instance,
 		Address:     in.Address(),
--- a/standin/faults_test.go
+++ b/standin/faults_test.go
@@ -13,7 +13,7 @@
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
-	"github.com/amaranthweir/amaranthweir/internal/platform"
+	"github.com/amaranthweir/amaranthweir/internal/dbedge"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 	"github.com/amaranthweir/amaranthweir/standin"
 )
@@ -182,13 +182,13 @@
 func TestAnnouncesToOneEntryAfterTheOther(t *testing.T) {
 	type arrival struct {
 		entry int
-		a     platform.Announcement
+		a     dbedge.Announcement
 	}
 	arrivals := make(chan arrival)
 	var entries []string
 	for i := range 2 {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			var a platform.Announcement
+			var a dbedge.Announcement
 			if r.URL.Path != "/v1/announce" || json.NewDecoder(r.Body).Decode(&a) != nil {
 				w.WriteHeader(http.StatusBadRequest)
 				return
@@ -197,7 +197,7 @@
 			case arrivals <- arrival{i, a}:
 			case <-r.Context().Done():
 			}
-			_ = json.NewEncoder(w).Encode(platform.AnnounceReply{IntervalMillis: 20})
+			_ = json.NewEncoder(w).Encode(dbedge.AnnounceReply{IntervalMillis: 20})
 		}))
 		t.Cleanup(server.Close)
 		entries = append(entries, server.Listener.Addr().String())
@@ -206,7 +206,7 @@
 	first, second := <-arrivals, <-arrivals
 	assert.Equal(t, first.entry, 0)
 	assert.Equal(t, second.entry, 1)
-	assert.DeepEqual(t, second.a, platform.Announcement{
+	assert.DeepEqual(t, second.a, dbedge.Announcement{
 		Group: "g1", Instance: "g1-a", Address: in.Address(), Domain: "derby",
 		Role: "primary", Term: 1, Slots: 3, Connections: 45,
 	})
