--- a/cmd/amaranthweir/main.go
+++ b/cmd/amaranthweir/main.go
@@ -23,7 +23,7 @@
 func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return cli.Run(ctx, os.Args[1:], os.Stdout, os.Stderr, serve)
+	return cli.Run(ctx, os.Args[1:], os.Stdout, os.Stderr, serve, servePlatform)
 }
 
 // serve runs a host. A second signal ends it at once, naming what was left.
--- a/internal/api/announcement.go
+++ b/internal/api/announcement.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/netip"
 	"reflect"
+	"strings"
 
 	"github.com/amaranthweir/amaranthweir/internal/config"
 	"github.com/amaranthweir/amaranthweir/internal/dbedge"
@@ -134,12 +135,12 @@
 }
 
 // jsonNames maps the JSON names of the fields of a struct to whether they are
-// required, which all but "leaving" are.
+// required, which all but "leaving" and those that may be left out are.
 func jsonNames(t reflect.Type) map[string]bool {
 	names := map[string]bool{}
 	for i := range t.NumField() {
-		name := t.Field(i).Tag.Get("json")
-		names[name] = name != "leaving"
+		name, option, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		names[name] = name != "leaving" && option != "omitempty"
 	}
 	return names
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -33,9 +33,14 @@
 // down.
 type ServeFunc func(ctx context.Context, s *config.Settings) error
 
+// AdaptedFunc runs a host on the platform that the users bring, whose settings
+// it finds itself, until the context ends.
+type AdaptedFunc func(ctx context.Context) error
+
 // commands is the grammar of the command line.
 type commands struct {
 	Serve        serveCommand        `cmd:"" help:"Run a host. Its settings make it an entry host, and a control host too if they say so."`
+	Platform     platformCommand     `cmd:"" help:"Run a host on the users' platform, which names the settings file in the environment."`
 	Check        checkCommand        `cmd:"" help:"Check a settings file or a service document and print every problem with its place."`
 	Apply        applyCommand        `cmd:"" help:"Hand a service document to the system. Sending the same document again is safe."`
 	Status       statusCommand       `cmd:"" help:"Print what a host knows of the system: documents, hosts, groups, instances."`
@@ -57,11 +62,13 @@
 	errOut io.Writer
 	in     io.Reader
 	serve  ServeFunc
+	// platform is nil where no platform is built in.
+	platform AdaptedFunc
 }
 
 // Run executes one command line and returns the exit code. The context ends
 // the command; for serve that means a graceful shutdown.
-func Run(ctx context.Context, args []string, out, errOut io.Writer, serve ServeFunc) int {
+func Run(ctx context.Context, args []string, out, errOut io.Writer, serve ServeFunc, platform AdaptedFunc) int {
 	exited, exitCode := false, ExitOK
 	parser, err := kong.New(
 		&commands{},
@@ -82,7 +89,7 @@
 		fmt.Fprintf(errOut, "amaranthweir: %v\nSee amaranthweir --help.\n", err)
 		return ExitUsage
 	}
-	env := &environment{ctx: ctx, out: out, errOut: errOut, in: os.Stdin, serve: serve}
+	env := &environment{ctx: ctx, out: out, errOut: errOut, in: os.Stdin, serve: serve, platform: platform}
 	if err := command.Run(env); err != nil {
 		report(errOut, err)
 		return exitCodeOf(err)
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -110,7 +110,7 @@
 		args[i] = strings.ReplaceAll(args[i], "HOST", server.Listener.Addr().String())
 	}
 	var o, e bytes.Buffer
-	code = Run(t.Context(), args, &o, &e, serve)
+	code = Run(t.Context(), args, &o, &e, serve, nil)
 	return code, o.String(), e.String()
 }
 
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -11,6 +11,11 @@
 	DataFolder string
 	// Voters are the control hosts that found the deployment.
 	Voters []PeerSettings
+	// Open lets control hosts that Voters does not list join. Their names are
+	// then IP addresses, and all of them use the same peer port.
+	Open bool
+	// Found lets this host found a deployment; it is implied unless Open.
+	Found bool
 }
 
 // PeerSettings names another host.
@@ -23,7 +28,8 @@
 type Settings struct {
 	Host   table.HostID
 	Domain table.Domain
-	// CallerAddress is ip:port for callers (PostgreSQL protocol).
+	// CallerAddress is ip:port for callers. It may be empty on a control host:
+	// such a host serves no callers and owns no instances.
 	CallerAddress string
 	// PeerAddress is ip:port for the other hosts (drpc).
 	PeerAddress string
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -71,6 +71,16 @@
 	return nil
 }
 
+// Unheard returns for how many ticks this leader has heard nothing of a member,
+// counted at most from the start of its leadership.
+func (n *Node) Unheard(id NodeID) uint64 {
+	pr := n.progress[id]
+	if n.role != RoleLeader || pr == nil {
+		return 0
+	}
+	return n.tick - min(n.tick, max(pr.ack, n.leaderSince))
+}
+
 func (n *Node) hasCaughtUp(id NodeID) bool {
 	pr := n.progress[id]
 	return pr != nil && pr.match >= n.log.commit && n.tick-pr.ack < uint64(n.cfg.ElectionTicks)
--- a/internal/control/capacity_test.go
+++ b/internal/control/capacity_test.go
@@ -97,7 +97,9 @@
 			n.startAll(t)
 			defer n.stopAll(t)
 			leader := n.leader(t)
-			time.Sleep(time.Second)
+			// Half a tick apart from the ticks: a heartbeat at the very end of a
+			// counted second would fall into either second.
+			time.Sleep(time.Second + DefaultTickInterval/2)
 			idle := n.countSecond(func() {})
 			busy := n.countSecond(func() {
 				for i := range changes {
--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -8,11 +8,12 @@
 
 // Command is one entry of the replicated log. Exactly one field is set.
 type Command struct {
-	PutDocument  *PutDocument  `json:"put_document,omitempty"`
-	BeginTerm    *BeginTerm    `json:"begin_term,omitempty"`
-	SetPrimary   *SetPrimary   `json:"set_primary,omitempty"`
-	AssignOwners *AssignOwners `json:"assign_owners,omitempty"`
-	SetKeys      *SetKeys      `json:"set_keys,omitempty"`
+	PutDocument       *PutDocument       `json:"put_document,omitempty"`
+	ReplaceDeployment *ReplaceDeployment `json:"replace_deployment,omitempty"`
+	BeginTerm         *BeginTerm         `json:"begin_term,omitempty"`
+	SetPrimary        *SetPrimary        `json:"set_primary,omitempty"`
+	AssignOwners      *AssignOwners      `json:"assign_owners,omitempty"`
+	SetKeys           *SetKeys           `json:"set_keys,omitempty"`
 }
 
 // PutDocument replaces the document of a service if Version is exactly one
@@ -26,6 +27,14 @@
 	Operator string `json:"operator,omitempty"`
 }
 
+// ReplaceDeployment replaces the whole configuration of all services if Version
+// is above the version in force. Any other version changes nothing and
+// succeeds: the operator has sent it before, or another one has overtaken it.
+type ReplaceDeployment struct {
+	Version uint64 `json:"version"`
+	Body    []byte `json:"body"` // as the operator wrote it
+}
+
 // BeginTerm ends every lower term of the group: from its commit on, no write
 // under a lower term may be acknowledged, and Candidate is the only instance
 // that may be promoted in Term. Refused unless Term is above the group's term.
@@ -43,6 +52,8 @@
 	Term      table.Term       `json:"term"`
 	Primary   table.InstanceID `json:"primary"`
 	TermStart table.Position   `json:"term_start"`
+	// LogTerm is the term of the log of Primary, zero where it is Term.
+	LogTerm table.Term `json:"log_term,omitempty"`
 }
 
 // AssignOwners gives instances to hosts. Each assignment is refused by itself
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 
 	"github.com/amaranthweir/amaranthweir/internal/consensus"
@@ -25,6 +26,18 @@
 	return r.node.Silence() >= stampTimeouts*election && r.node.Now()%election < uint64(r.cfg.HeartbeatTicks)
 }
 
+// hostsToAsk returns the other hosts that may be members: those of the
+// settings, and the members that this host knows of.
+func (r *replica) hostsToAsk() []table.HostID {
+	hosts := slices.Clone(r.cfg.Voters)
+	for _, id := range r.node.Members().All() {
+		if !slices.Contains(hosts, id.Host) {
+			hosts = append(hosts, id.Host)
+		}
+	}
+	return slices.DeleteFunc(hosts, func(h table.HostID) bool { return h == r.id.Host })
+}
+
 func (r *replica) sendHello(to table.HostID, ask bool) {
 	r.cfg.Transport.Send(to, encodeHello(hello{
 		From: r.id, To: to, Ask: ask, Blank: r.blank(),
@@ -35,7 +48,7 @@
 }
 
 func (r *replica) takeHello(h hello) error {
-	if h.To != r.id.Host || h.From.Host == r.id.Host || !slices.Contains(r.cfg.Voters, h.From.Host) {
+	if h.To != r.id.Host || h.From.Host == r.id.Host || !r.cfg.knows(h.From.Host) {
 		return nil
 	}
 	r.echoes[h.From.Host] = h.Stamp
@@ -69,6 +82,9 @@
 		return nil
 	}
 	if len(f.pinned) == 0 {
+		if !r.cfg.mayFound() {
+			return nil
+		}
 		members, ok := f.complete(r.cfg.Voters)
 		if !ok {
 			return nil
@@ -104,16 +120,16 @@
 // learner and, once it has caught up, a voter. Only a blank host displaces
 // another identity. One step is proposed at a time.
 func (r *replica) arrangeMembers() {
+	if r.cfg.Open && r.dropSilentVoter() {
+		return
+	}
 	for _, id := range r.node.Members().Learners {
 		if r.change(consensus.PromoteLearner, id) {
 			return
 		}
 	}
-	for _, host := range r.cfg.Voters {
-		j, ok := r.joining[host]
-		if !ok {
-			continue
-		}
+	for _, host := range slices.Sorted(maps.Keys(r.joining)) {
+		j := r.joining[host]
 		now, member := r.node.Members().Host(host)
 		switch {
 		case member && now == j.id, r.node.Now()-j.tick > uint64(stampTimeouts*r.cfg.ElectionTicks):
@@ -128,6 +144,40 @@
 	}
 }
 
+const (
+	// minVoters is how many voters an open membership keeps at least, so that
+	// the loss of one is borne.
+	minVoters = 3
+	// silentTimeouts is for how many election timeouts a voter must have been
+	// silent to be dropped. It may join again.
+	silentTimeouts = 6
+)
+
+// dropSilentVoter removes a voter of an open membership that has been silent
+// for long, so that hosts that never come back do not count for a quorum. The
+// others must be enough to bear a further loss.
+func (r *replica) dropSilentVoter() bool {
+	voters := r.node.Members().Voters
+	if len(voters) <= minVoters {
+		return false
+	}
+	var silent consensus.NodeID
+	alive := 0
+	for _, id := range voters {
+		unheard := r.node.Unheard(id)
+		switch {
+		case id == r.id || unheard < uint64(r.cfg.ElectionTicks):
+			alive++
+		case unheard >= uint64(silentTimeouts*r.cfg.ElectionTicks):
+			silent = id
+		}
+	}
+	if silent.IsZero() || alive < max(minVoters, (len(voters)-1)/2+2) {
+		return false
+	}
+	return r.change(consensus.RemoveMember, silent)
+}
+
 func (r *replica) remove(p proposal) {
 	delete(r.joining, p.remove)
 	id, member := r.node.Members().Host(p.remove)
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -114,10 +114,8 @@
 	if r.node.Members().Contains(r.id) && !r.asksAgain() {
 		return nil
 	}
-	for _, host := range r.cfg.Voters {
-		if host != r.id.Host {
-			r.sendHello(host, true)
-		}
+	for _, host := range r.hostsToAsk() {
+		r.sendHello(host, true)
 	}
 	return r.found()
 }
@@ -278,6 +276,8 @@
 	case c.PutDocument != nil:
 		p := c.PutDocument
 		fields["service"], fields["version"], fields["digest"], fields["operator"] = p.Service, p.Version, p.Digest, p.Operator
+	case c.ReplaceDeployment != nil:
+		fields["version"], fields["in_force"] = c.ReplaceDeployment.Version, r.state.view.Deployment.Version
 	case c.BeginTerm != nil:
 		fields["group"], fields["term"], fields["candidate"] = c.BeginTerm.Group, c.BeginTerm.Term, c.BeginTerm.Candidate
 	case c.SetPrimary != nil:
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -55,7 +55,12 @@
 	// FS replaces the folder at DataFolder.
 	FS wal.FS
 	// Voters lists the control hosts, this one among them.
-	Voters    []table.HostID
+	Voters []table.HostID
+	// Open lets hosts that Voters does not list join.
+	Open bool
+	// Found lets this host found a deployment with Voters; it is implied unless
+	// Open. Where it is false, a blank host only joins one.
+	Found     bool
 	Transport Transport
 	Log       logrus.FieldLogger
 
@@ -111,7 +116,7 @@
 	switch {
 	case c.Host == "":
 		return errors.New("control: Host must be set")
-	case !slices.Contains(c.Voters, c.Host):
+	case !c.Open && !slices.Contains(c.Voters, c.Host):
 		return fmt.Errorf("control: Voters must contain the host %q", c.Host)
 	case len(c.Voters) > consensus.MaxMembers:
 		return fmt.Errorf("control: at most %d voters", consensus.MaxMembers)
@@ -131,6 +136,16 @@
 	return c.ElectionTicks*(100-driftPercent)/100 - delayTicks
 }
 
+// mayFound reports whether this host takes part in founding a deployment.
+func (c *ServerConfig) mayFound() bool {
+	return slices.Contains(c.Voters, c.Host) && (c.Found || !c.Open)
+}
+
+// knows reports whether a host may be a member.
+func (c *ServerConfig) knows(host table.HostID) bool {
+	return c.Open && host != "" || slices.Contains(c.Voters, host)
+}
+
 // Server runs one control host: it takes part in the agreement and keeps the
 // state in memory. All methods but Run are safe for concurrent use.
 type Server struct {
@@ -158,6 +173,7 @@
 	isSelf     bool
 	leaseUntil time.Duration
 	caughtUp   bool
+	term       uint64
 	members    consensus.Members
 	changed    chan struct{}
 }
@@ -302,7 +318,7 @@
 	next := &status{
 		view: old.view, changed: old.changed, members: r.node.Members(),
 		leader: r.node.Leader().Host, isSelf: r.node.Role() == consensus.RoleLeader,
-		caughtUp: r.node.CaughtUp(),
+		caughtUp: r.node.CaughtUp(), term: r.node.Term(),
 	}
 	if until, ok := r.node.Lease(); ok {
 		next.leaseUntil = s.origin + time.Duration(until)*s.cfg.TickInterval
@@ -421,6 +437,10 @@
 	return st.leader, st.isSelf, st.isSelf && s.cfg.Now() < st.leaseUntil
 }
 
+// Term returns the term of the replicated log. Each leader has one of its own,
+// and a later leader a higher one.
+func (s *Server) Term() uint64 { return s.status.Load().term }
+
 // CaughtUp reports whether this host has heard a leader since its start and
 // holds all that was committed then. Before that, its state may be older than
 // what it showed before a restart.
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -82,6 +82,8 @@
 	switch {
 	case c.PutDocument != nil:
 		return s.putDocument(c.PutDocument)
+	case c.ReplaceDeployment != nil:
+		return s.replaceDeployment(c.ReplaceDeployment)
 	case c.BeginTerm != nil:
 		return s.beginTerm(c.BeginTerm)
 	case c.SetPrimary != nil:
@@ -141,6 +143,14 @@
 	return documentResult(Accepted, s.Revision(), p.Service, next)
 }
 
+func (s *State) replaceDeployment(d *ReplaceDeployment) Result {
+	if d.Version > s.view.Deployment.Version {
+		s.note(changeDeployment, "")
+		s.view.Deployment = Deployment{Version: d.Version, Body: d.Body}
+	}
+	return Result{Revision: s.Revision()}
+}
+
 func (s *State) remember(service string, v pastVersion) {
 	history := append(s.history[service], v)
 	s.history[service] = slices.Clone(history[max(0, len(history)-historyKept):])
@@ -191,7 +201,8 @@
 	}
 	next := now
 	next.Phase, next.Primary, next.TermStart = table.PhaseStable, p.Primary, p.TermStart
-	next.History.Begin(p.Term, p.TermStart)
+	next.LogTerm = p.LogTerm
+	next.History.Begin(next.DataTerm(), p.TermStart)
 	return s.putGroup(next)
 }
 
@@ -259,6 +270,8 @@
 	switch {
 	case c.PutDocument != nil:
 		return "put document"
+	case c.ReplaceDeployment != nil:
+		return "replace deployment"
 	case c.BeginTerm != nil:
 		return "begin term"
 	case c.SetPrimary != nil:
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -31,15 +31,23 @@
 	Keys    [][]byte
 }
 
+// Deployment is the whole configuration of all services in force; the zero
+// value is none.
+type Deployment struct {
+	Version uint64
+	Body    []byte
+}
+
 // View is an immutable snapshot of the control state. Its maps are shared and
 // must not be changed.
 type View struct {
 	// Revision counts the changes; a higher one holds all of a lower one.
-	Revision  uint64
-	Documents map[string]Document
-	Groups    map[table.GroupName]table.Group
-	Owners    map[table.InstanceID]table.Ownership
-	Keys      Keys
+	Revision   uint64
+	Documents  map[string]Document
+	Deployment Deployment
+	Groups     map[table.GroupName]table.Group
+	Owners     map[table.InstanceID]table.Ownership
+	Keys       Keys
 
 	changes []change
 }
@@ -58,6 +66,7 @@
 	changeGroup
 	changeOwner
 	changeKeys
+	changeDeployment
 )
 
 // NewView returns the view of a state in which nothing was changed yet.
@@ -72,12 +81,13 @@
 // encodedView is the JSON form of a view or of a part of it.
 type encodedView struct {
 	// From is the revision that the content builds on; with 0 it is whole.
-	From      uint64                               `json:"from"`
-	Revision  uint64                               `json:"revision"`
-	Documents map[string]Document                  `json:"documents,omitempty"`
-	Groups    map[table.GroupName]table.Group      `json:"groups,omitempty"`
-	Owners    map[table.InstanceID]table.Ownership `json:"owners,omitempty"`
-	Keys      *Keys                                `json:"keys,omitempty"`
+	From       uint64                               `json:"from"`
+	Revision   uint64                               `json:"revision"`
+	Documents  map[string]Document                  `json:"documents,omitempty"`
+	Groups     map[table.GroupName]table.Group      `json:"groups,omitempty"`
+	Owners     map[table.InstanceID]table.Ownership `json:"owners,omitempty"`
+	Keys       *Keys                                `json:"keys,omitempty"`
+	Deployment *Deployment                          `json:"deployment,omitempty"`
 	// History is only in snapshots of the state.
 	History map[string][]pastVersion `json:"history,omitempty"`
 }
@@ -103,6 +113,7 @@
 func (v *View) whole() encodedView {
 	return encodedView{
 		Revision: v.Revision, Documents: v.Documents, Groups: v.Groups, Owners: v.Owners, Keys: &v.Keys,
+		Deployment: &v.Deployment,
 	}
 }
 
@@ -120,6 +131,8 @@
 		e.Owners[table.InstanceID(c.Name)] = v.Owners[table.InstanceID(c.Name)]
 	case changeKeys:
 		e.Keys = &v.Keys
+	case changeDeployment:
+		e.Deployment = &v.Deployment
 	}
 }
 
@@ -144,7 +157,10 @@
 	case e.Revision == v.Revision:
 		return v, nil
 	}
-	next := &View{Revision: e.Revision, Keys: v.Keys}
+	next := &View{Revision: e.Revision, Keys: v.Keys, Deployment: v.Deployment}
+	if e.Deployment != nil {
+		next.Deployment = *e.Deployment
+	}
 	if e.Keys != nil {
 		next.Keys = *e.Keys
 	}
--- a/internal/dbedge/dbedge.go
+++ b/internal/dbedge/dbedge.go
@@ -24,6 +24,12 @@
 	Slots       int              `json:"slots"`
 	Connections int              `json:"connections"`
 	Leaving     bool             `json:"leaving"`
+	// Born orders the starts of an instance and Sequence what it says after
+	// one; both are zero for instances that do not number what they say.
+	Born     uint64 `json:"born,omitempty"`
+	Sequence uint64 `json:"sequence,omitempty"`
+	// Gone is set in the last announcement of an instance.
+	Gone bool `json:"gone,omitempty"`
 }
 
 // AnnounceReply tells an instance when to announce itself again.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,10 @@
 	Domain      table.Domain
 	Directory   Directory
 	Observer    Observer
+	// UpstreamFloors is set where instances check floors themselves: a read is
+	// then given the position of the primary as it was at most its staleness
+	// ago, or what the session wrote, whichever is later.
+	UpstreamFloors bool
 	// Keys sign and read session tokens.
 	Keys *session.Keyring
 	Log  *logrus.Logger
@@ -70,6 +74,7 @@
 	sessions atomic.Uint64
 	requests atomic.Uint64
 	budget   retryBudget
+	samples  samples
 
 	decisions decisionLog
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -126,6 +126,9 @@
 // caller has seen elsewhere is not known.
 func (r *run) findFloor(ctx context.Context, q *request.Request) error {
 	s := r.session
+	if s.gateway.cfg.UpstreamFloors {
+		return r.sampleFloor(ctx, q)
+	}
 	if err := r.checkLost(q.Group); err != nil {
 		return err
 	}
@@ -259,7 +262,7 @@
 		return false
 	}
 	switch e.Kind {
-	case errkind.NoPrimary, errkind.NoOwner, errkind.StalenessUnprovable, errkind.UpstreamLost, errkind.OutcomeUnknown, errkind.LeaseLost:
+	case errkind.NoPrimary, errkind.NoOwner, errkind.StalenessUnprovable, errkind.UpstreamLost, errkind.OutcomeUnknown, errkind.LeaseLost, errkind.UpstreamBusy:
 	default:
 		return false
 	}
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -135,6 +135,17 @@
 	s.pending = nil
 }
 
+// UseSettings replaces the settings of the session. It is for protocols whose
+// settings are not statements that an instance runs.
+func (s *Session) UseSettings(settings []string) { s.settings = settings }
+
+// Abandon ends the open transaction without keeping anything of it.
+func (s *Session) Abandon() {
+	s.Close()
+	s.pending = nil
+	s.aborted = false
+}
+
 // Close ends the session and what it holds.
 func (s *Session) Close() {
 	if s.tx != nil {
--- a/internal/host/act.go
+++ b/internal/host/act.go
@@ -23,12 +23,21 @@
 func (l *leader) announced(now time.Duration, a dbedge.Announcement) {
 	in := instanceOf(a)
 	in.SeenAt = now
+	if l.overtaken(&in) {
+		l.log.WithFields(logrus.Fields{"instance": in.ID, "born": in.Born, "sequence": in.Sequence}).Info("late announcement dropped")
+		return
+	}
+	if a.Gone {
+		l.forget(in.ID)
+		return
+	}
+	l.dropPredecessors(&in)
 	l.failover.Announced(in)
 	l.ownership.Announced(in)
 	old, known := l.instances[in.ID]
 	l.instances[in.ID] = in
 	// What changes with each announcement does not go out to all hosts.
-	old.Mark.Position, old.SeenAt = in.Mark.Position, in.SeenAt
+	old.Mark.Position, old.SeenAt, old.Sequence = in.Mark.Position, in.SeenAt, in.Sequence
 	if !known || old != in {
 		l.log.WithFields(logrus.Fields{
 			"instance": in.ID, "group": in.Group, "role": in.Role.String(), "term": in.Mark.Term,
@@ -38,6 +47,47 @@
 	}
 }
 
+// overtaken reports whether an announcement is older than what the leader
+// knows: it was delayed, or its sender is gone and another instance lives at
+// the address.
+func (l *leader) overtaken(in *table.Instance) bool {
+	if in.Sequence == 0 && in.Born == 0 {
+		return false // instances that number nothing
+	}
+	if old, known := l.instances[in.ID]; known {
+		if in.Born < old.Born || in.Born == old.Born && in.Sequence != 0 && in.Sequence < old.Sequence {
+			return true
+		}
+	}
+	for _, other := range l.instances {
+		if other.ID != in.ID && in.Address != "" && other.Address == in.Address && other.Born > in.Born {
+			return true
+		}
+	}
+	return false
+}
+
+// dropPredecessors forgets the instances that lived at the address before.
+func (l *leader) dropPredecessors(in *table.Instance) {
+	for id, other := range l.instances {
+		if id != in.ID && other.Address == in.Address && other.Born < in.Born {
+			l.forget(id)
+		}
+	}
+}
+
+// forget drops an instance that is gone for good.
+func (l *leader) forget(id table.InstanceID) {
+	if _, known := l.instances[id]; !known {
+		return
+	}
+	l.log.WithField("instance", id).Info("instance gone")
+	delete(l.instances, id)
+	l.failover.Forget(id)
+	l.version.Number++
+	l.recent = tableLog{forgotten: l.version.Number} // hosts get whole tables
+}
+
 func instanceOf(a dbedge.Announcement) table.Instance {
 	in := table.Instance{
 		ID:          a.Instance,
@@ -48,6 +98,8 @@
 		Slots:       a.Slots,
 		Connections: a.Connections,
 		Leaving:     a.Leaving,
+		Born:        a.Born,
+		Sequence:    a.Sequence,
 	}
 	if a.Role == table.RolePrimary.String() {
 		in.Role = table.RolePrimary
@@ -117,7 +169,7 @@
 func (l *leader) promote(a failover.Promote) {
 	ctx, stop := context.WithTimeout(l.ctx, l.host.timing.PromoteBound)
 	defer stop()
-	st, err := l.host.platform.Promote(ctx, dbedge.Promotion{
+	st, err := l.host.edge.Promote(ctx, dbedge.Promotion{
 		Target:     dbedge.Target{Group: a.Group, Instance: a.Instance, Address: a.Address},
 		Term:       a.Term,
 		Leadership: a.Leadership,
@@ -137,7 +189,7 @@
 func (l *leader) fence(a failover.Fence) {
 	ctx, stop := context.WithTimeout(l.ctx, l.host.timing.FenceRetry)
 	defer stop()
-	if err := l.host.platform.Fence(ctx, dbedge.Target{Group: a.Group, Instance: a.Instance, Address: a.Address}, a.Term, a.Epoch); err != nil {
+	if err := l.host.edge.Fence(ctx, dbedge.Target{Group: a.Group, Instance: a.Instance, Address: a.Address}, a.Term, a.Epoch); err != nil {
 		return // ordered again until it succeeds
 	}
 	l.log.WithFields(logrus.Fields{"instance": a.Instance, "term": a.Term}).Info("fenced")
--- a/internal/host/backend.go
+++ b/internal/host/backend.go
@@ -18,13 +18,14 @@
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
-// backend implements api.Backend on a host.
-type backend struct {
+// Backend is a host as the HTTP interface and the calls of a platform see it. It
+// implements api.Backend.
+type Backend struct {
 	host *Host
 }
 
 // Announce implements api.Backend.
-func (b *backend) Announce(_ context.Context, a dbedge.Announcement) (dbedge.AnnounceReply, error) {
+func (b *Backend) Announce(_ context.Context, a dbedge.Announcement) (dbedge.AnnounceReply, error) {
 	reply := dbedge.AnnounceReply{IntervalMillis: dbedge.AnnounceInterval.Milliseconds()}
 	err := b.checkAnnouncement(a)
 	b.host.metrics.Announced(err)
@@ -38,7 +39,10 @@
 
 // checkAnnouncement refuses what contradicts the agreed state. An old primary
 // is passed on all the same, for the leader fences it.
-func (b *backend) checkAnnouncement(a dbedge.Announcement) error {
+func (b *Backend) checkAnnouncement(a dbedge.Announcement) error {
+	if b.host.adapter != nil {
+		return b.checkNumbered(a)
+	}
 	if !b.host.dir.groupInForce(a.Group) {
 		return errkind.New(errkind.BadRequest, "no document in force has the group %s", a.Group)
 	}
@@ -55,6 +59,22 @@
 	return nil
 }
 
+// checkNumbered refuses an announcement that names no instance of the
+// deployment in force. The leader puts what instances number in order.
+func (b *Backend) checkNumbered(a dbedge.Announcement) error {
+	if a.Gone {
+		return nil
+	}
+	deployment := b.host.dir.deployment.Load()
+	if deployment == nil {
+		return nil // not known yet; the leader waits for it too
+	}
+	if _, known := deployment.Connections(a.Group); !known {
+		return errkind.New(errkind.BadRequest, "the deployment has no group %s", a.Group)
+	}
+	return nil
+}
+
 // groupInForce reports whether a document in force names the group.
 func (d *directory) groupInForce(group table.GroupName) bool {
 	for _, doc := range *d.documents.Load() {
@@ -69,7 +89,7 @@
 
 // Apply implements api.Backend. Any host takes a document; the leader puts it
 // into the replicated log.
-func (b *backend) Apply(ctx context.Context, doc *config.Document, src []byte) (api.ApplyReply, error) {
+func (b *Backend) Apply(ctx context.Context, doc *config.Document, src []byte) (api.ApplyReply, error) {
 	digest := config.DocumentDigest(src)
 	before := b.host.dir.view.Load().Documents[doc.Service].Version
 	in := applyRequest{Service: doc.Service, Version: doc.Version, Digest: digest, Body: src, Operator: api.OperatorOf(ctx)}
@@ -135,7 +155,7 @@
 }
 
 // Status implements api.Backend.
-func (b *backend) Status(ctx context.Context) (api.Status, error) {
+func (b *Backend) Status(ctx context.Context) (api.Status, error) {
 	h := b.host
 	view := h.dir.view.Load()
 	st := api.Status{
@@ -183,7 +203,7 @@
 }
 
 // SwitchOver implements api.Backend.
-func (b *backend) SwitchOver(ctx context.Context, s api.SwitchOver) error {
+func (b *Backend) SwitchOver(ctx context.Context, s api.SwitchOver) error {
 	b.host.log.WithFields(logrus.Fields{"group": s.Group, "to": s.To, "operator": api.OperatorOf(ctx)}).Info("audit: switch-over")
 	return b.host.askLeader(ctx, methodSwitchOver, s, &struct{}{})
 }
@@ -201,7 +221,7 @@
 }
 
 // Explain implements api.Backend.
-func (b *backend) Explain(_ context.Context, q api.ExplainQuery) (api.Explanation, error) {
+func (b *Backend) Explain(_ context.Context, q api.ExplainQuery) (api.Explanation, error) {
 	x, err := b.host.gateway.Explain(q.Service, q.Class, q.Key)
 	if err != nil {
 		return api.Explanation{}, err
@@ -245,12 +265,15 @@
 
 // Ready implements api.Backend: the balancer may send callers once this host
 // has caught up with the control state, and until it shuts down.
-func (b *backend) Ready(context.Context) error {
+func (b *Backend) Ready(context.Context) error {
 	select {
 	case <-b.host.stopping:
 		return errkind.New(errkind.ShuttingDown, "")
 	default:
 	}
+	if b.host.adapter != nil {
+		return b.host.mayServe()
+	}
 	if !b.host.beats.caughtUp() {
 		return errkind.New(errkind.NotLeader, "the control state was not heard of yet")
 	}
--- a/internal/host/backend_test.go
+++ b/internal/host/backend_test.go
@@ -29,7 +29,7 @@
 	h.log.SetOutput(io.Discard)
 	t.Cleanup(func() {
 		_, _, _ = h.callerSocket.Close(), h.peerSocket.Close(), h.httpSocket.Close()
-		h.platform.Close()
+		h.edge.Close()
 	})
 	const document = `{"service": "s", "version": 1, "groups": [{"name": "g1", "instances": 3}, {"name": "g2", "instances": 3}],
 		"classes": [{"name": "c", "rank": "normal", "access": "write", "group": "g1", "deadline": "1s"}], "default_class": "c"}`
@@ -43,7 +43,7 @@
 func TestAnnouncerContract(t *testing.T) {
 	h := newIdleHost(t)
 	edgetest.RunAnnouncer(t, &edgetest.AnnouncerFixture{
-		Announcer: &backend{host: h},
+		Announcer: &Backend{host: h},
 		Group:     "g1",
 		Taken: func(id table.InstanceID) (dbedge.Announcement, bool) {
 			h.beats.mu.Lock()
@@ -56,7 +56,7 @@
 
 func TestContradictingAnnouncementsAreCounted(t *testing.T) {
 	h := newIdleHost(t)
-	b := &backend{host: h}
+	b := &Backend{host: h}
 	for want, a := range map[string]dbedge.Announcement{
 		"no document in force has the group": {Group: "g9", Instance: "x"},
 		"belongs to the group g2":            {Group: "g1", Instance: "elsewhere"},
--- a/internal/host/beats.go
+++ b/internal/host/beats.go
@@ -146,7 +146,7 @@
 	if b.leader != "" {
 		return b.leader
 	}
-	join := b.host.settings.Join
+	join := b.host.hostsToAsk()
 	if len(join) == 0 {
 		return ""
 	}
@@ -170,6 +170,7 @@
 		Sequence:    b.sequence,
 		Control:     b.host.leader != nil,
 		Draining:    b.draining,
+		NoInstances: b.host.settings.CallerAddress == "",
 		Release:     release,
 		Revision:    view.Revision,
 		Documents:   b.told.next(view),
@@ -279,7 +280,7 @@
 	stamp := b.latestStamp()
 	ctx, stop := context.WithTimeout(ctx, b.host.timing.ProbeTimeout)
 	defer stop()
-	st, err := b.host.platform.Probe(ctx, dbedge.Target{Group: o.Group, Instance: o.Instance, Address: o.Address})
+	st, err := b.host.edge.Probe(ctx, dbedge.Target{Group: o.Group, Instance: o.Instance, Address: o.Address})
 	r := failover.Report{
 		Group:     o.Group,
 		Instance:  o.Instance,
--- a/internal/host/capacity_test.go
+++ b/internal/host/capacity_test.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
+	"github.com/amaranthweir/amaranthweir/internal/bootclock"
 	"github.com/amaranthweir/amaranthweir/internal/capacity"
 	"github.com/amaranthweir/amaranthweir/internal/capacity/capacitytest"
 	"github.com/amaranthweir/amaranthweir/internal/config"
@@ -67,7 +68,7 @@
 
 func (f *large) advance(d time.Duration) {
 	f.now += d
-	f.host.started = time.Now().Add(-f.now)
+	f.host.started = bootclock.Now() - f.now
 }
 
 func (f *large) until(ok func() bool) {
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -26,12 +26,15 @@
 	clock func() time.Duration
 	log   logrus.FieldLogger
 	peers peer.Timing
-	dial  peer.DialFunc
+	// decode reads a deployment; nil where services have documents.
+	decode func([]byte) (*config.Deployment, error)
+	dial   peer.DialFunc
 
-	groups    routing.Table
-	view      atomic.Pointer[control.View]
-	documents atomic.Pointer[map[string]*config.Document]
-	local     request.Executor
+	groups     routing.Table
+	view       atomic.Pointer[control.View]
+	documents  atomic.Pointer[map[string]*config.Document]
+	deployment atomic.Pointer[config.Deployment]
+	local      request.Executor
 
 	mu      sync.Mutex // guards what follows, and each change of the above
 	holder  lease.Holder
@@ -105,6 +108,12 @@
 	return g.Term, g.Phase == table.PhaseStable && g.Primary == instance
 }
 
+// LogTerm implements owner.Authority.
+func (d *directory) LogTerm(group table.GroupName, instance table.InstanceID) (table.Term, bool) {
+	g := d.view.Load().Groups[group]
+	return g.DataTerm(), g.Phase == table.PhaseStable && g.Primary == instance
+}
+
 // MayAcknowledge implements owner.Authority: the lease of this host is valid,
 // this host owns the instance, and the instance is the primary of term. The
 // state is read before the lease, with no renewal in between: a host that was
@@ -112,7 +121,7 @@
 func (d *directory) MayAcknowledge(group table.GroupName, instance table.InstanceID, term table.Term) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	agreed, primary := d.Term(group, instance)
+	agreed, primary := d.LogTerm(group, instance)
 	if !primary || agreed != term {
 		return errkind.New(errkind.NoPrimary, "term %d of %s is over or not yet served, %d is agreed", term, group, agreed)
 	}
@@ -128,7 +137,7 @@
 // Fate implements owner.Authority.
 func (d *directory) Fate(group table.GroupName, m table.Mark) owner.Fate {
 	g, ok := d.view.Load().Groups[group]
-	if !ok || g.Phase != table.PhaseStable || g.Term <= m.Term {
+	if !ok || g.Phase != table.PhaseStable || g.DataTerm() <= m.Term {
 		return owner.FatePending
 	}
 	switch g.History.Survives(m) {
@@ -170,7 +179,11 @@
 	if v.Revision <= old.Revision {
 		return
 	}
-	d.documents.Store(parseDocuments(d.log, *d.documents.Load(), old, v))
+	if d.decode != nil {
+		d.adoptDeployment(old, v)
+	} else {
+		d.documents.Store(parseDocuments(d.log, *d.documents.Load(), old, v))
+	}
 	d.view.Store(v)
 	d.rebuild(func(in *table.Instance) bool {
 		return old.Groups[in.Group] != v.Groups[in.Group] || old.Owners[in.ID] != v.Owners[in.ID]
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -19,14 +19,13 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/amaranthweir/amaranthweir/internal/api"
+	"github.com/amaranthweir/amaranthweir/internal/bootclock"
 	"github.com/amaranthweir/amaranthweir/internal/config"
-	"github.com/amaranthweir/amaranthweir/internal/dbedge/pgedge"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/gateway"
 	"github.com/amaranthweir/amaranthweir/internal/metrics"
 	"github.com/amaranthweir/amaranthweir/internal/owner"
 	"github.com/amaranthweir/amaranthweir/internal/peer"
-	"github.com/amaranthweir/amaranthweir/internal/pg"
 	"github.com/amaranthweir/amaranthweir/internal/session"
 	"github.com/amaranthweir/amaranthweir/internal/system/failover"
 )
@@ -36,15 +35,16 @@
 	settings    *config.Settings
 	timing      failover.Config
 	incarnation uint64
-	started     time.Time
+	started     time.Duration // on the clock since boot
 	log         *logrus.Logger
 	metrics     *metrics.Metrics
 	dir         *directory
 	security    *security
-	platform    *pgedge.Platform
+	adapter     *Adapter // nil with PostgreSQL
+	edge        Edge
 	owner       *owner.Owner
 	gateway     *gateway.Gateway
-	callers     *pg.Listener
+	callers     callerListener
 	beats       *beats
 	peerServer  *peer.Server
 	leader      *leader // nil on a host that is no control host
@@ -54,19 +54,25 @@
 	callerSocket net.Listener
 	peerSocket   net.Listener
 	httpSocket   net.Listener
+	callsSocket  net.Listener // nil without an adapter
 }
 
 // New makes a host and binds its addresses. Run serves them.
-func New(s *config.Settings) (*Host, error) {
+func New(s *config.Settings) (*Host, error) { return NewAdapted(s, nil) }
+
+// NewAdapted makes a host that speaks the protocol of an adapter. A nil adapter
+// is the PostgreSQL protocol.
+func NewAdapted(s *config.Settings, a *Adapter) (*Host, error) {
 	log, err := newLog(s)
 	if err != nil {
 		return nil, err
 	}
 	h := &Host{
 		settings:    s,
-		timing:      failover.DefaultConfig(),
+		adapter:     a,
+		timing:      a.timing(),
 		incarnation: uint64(time.Now().UnixNano()),
-		started:     time.Now(),
+		started:     bootclock.Now(),
 		log:         log,
 		metrics:     metrics.New(),
 		stopping:    make(chan struct{}),
@@ -77,21 +83,23 @@
 	if h.security, err = newSecurity(s, h.clock, log); err != nil {
 		return nil, eris.Wrap(err, "security")
 	}
-	platformConfig := pgedge.DefaultConfig()
-	platformConfig.Login = h.security.upstream
-	if h.platform, err = pgedge.New(platformConfig); err != nil {
-		return nil, eris.Wrap(err, "platform")
+	if h.edge, err = h.newEdge(); err != nil {
+		return nil, eris.Wrap(err, "edge to the instances")
 	}
 	h.dir = newDirectory(s.Host, h.clock, log)
 	h.dir.dial = h.security.dialPeer()
+	if a != nil {
+		h.dir.decode = a.DecodeDeployment
+	}
 	if err := h.build(); err != nil {
 		return nil, err
 	}
 	return h, h.bind()
 }
 
-// clock is the monotonic clock of this process.
-func (h *Host) clock() time.Duration { return time.Since(h.started) }
+// clock is the clock of this process. It goes on while the machine is
+// suspended.
+func (h *Host) clock() time.Duration { return bootclock.Now() - h.started }
 
 // build makes the parts that serve requests.
 func (h *Host) build() error {
@@ -112,30 +120,12 @@
 		Keys:        keys,
 		Log:         h.log,
 		Clock:       h.clock,
+
+		UpstreamFloors: h.adapter != nil,
 	})
-	h.owner = owner.New(owner.Config{
-		Authority: h.dir,
-		Peers:     h.gateway,
-		Prober:    h.platform,
-		Fencer:    h.platform,
-		Declare:   h.dir.declaration,
-		Stamp:     func() failover.Stamp { return h.beats.latestStamp() },
-		Changed:   func() { h.beats.soon() },
-		Log:       h.log,
-		Login:     h.security.upstream,
-		Timing:    owner.DefaultTiming(),
-	})
+	h.owner = owner.New(h.ownerConfig())
 	h.dir.local = h.owner
-	h.callers = pg.NewListener(pg.Config{
-		Gateway:         h.gateway,
-		TLS:             h.security.callers,
-		RequireTLS:      h.settings.RequireTLS,
-		Users:           callerUsers(h.settings, secrets[0]),
-		Log:             h.log,
-		MaxCallers:      h.settings.MaxCallers,
-		MaxMessageBytes: h.settings.MaxMessageBytes,
-		Counters:        h.metrics,
-	})
+	h.callers = h.newCallers(secrets)
 	h.beats = newBeats(h)
 	h.peerServer = &peer.Server{Owner: h.owner, Log: h.log, Methods: map[string]peer.Method{}}
 	if h.settings.Control != nil {
@@ -155,10 +145,12 @@
 	if h.httpSocket, err = net.Listen("tcp", h.settings.HTTPAddress); err != nil {
 		return eris.Wrap(err, "HTTP address")
 	}
-	if h.callerSocket, err = net.Listen("tcp", h.settings.CallerAddress); err != nil {
-		return eris.Wrap(err, "caller address")
+	if h.settings.CallerAddress != "" {
+		if h.callerSocket, err = net.Listen("tcp", h.settings.CallerAddress); err != nil {
+			return eris.Wrap(err, "caller address")
+		}
 	}
-	return nil
+	return h.bindCalls()
 }
 
 // Run serves until ctx ends, then shuts down gracefully.
@@ -174,7 +166,12 @@
 	group, inner := errgroup.WithContext(inner)
 	group.Go(func() error { return h.servePeers(inner) })
 	group.Go(func() error { return h.serveHTTP(inner) })
-	group.Go(func() error { return h.callers.Serve(inner, h.callerSocket) })
+	if h.callerSocket != nil {
+		group.Go(func() error { return h.callers.Serve(inner, h.callerSocket) })
+	}
+	if h.callsSocket != nil {
+		group.Go(func() error { return h.serveCalls(inner) })
+	}
 	group.Go(func() error { return h.beats.run(inner) })
 	group.Go(func() error { return h.gateway.Run(inner) })
 	if h.leader != nil {
@@ -191,7 +188,7 @@
 		}
 	})
 	err := group.Wait()
-	h.platform.Close()
+	h.edge.Close()
 	if err != nil && !errors.Is(err, context.Canceled) {
 		h.log.WithError(err).Error("host stopped")
 		return err
@@ -207,6 +204,8 @@
 	s.Methods[methodNudge] = h.takeNudge
 	s.Methods[methodStatus] = h.takeStatus
 	s.Methods[methodSwitchOver] = h.takeSwitchOver
+	s.Methods[methodReplace] = h.takeReplace
+	s.Methods[methodDeployment] = h.takeDeployment
 	if h.leader != nil {
 		s.Deliver = h.takeConsensus
 	}
@@ -217,7 +216,7 @@
 }
 
 func (h *Host) serveHTTP(ctx context.Context) error {
-	handler := api.NewHandler(&backend{host: h}, promhttp.HandlerFor(h.metrics.Registry(), promhttp.HandlerOpts{}),
+	handler := api.NewHandler(&Backend{host: h}, promhttp.HandlerFor(h.metrics.Registry(), promhttp.HandlerOpts{}),
 		api.Access{Operators: h.settings.Operators, AnnounceToken: h.settings.AnnounceToken, Log: h.log})
 	srv := api.NewServer(handler)
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
--- a/internal/host/leader.go
+++ b/internal/host/leader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net"
 	"slices"
 	"sync"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/amaranthweir/amaranthweir/internal/bootclock"
 	"github.com/amaranthweir/amaranthweir/internal/config"
 	"github.com/amaranthweir/amaranthweir/internal/control"
 	"github.com/amaranthweir/amaranthweir/internal/peer"
@@ -87,6 +89,7 @@
 	}
 	l.failover = failover.New(h.timing, l.grantor)
 	var voters []table.HostID
+	open := h.settings.Control.Open
 	for _, v := range h.settings.Control.Voters {
 		voters = append(voters, v.Host)
 		l.addresses[v.Host] = v.PeerAddress
@@ -97,18 +100,29 @@
 		Voters:     voters,
 		Transport:  l.sender,
 		Log:        h.log,
+		Open:       open,
+		Found:      h.settings.Control.Found,
+		Now:        bootclock.Now,
 	})
 	l.server = server
 	return l, err
 }
 
-// address returns the peer address of a control host.
-func (l *leader) address(id table.HostID) string { return l.addresses[id] }
+// address returns the peer address of a control host. Where hosts that the
+// settings do not list may join, their names are their IP addresses.
+func (l *leader) address(id table.HostID) string {
+	if known, ok := l.addresses[id]; ok || !l.host.settings.Control.Open || id == "" {
+		return known
+	}
+	_, port, err := net.SplitHostPort(l.host.settings.PeerAddress)
+	if err != nil {
+		return ""
+	}
+	return net.JoinHostPort(string(id), port)
+}
 
 // run takes part in the agreement and decides while this host leads.
 func (l *leader) run(ctx context.Context) error {
-	others := maps.Clone(l.addresses)
-	delete(others, l.host.settings.Host)
 	l.mu.Lock()
 	l.ctx = ctx
 	l.mu.Unlock()
@@ -117,7 +131,7 @@
 	sending, stopSending := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopSending()
 	l.sender.mu.Lock()
-	l.sender.sender = peer.NewSender(sending, others, l.host.dir.peers, l.host.dir.dial)
+	l.sender.sender = peer.NewSender(sending, l.address, l.host.dir.peers, l.host.dir.dial)
 	l.sender.mu.Unlock()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return l.server.Run(ctx) })
@@ -203,7 +217,7 @@
 // follower, so that no host loses sight of the others.
 func (l *leader) lead(now, until time.Duration) {
 	l.leading = true
-	number := uint64(time.Now().UnixNano())
+	number := l.server.Term()
 	l.version = tablesVersion{Leadership: number, Number: 1}
 	l.recent = tableLog{forgotten: l.version.Number}
 	l.versions = newHostVersions()
@@ -247,6 +261,9 @@
 		l.ownership.Assigned(now, o)
 		l.failover.SetOwner(l.instances[id].Group, o)
 	}
+	if old.Deployment.Version != view.Deployment.Version {
+		l.expectDeployment(view.Deployment)
+	}
 	for service, doc := range view.Documents {
 		if old.Documents[service].Version != doc.Version {
 			l.expect(service, doc)
@@ -266,6 +283,15 @@
 	}
 }
 
+// expectDeployment tells how large the groups of a deployment are at least.
+func (l *leader) expectDeployment(in control.Deployment) {
+	for _, doc := range l.host.dir.decodeDeployment(in) {
+		for _, g := range doc.Groups {
+			l.failover.Expect(g.Name, g.Instances)
+		}
+	}
+}
+
 // leaseChanged takes a host that became late or lost its lease.
 func (l *leader) leaseChanged(now time.Duration, c lease.Change) {
 	l.log.WithFields(logrus.Fields{"host": c.Host, "expired": c.State == lease.Expired}).Warn("heartbeats are missing")
@@ -350,7 +376,9 @@
 		Control:     hb.Control,
 		Draining:    hb.Draining,
 	}
-	l.ownership.HostSeen(now, next)
+	if !hb.NoInstances {
+		l.ownership.HostSeen(now, next)
+	}
 	l.failover.AddHost(hb.Host)
 	if old, known := l.hosts[hb.Host]; known && old == next {
 		return
--- a/internal/host/reconcile.go
+++ b/internal/host/reconcile.go
@@ -39,6 +39,11 @@
 		if o.Host != h.settings.Host || h.owner.HandedOver(o) {
 			continue
 		}
+		connections, known := h.dir.connections(&in)
+		if !known {
+			continue
+		}
+		in.Connections = connections
 		if err := h.owner.Acquire(context.WithoutCancel(ctx), in, o.Epoch); err != nil {
 			h.log.WithError(err).WithField("instance", in.ID).Error("instance cannot be served")
 		}
@@ -51,12 +56,12 @@
 func (h *Host) shutdown(ctx context.Context) {
 	close(h.stopping)
 	h.log.Info("shutting down: not ready")
-	ctx, stop := context.WithTimeout(ctx, drainBound)
+	ctx, stop := context.WithTimeout(ctx, h.drainBound())
 	defer stop()
 	h.beats.drain()
 	select {
 	case <-ctx.Done():
-	case <-time.After(notReadyPause):
+	case <-time.After(h.notReadyPause()):
 	}
 	for _, left := range h.callers.Drain(ctx) {
 		h.log.WithField("left", left).Warn("shutting down: not finished")
@@ -68,6 +73,23 @@
 	h.log.Info("shutting down: done")
 }
 
+// drainBound returns how long a graceful shutdown may take.
+func (h *Host) drainBound() time.Duration {
+	if h.adapter != nil {
+		return h.adapter.ShutdownBound
+	}
+	return drainBound
+}
+
+// notReadyPause returns how long the balancer needs to see that this host is
+// not ready.
+func (h *Host) notReadyPause() time.Duration {
+	if h.adapter != nil {
+		return h.adapter.NotReadyPause
+	}
+	return notReadyPause
+}
+
 // Abandon names what a host that has to end at once leaves unfinished.
 func (h *Host) Abandon() {
 	for _, left := range h.callers.Left() {
--- a/internal/host/security_test.go
+++ b/internal/host/security_test.go
@@ -270,7 +270,7 @@
 	assert.NilError(t, err)
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
-	s := peer.NewSender(ctx, map[table.HostID]string{"h1": d.hosts[0].PeerAddress}, peer.DefaultTiming(), dial)
+	s := peer.NewSender(ctx, func(host table.HostID) string { return map[table.HostID]string{"h1": d.hosts[0].PeerAddress}[host] }, peer.DefaultTiming(), dial)
 	s.Send("h1", frame)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if strings.Contains(d.log.String(), `the certificate does not name the host \"h1\"`) {
--- a/internal/host/wire.go
+++ b/internal/host/wire.go
@@ -26,6 +26,8 @@
 	Sequence    uint64
 	Control     bool
 	Draining    bool
+	// NoInstances is set by a host that owns none.
+	NoInstances bool
 	// Release gives the lease up.
 	Release bool
 	// Revision is the control revision that the host has applied.
--- a/internal/owner/claim.go
+++ b/internal/owner/claim.go
@@ -30,14 +30,19 @@
 
 // claim is the right to run a request with an id.
 type claim struct {
-	conn *pool.Conn
+	conn *pool.SQLConn
 	id   string // service and id
 	// number is the attempt that the claim is for; those before it are void.
 	number int
 }
 
-func newClaim(conn *pool.Conn, r *request.Request) *claim {
-	return &claim{conn: conn, id: r.Service + "/" + r.RequestID}
+// newClaim fails on a connection that has no SQL.
+func newClaim(conn pool.Conn, r *request.Request) (*claim, error) {
+	c, ok := conn.(*pool.SQLConn)
+	if !ok {
+		return nil, errkind.New(errkind.NotSupported, "a request id at an instance that has no SQL")
+	}
+	return &claim{conn: c, id: r.Service + "/" + r.RequestID}, nil
 }
 
 // key is the row of the attempt, as an SQL literal.
--- a/internal/owner/claimed.go
+++ b/internal/owner/claimed.go
@@ -28,7 +28,10 @@
 // claimed does all exchanges of a claimed request. On return without an error
 // the connection is outside of a transaction and e.answer holds the answer.
 func (in *instance) claimed(ctx context.Context, e *execution) (pool.Outcome, error) {
-	c := newClaim(e.tx.conn, e.r)
+	c, err := newClaim(e.tx.conn, e.r)
+	if err != nil {
+		return pool.Outcome{}, err
+	}
 	found, err := in.take(ctx, e, c)
 	if err != nil {
 		return pool.Outcome{}, notRun(err) // nothing was committed
@@ -148,9 +151,13 @@
 	if err != nil {
 		return idle, errkind.Of(err).WithEffect(errkind.Unknown)
 	}
-	term, _ := in.cfg.Authority.Term(in.group, in.id)
+	term, _ := in.cfg.Authority.LogTerm(in.group, in.id)
 	e := &execution{r: r, sink: s, tx: &transaction{conn: conn, term: term}, low: in.reached()}
-	c := newClaim(conn, r)
+	c, err := newClaim(conn, r)
+	if err != nil {
+		in.pool.Put(conn)
+		return request.Result{TxStatus: request.TxIdle}, err
+	}
 	out, err := in.shutOut(ctx, e, c)
 	if err != nil {
 		in.pool.Discard(conn)
--- a/internal/owner/confirm.go
+++ b/internal/owner/confirm.go
@@ -76,8 +76,8 @@
 		if err := in.cfg.Peers.AwaitAnyReplica(ctx, in.group, m); err != nil {
 			return err
 		}
-		in.raiseAcked(m)
 	}
+	in.raiseAcked(m)
 	return in.mayAcknowledge(m.Term, errkind.Unknown)
 }
 
--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -68,7 +68,7 @@
 	if r.Access == config.AccessRead && r.Staleness > 0 {
 		return in.mayRead(r)
 	}
-	term, primary := in.cfg.Authority.Term(in.group, in.id)
+	term, primary := in.cfg.Authority.LogTerm(in.group, in.id)
 	if !primary {
 		return errkind.New(errkind.NoPrimary, "%s is not the primary of %s", in.id, in.group)
 	}
@@ -78,11 +78,14 @@
 // mayRead checks a read that states a staleness. The primary may serve it
 // under its lease; a replica when its age is proven and it holds the floor.
 func (in *instance) mayRead(r *request.Request) error {
-	if term, primary := in.cfg.Authority.Term(in.group, in.id); primary {
+	if term, primary := in.cfg.Authority.LogTerm(in.group, in.id); primary {
 		return in.mayAcknowledge(term, errkind.NotRun)
 	}
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	if in.cfg.UpstreamFloors {
+		return nil
+	}
 	in.age.readAt = time.Now()
 	return in.age.check(in.age.readAt, r)
 }
@@ -110,6 +113,10 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	h := request.Hint{Mark: in.health.status.Mark, QueueWait: in.waits}
+	if in.cfg.UpstreamFloors {
+		h.AgeKnown = true // the instance itself checks what it is asked for
+		return h
+	}
 	h.Age, h.AgeKnown = in.age.tracker.Age(since(now))
 	return h
 }
@@ -142,7 +149,7 @@
 	if r.Continues {
 		return nil, errkind.New(errkind.UpstreamLost, "the transaction was rolled back").WithEffect(errkind.NotRun)
 	}
-	term, _ := in.cfg.Authority.Term(in.group, in.id)
+	term, _ := in.cfg.Authority.LogTerm(in.group, in.id)
 	writes := r.Access == config.AccessWrite
 	if writes {
 		if err := in.gate.enter(ctx, func() error { return in.mayRun(r) }); err != nil {
@@ -181,12 +188,17 @@
 		Prepares:        e.r.Prepares,
 		Messages:        e.r.Messages,
 		ChangesSettings: e.r.ChangesSettings,
+		Floor:           e.r.Floor,
+		HasFloor:        e.r.HasFloor && in.cfg.UpstreamFloors,
 		AskMark:         confirm,
 		Hold:            confirm,
 		HoldLimit:       heldAnswerLimit,
 		Pass:            in.passer(e, confirm),
 	}
 	out, err := in.exchange(ctx, e, x)
+	if errkind.Is(err, errkind.UpstreamLost) || errkind.Is(err, errkind.NoPrimary) {
+		in.hurry() // it may be gone, or be primary no more
+	}
 	in.end(e, out, err)
 	e.ticket.release()
 	if err != nil {
@@ -208,6 +220,12 @@
 	if !counts(out) {
 		return res, e.sink.Answer(e.answer)
 	}
+	if out.OnlyRead {
+		if err := in.mayAcknowledge(e.tx.term, errkind.Unknown); err != nil {
+			return res, err
+		}
+		return res, e.sink.Answer(e.answer)
+	}
 	if out.HasMark && out.Mark.Term == e.tx.term {
 		in.noteReached(out.Mark)
 	}
@@ -241,7 +259,7 @@
 	current := e.r.Access == config.AccessRead && e.r.Staleness == 0
 	return func(p []byte) error {
 		if current {
-			term, _ := in.cfg.Authority.Term(in.group, in.id)
+			term, _ := in.cfg.Authority.LogTerm(in.group, in.id)
 			if err := in.mayAcknowledge(term, errkind.Unknown); err != nil {
 				return err
 			}
@@ -268,8 +286,8 @@
 	}
 	switch {
 	case open:
-	case err != nil || tx.doomed:
-		in.pool.Discard(tx.conn)
+	case err != nil && !out.Clean || tx.doomed:
+		in.giveUp(tx.conn)
 	default:
 		in.pool.Put(tx.conn)
 	}
--- a/internal/owner/instance.go
+++ b/internal/owner/instance.go
@@ -51,7 +51,7 @@
 // transaction is a connection that belongs to one session until the end of
 // its transaction.
 type transaction struct {
-	conn   *pool.Conn
+	conn   pool.Conn
 	term   table.Term // agreed when it began
 	writes bool       // it entered the write gate
 	inUse  bool
@@ -63,10 +63,12 @@
 	if err != nil {
 		return nil, err
 	}
+	dial, err := cfg.Dial(dbedge.Target{Group: desc.Group, Instance: desc.ID, Address: desc.Address}, epoch)
+	if err != nil {
+		return nil, err
+	}
 	p, err := pool.New(pool.Config{
-		Address:     desc.Address,
-		Login:       cfg.Login,
-		Epoch:       epoch,
+		Dial:        dial,
 		Max:         max(1, desc.Connections-reservedConnections),
 		Warm:        min(desc.Slots, max(1, desc.Connections-reservedConnections)),
 		IdleTimeout: cfg.Timing.Idle,
@@ -96,7 +98,9 @@
 		return cfg.Prober.Probe(ctx, in.target())
 	})
 	go in.watch(ctx)
-	go in.trackPrimary(ctx)
+	if !cfg.UpstreamFloors {
+		go in.trackPrimary(ctx)
+	}
 	return in, nil
 }
 
@@ -149,6 +153,10 @@
 	if in.serving.Load() {
 		return true
 	}
+	if in.cfg.Fencer == nil {
+		in.serving.Store(true)
+		return true
+	}
 	term, _ := in.cfg.Authority.Term(in.group, in.id)
 	ctx, stop := context.WithTimeout(ctx, in.cfg.Timing.ProbeTimeout)
 	defer stop()
@@ -169,6 +177,9 @@
 
 // position samples the mark of a primary under a valid lease.
 func (in *instance) position(ctx context.Context) (request.PositionSample, error) {
+	if in.cfg.UpstreamFloors {
+		return in.acknowledged()
+	}
 	st, err := in.probe.sample(ctx)
 	if err != nil {
 		return request.PositionSample{}, errkind.Wrap(err, errkind.NoPrimary, "%v", err)
@@ -179,6 +190,21 @@
 	return request.PositionSample{Mark: st.Mark, TermStart: st.TermStart}, nil
 }
 
+// acknowledged returns a mark at or beyond all that was acknowledged so far, by
+// this owner or an earlier one.
+func (in *instance) acknowledged() (request.PositionSample, error) {
+	in.mu.Lock()
+	acked, known := in.health.acked, in.health.ackedSet
+	in.mu.Unlock()
+	if !known {
+		return request.PositionSample{}, errkind.New(errkind.NoPrimary, "the position of %s is not known yet", in.id)
+	}
+	if err := in.cfg.Authority.MayAcknowledge(in.group, in.id, acked.Term); err != nil {
+		return request.PositionSample{}, errkind.Wrap(err, errkind.NoPrimary, "%v", err)
+	}
+	return request.PositionSample{Mark: acked}, nil
+}
+
 // awaitMark returns once the replica holds m durably, in the term of m.
 func (in *instance) awaitMark(ctx context.Context, m table.Mark) error {
 	for {
@@ -222,5 +248,17 @@
 	if tx.writes {
 		in.gate.leave()
 	}
-	in.pool.Discard(tx.conn)
+	in.giveUp(tx.conn)
+}
+
+// giveUp rolls back what is open on a connection and gives it back, or closes
+// it where that cannot be done. It returns at once.
+func (in *instance) giveUp(c pool.Conn) {
+	go func() {
+		if c.Reset(context.Background()) {
+			in.pool.Put(c)
+			return
+		}
+		in.pool.Discard(c)
+	}()
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -12,6 +12,7 @@
 
 	"github.com/amaranthweir/amaranthweir/internal/dbedge"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/pool"
 	"github.com/amaranthweir/amaranthweir/internal/request"
 	"github.com/amaranthweir/amaranthweir/internal/system/failover"
 	"github.com/amaranthweir/amaranthweir/internal/table"
@@ -22,11 +23,14 @@
 // again after the upstream answered.
 type Authority interface {
 	// MayAcknowledge returns nil while this host holds a valid lease on
-	// instance as the primary of group in term.
+	// instance as the primary of group whose log is in term.
 	MayAcknowledge(group table.GroupName, instance table.InstanceID, term table.Term) error
 	// Term returns the agreed term of the group and whether instance is its
 	// promoted primary.
 	Term(group table.GroupName, instance table.InstanceID) (term table.Term, primary bool)
+	// LogTerm returns the term of the log of the group's primary, and whether
+	// instance is that primary.
+	LogTerm(group table.GroupName, instance table.InstanceID) (term table.Term, primary bool)
 	// Fate tells what became of a write of an older term.
 	Fate(group table.GroupName, m table.Mark) Fate
 	// Changed returns a channel that is closed at the next change.
@@ -59,7 +63,11 @@
 	Authority Authority
 	Peers     Peers
 	Prober    dbedge.Prober
-	Fencer    dbedge.Fencer
+	// Fencer is nil where nothing closes what earlier owners left open.
+	Fencer dbedge.Fencer
+	// UpstreamFloors is set where an instance itself refuses a read that its
+	// log is too short for. No age of replicas is then tracked here.
+	UpstreamFloors bool
 	// Declare returns what the documents in force say about a group.
 	Declare func(group table.GroupName) Declaration
 	// Stamp returns the latest stamp of the control leader.
@@ -67,8 +75,8 @@
 	// Changed is called when the reachability of an instance changed.
 	Changed func()
 	Log     logrus.FieldLogger
-	// Login is how upstream connections log in.
-	Login upstream.Login
+	// Dial returns how connections to an instance are opened under an epoch.
+	Dial func(t dbedge.Target, epoch table.Epoch) (pool.Dialer, error)
 	// Timing holds the intervals and time-outs.
 	Timing Timing
 }
@@ -88,6 +96,14 @@
 	ReplicaPoll time.Duration
 }
 
+// DialSQL is the Dial of a Config for instances that speak the PostgreSQL
+// protocol.
+func DialSQL(login upstream.Login, timeout time.Duration) func(dbedge.Target, table.Epoch) (pool.Dialer, error) {
+	return func(t dbedge.Target, epoch table.Epoch) (pool.Dialer, error) {
+		return pool.DialSQL(t.Address, login, epoch, timeout)
+	}
+}
+
 // DefaultTiming suits failure domains a few milliseconds apart.
 func DefaultTiming() Timing {
 	return Timing{
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -48,6 +48,9 @@
 func (f *fakeAuthority) Term(table.GroupName, table.InstanceID) (table.Term, bool) {
 	return 1, f.primary
 }
+func (f *fakeAuthority) LogTerm(g table.GroupName, id table.InstanceID) (table.Term, bool) {
+	return f.Term(g, id)
+}
 func (f *fakeAuthority) Fate(table.GroupName, table.Mark) Fate { return f.fate }
 func (f *fakeAuthority) Changed() <-chan struct{}              { return nil }
 
@@ -91,7 +94,8 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	o := New(Config{
-		Authority: a, Peers: p, Prober: platform, Fencer: platform, Log: log, Login: upstream.Login{User: "u", Database: "d"},
+		Authority: a, Peers: p, Prober: platform, Fencer: platform, Log: log,
+		Dial:    DialSQL(upstream.Login{User: "u", Database: "d"}, DefaultTiming().Dial),
 		Timing:  DefaultTiming(),
 		Declare: func(table.GroupName) Declaration { return Declaration{} },
 		Stamp:   func() failover.Stamp { return failover.Stamp{} },
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -468,7 +468,7 @@
 		server := &Server{Owner: newOwner(echo), Deliver: func(_ context.Context, body []byte) error { got <- string(body); return nil }}
 		s, address := startSilencer(t, startServer(t, server))
 		ctx, stop := context.WithCancel(context.Background())
-		sender := NewSender(ctx, map[table.HostID]string{"a": address}, timing, nil)
+		sender := NewSender(ctx, func(host table.HostID) string { return map[table.HostID]string{"a": address}[host] }, timing, nil)
 		sender.Send("a", []byte("first"))
 		assert.Equal(t, <-got, "first")
 		s.silence(dir.up, dir.down)
--- a/internal/peer/sender.go
+++ b/internal/peer/sender.go
@@ -25,47 +25,68 @@
 	ctx    context.Context
 	timing Timing
 	dial   DialFunc
+	// address returns where a host is reached, empty if that is not known.
+	address func(table.HostID) string
 
 	mu     sync.Mutex
 	queues map[table.HostID]chan []byte
 }
 
-// NewSender returns a Sender to the hosts at the given peer addresses. It ends
-// with ctx. A nil dial is plain TCP.
-func NewSender(ctx context.Context, addresses map[table.HostID]string, t Timing, dial DialFunc) *Sender {
-	s := &Sender{ctx: ctx, timing: t, dial: dial, queues: map[table.HostID]chan []byte{}}
-	for host, address := range addresses {
-		queue := make(chan []byte, senderQueue)
-		s.queues[host] = queue
-		go s.run(address, queue)
-	}
-	return s
+// NewSender returns a Sender to hosts whose peer addresses are known by name.
+// It ends with ctx. A nil dial is plain TCP.
+func NewSender(ctx context.Context, address func(table.HostID) string, t Timing, dial DialFunc) *Sender {
+	return &Sender{ctx: ctx, timing: t, dial: dial, address: address, queues: map[table.HostID]chan []byte{}}
 }
 
 // Send hands msg over; it is dropped when too many wait.
 func (s *Sender) Send(to table.HostID, msg []byte) {
-	s.mu.Lock()
-	queue := s.queues[to]
-	s.mu.Unlock()
+	queue := s.queue(to)
 	select {
 	case queue <- msg:
 	default:
 	}
 }
 
-// run keeps a stream to one host open and sends what is queued.
+// queue returns what waits for a host; nil, which takes nothing, where its
+// address is not known.
+func (s *Sender) queue(to table.HostID) chan []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if queue, ok := s.queues[to]; ok {
+		return queue
+	}
+	address := s.address(to)
+	if address == "" || s.ctx.Err() != nil {
+		return nil
+	}
+	queue := make(chan []byte, senderQueue)
+	s.queues[to] = queue
+	go s.run(address, queue)
+	return queue
+}
+
+// run opens a stream to one host when there is something to send. What waited
+// for a host that could not be reached is dropped: it is out of date.
 func (s *Sender) run(address string, queue chan []byte) {
-	for s.ctx.Err() == nil {
-		s.stream(address, queue)
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case msg := <-queue:
+			s.stream(address, queue, msg)
+		}
 		select {
 		case <-s.ctx.Done():
 		case <-time.After(senderPause):
 		}
+		for len(queue) > 0 {
+			<-queue
+		}
 	}
 }
 
 // stream sends until the connection fails.
-func (s *Sender) stream(address string, queue chan []byte) {
+func (s *Sender) stream(address string, queue chan []byte, first []byte) {
 	dialCtx, stop := context.WithTimeout(s.ctx, s.timing.Dial)
 	defer stop()
 	nc, err := s.dial.dial(dialCtx, address)
@@ -83,12 +104,15 @@
 	}
 	acks := newAcks()
 	go acks.read(out)
-	s.forward(nc, out, acks, queue)
+	s.forward(nc, out, acks, queue, first)
 }
 
 // forward sends what is queued, until the connection fails or a message stays
 // without an acknowledgement for too long.
-func (s *Sender) forward(nc net.Conn, out peerpb.DRPCPeer_ConsensusClient, acks *acks, queue chan []byte) {
+func (s *Sender) forward(nc net.Conn, out peerpb.DRPCPeer_ConsensusClient, acks *acks, queue chan []byte, first []byte) {
+	if s.send(nc, out, acks, first) != nil {
+		return
+	}
 	tick := time.NewTicker(s.timing.Ping)
 	defer tick.Stop()
 	for {
@@ -102,16 +126,21 @@
 				return
 			}
 		case msg := <-queue:
-			// A host that stopped reading must not hold the stream for ever.
-			_ = nc.SetWriteDeadline(time.Now().Add(s.timing.Silence))
-			acks.sent()
-			if err := out.Send(&peerpb.ConsensusMessage{Body: msg}); err != nil {
+			if s.send(nc, out, acks, msg) != nil {
 				return
 			}
 		}
 	}
 }
 
+// send sends one message. A host that stopped reading must not hold the stream
+// for ever.
+func (s *Sender) send(nc net.Conn, out peerpb.DRPCPeer_ConsensusClient, acks *acks, msg []byte) error {
+	_ = nc.SetWriteDeadline(time.Now().Add(s.timing.Silence))
+	acks.sent()
+	return out.Send(&peerpb.ConsensusMessage{Body: msg})
+}
+
 // acks counts the messages of a stream that are not acknowledged yet.
 type acks struct {
 	ended chan struct{} // closed at the end of the stream
--- a/internal/pg/path_test.go
+++ b/internal/pg/path_test.go
@@ -64,6 +64,10 @@
 func (a *alone) Refused(errkind.Kind)                                      {}
 func (a *alone) Fate(table.GroupName, table.Mark) owner.Fate               { return owner.FatePending }
 func (a *alone) Term(table.GroupName, table.InstanceID) (table.Term, bool) { return 1, true }
+func (a *alone) LogTerm(table.GroupName, table.InstanceID) (table.Term, bool) {
+	return 1, true
+}
+
 func (a *alone) MayAcknowledge(table.GroupName, table.InstanceID, table.Term) error {
 	return nil
 }
@@ -95,7 +99,8 @@
 	plat, err := pgedge.New(pgedge.DefaultConfig())
 	assert.NilError(t, err)
 	o := owner.New(owner.Config{
-		Authority: a, Peers: a, Prober: plat, Fencer: plat, Changed: func() {}, Log: log, Login: upstream.Login{User: "u", Database: "ledger"},
+		Authority: a, Peers: a, Prober: plat, Fencer: plat, Changed: func() {}, Log: log,
+		Dial:    owner.DialSQL(upstream.Login{User: "u", Database: "ledger"}, owner.DefaultTiming().Dial),
 		Declare: func(table.GroupName) owner.Declaration { return owner.Declaration{} },
 		Stamp:   func() failover.Stamp { return failover.Stamp{} },
 		Timing:  owner.DefaultTiming(),
--- a/internal/pool/command.go
+++ b/internal/pool/command.go
@@ -12,7 +12,7 @@
 // Exec runs simple queries on behalf of the proxy, one after the other, and
 // drops their rows. It stops at the first error: a *pgconn.PgError of the
 // upstream, or an *errkind.Error when the connection is lost or ctx ended.
-func (c *Conn) Exec(ctx context.Context, queries ...string) error {
+func (c *SQLConn) Exec(ctx context.Context, queries ...string) error {
 	for _, sql := range queries {
 		if err := c.within(ctx, func() error { return c.Command(sql) }); err != nil {
 			return err
@@ -22,7 +22,7 @@
 }
 
 // ApplySettings brings the session settings of the connection to want.
-func (c *Conn) ApplySettings(ctx context.Context, want []string) error {
+func (c *SQLConn) ApplySettings(ctx context.Context, want []string) error {
 	err := c.within(ctx, func() error { return c.applySettings(want) })
 	if err != nil {
 		return settingsError(err)
@@ -32,7 +32,7 @@
 
 // QueryText runs a simple query and returns the first column of its last row,
 // or the empty string when there is none.
-func (c *Conn) QueryText(ctx context.Context, sql string) (string, error) {
+func (c *SQLConn) QueryText(ctx context.Context, sql string) (string, error) {
 	var r firstColumn
 	err := c.within(ctx, func() error { return c.query(sql, &r) })
 	return r.value, err
@@ -47,7 +47,7 @@
 }
 
 // within runs one exchange that ends with ctx.
-func (c *Conn) within(ctx context.Context, run func() error) error {
+func (c *SQLConn) within(ctx context.Context, run func() error) error {
 	deadline, _ := ctx.Deadline() // without one it is zero: no deadline
 	lift := c.guard(ctx, deadline, c.reader.progress)
 	err := run()
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -4,19 +4,18 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net"
-	"os"
+	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 
-	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/request"
+	"github.com/amaranthweir/amaranthweir/internal/table"
+	"github.com/amaranthweir/amaranthweir/internal/upstream"
 )
 
 const (
@@ -38,30 +37,35 @@
 // statementEnd ends a statement that may close with a line comment.
 const statementEnd = "\n;"
 
-// Conn is one open connection to an upstream. It serves one request at a time.
-type Conn struct {
-	net      net.Conn
-	reader   *reader
-	socket   *socket
+// SQLConn is a connection that speaks the PostgreSQL protocol.
+type SQLConn struct {
+	*link
 	frontend *pgproto3.Frontend
 	pid      uint32
 	secret   []byte
 	prepared map[string]struct{}
 	settings string // the SET statements in force, joined
-	txStatus byte
-	doomed   bool   // must not be used by another session
-	asked    bool   // an answer is outstanding
-	gone     bool   // the upstream has ended the connection
-	out      []byte // reused for what is sent
-	guards   sync.WaitGroup
+}
 
-	openedAt   time.Time
-	usedAt     time.Time // by a request
-	answeredAt time.Time // the end of the latest answer, also to a probe
+// DialSQL returns the Dialer of an instance that speaks the PostgreSQL
+// protocol. The upstream sees the ownership epoch in application_name, so that
+// a fence can close what an older owner left open.
+func DialSQL(address string, login upstream.Login, epoch table.Epoch, timeout time.Duration) (Dialer, error) {
+	cfg, err := login.Config(address, "amaranthweir/"+strconv.FormatUint(uint64(epoch), 10), timeout)
+	if err != nil {
+		return nil, err
+	}
+	return func(ctx context.Context) (Conn, error) {
+		c, err := dialSQL(ctx, cfg)
+		if err != nil {
+			return nil, err
+		}
+		return c, nil
+	}, nil
 }
 
-// dial opens a connection and logs in.
-func dial(ctx context.Context, cfg *pgconn.Config) (*Conn, error) {
+// dialSQL opens a connection and logs in.
+func dialSQL(ctx context.Context, cfg *pgconn.Config) (*SQLConn, error) {
 	pc, err := pgconn.ConnectConfig(ctx, cfg)
 	if err != nil {
 		return nil, err
@@ -70,40 +74,34 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &reader{net: h.Conn, silent: func(context.Context) bool { return false }, progress: DefaultProgress}
-	frontend := pgproto3.NewFrontend(r, h.Conn)
+	l := newLink(h.Conn)
+	l.txStatus = h.TxStatus
+	frontend := pgproto3.NewFrontend(l.reader, h.Conn)
 	frontend.SetMaxBodyLen(maxUpstreamMessageBytes)
-	now := time.Now()
-	return &Conn{
-		net:      h.Conn,
-		reader:   r,
-		socket:   newSocket(h.Conn),
+	return &SQLConn{
+		link:     l,
 		frontend: frontend,
 		pid:      h.PID,
 		secret:   h.SecretKey,
 		prepared: map[string]struct{}{},
-		txStatus: h.TxStatus,
-
-		openedAt:   now,
-		usedAt:     now,
-		answeredAt: now,
 	}, nil
 }
 
+// Reset implements Conn: what is open is rolled back by closing the connection.
+func (c *SQLConn) Reset(context.Context) bool { return false }
+
 // reusable reports whether another session may use the connection.
-func (c *Conn) reusable() bool {
+func (c *SQLConn) reusable() bool {
 	return !c.doomed && !c.asked && c.txStatus == request.TxIdle && len(c.prepared) <= maxPrepared
 }
 
-// fit reports whether an idle connection may be used: the upstream has not
-// closed it, and no byte waits that nobody asked for.
-func (c *Conn) fit() bool {
+// fit implements Conn.
+func (c *SQLConn) fit() bool {
 	return c.frontend.ReadBufferLen() == 0 && c.socket.quiet()
 }
 
-// close ends the connection and returns once the upstream has ended it too, or
-// lingerTimeout has passed. What still runs on it is cancelled.
-func (c *Conn) close() {
+// close implements Conn.
+func (c *SQLConn) close() {
 	defer c.net.Close()
 	if c.gone {
 		return
@@ -121,31 +119,8 @@
 	_, _ = io.Copy(io.Discard, c.net) // up to the end
 }
 
-// guard makes a blocked read or write on c end with ctx, at the latest at
-// deadline. After patience without a byte it is asked whether c went silent.
-// The returned function lifts the guard.
-func (c *Conn) guard(ctx context.Context, deadline time.Time, patience time.Duration) (lift func()) {
-	_ = c.net.SetWriteDeadline(deadline)
-	c.reader.begin(ctx, deadline, patience)
-	c.guards.Add(1)
-	stop := context.AfterFunc(ctx, c.interrupt)
-	return func() {
-		if stop() {
-			c.guards.Done()
-		} else {
-			c.guards.Wait() // else it could hit the next request
-		}
-	}
-}
-
-// interrupt ends a blocked read or write.
-func (c *Conn) interrupt() {
-	defer c.guards.Done()
-	_ = c.net.SetDeadline(time.Unix(1, 0))
-}
-
 // ping makes a round trip that runs nothing on the upstream.
-func (c *Conn) ping(ctx context.Context, timeout time.Duration) error {
+func (c *SQLConn) ping(ctx context.Context, timeout time.Duration) error {
 	// A probe asks nothing: it is what answers the question.
 	defer c.guard(ctx, time.Now().Add(timeout), 2*timeout)()
 	buf, err := (&pgproto3.Sync{}).Encode(c.out[:0])
@@ -158,34 +133,8 @@
 	return c.readQuery(&discard{})
 }
 
-// send writes buf; an answer is outstanding then. It returns how many bytes
-// left this host at most.
-func (c *Conn) send(buf []byte) (int, error) {
-	c.out = buf
-	c.asked = true
-	n, err := c.net.Write(buf)
-	if err != nil {
-		c.note(err)
-	}
-	return n, err
-}
-
-// answered notes that no answer is outstanding any more.
-func (c *Conn) answered() {
-	c.asked = false
-	c.answeredAt = c.reader.heardAt
-}
-
-// note remembers that an error ended the connection.
-func (c *Conn) note(err error) {
-	c.doomed = true
-	if !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errSilent) {
-		c.gone = true
-	}
-}
-
 // receive reads one message.
-func (c *Conn) receive() (pgproto3.BackendMessage, error) {
+func (c *SQLConn) receive() (pgproto3.BackendMessage, error) {
 	msg, err := c.frontend.Receive()
 	if err != nil {
 		c.note(err)
@@ -196,7 +145,7 @@
 
 // cancel asks the upstream to stop what the connection runs. It uses a
 // connection of its own, as the protocol wants, and waits for its end.
-func (c *Conn) cancel() {
+func (c *SQLConn) cancel() {
 	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
 	defer stop()
 	var d net.Dialer
@@ -217,7 +166,7 @@
 }
 
 // applySettings brings the session settings of c to want.
-func (c *Conn) applySettings(want []string) error {
+func (c *SQLConn) applySettings(want []string) error {
 	joined := strings.Join(want, statementEnd)
 	if c.settings == joined {
 		return nil
@@ -237,7 +186,7 @@
 // Command runs a simple query on behalf of the proxy and drops its rows. An
 // error of the upstream comes as *pgconn.PgError; any other error means that
 // the connection is lost.
-func (c *Conn) Command(sql string) error {
+func (c *SQLConn) Command(sql string) error {
 	var r discard
 	return c.query(sql, &r)
 }
@@ -249,7 +198,7 @@
 
 func (*discard) row([][]byte) {}
 
-func (c *Conn) query(sql string, r rowReader) error {
+func (c *SQLConn) query(sql string, r rowReader) error {
 	buf, err := (&pgproto3.Query{String: sql}).Encode(c.out[:0])
 	if err != nil {
 		return err
@@ -261,7 +210,7 @@
 }
 
 // readQuery reads the answer to one simple query of the proxy.
-func (c *Conn) readQuery(r rowReader) error {
+func (c *SQLConn) readQuery(r rowReader) error {
 	var failure error
 	for {
 		msg, err := c.receive()
@@ -280,12 +229,3 @@
 		}
 	}
 }
-
-// lost turns an error of the network into an error kind: a request of which
-// no byte was sent has not run.
-func lost(err error, sent bool) *errkind.Error {
-	if !sent {
-		return errkind.Wrap(err, errkind.UpstreamLost, "%v", err).WithEffect(errkind.NotRun)
-	}
-	return errkind.Wrap(err, errkind.UpstreamLost, "%v", err)
-}
--- a/internal/pool/maintain.go
+++ b/internal/pool/maintain.go
@@ -61,8 +61,8 @@
 
 // takeSurplus removes the connection that rested longest, when it is one too
 // many. It runs under the lock.
-func (p *Pool) takeSurplus(now time.Time, target int) *Conn {
-	if len(p.idle) == 0 || p.open <= target || now.Sub(p.idle[0].usedAt) <= p.cfg.IdleTimeout {
+func (p *Pool) takeSurplus(now time.Time, target int) Conn {
+	if len(p.idle) == 0 || p.open <= target || now.Sub(p.idle[0].shared().usedAt) <= p.cfg.IdleTimeout {
 		return nil
 	}
 	return p.takeIdle(0)
@@ -71,11 +71,11 @@
 // takeRested removes the idle connections that are due for a probe, but no
 // more than half of all, so that requests find the others. It runs under the
 // lock.
-func (p *Pool) takeRested(now time.Time) []*Conn {
-	var rested, kept []*Conn
+func (p *Pool) takeRested(now time.Time) []Conn {
+	var rested, kept []Conn
 	most := (len(p.idle) + 1) / 2
 	for _, c := range p.idle {
-		if len(rested) < most && now.Sub(c.answeredAt) > p.cfg.ProbeIdle {
+		if len(rested) < most && now.Sub(c.shared().answeredAt) > p.cfg.ProbeIdle {
 			rested = append(rested, c)
 		} else {
 			kept = append(kept, c)
@@ -96,11 +96,11 @@
 
 // probe makes a round trip on each connection, all at once. Those that answer
 // rest again, the others are closed.
-func (p *Pool) probe(ctx context.Context, conns []*Conn) silence {
+func (p *Pool) probe(ctx context.Context, conns []Conn) silence {
 	answered := make([]time.Time, len(conns))
 	var work sync.WaitGroup
 	for i, c := range conns {
-		answered[i] = c.answeredAt
+		answered[i] = c.shared().answeredAt
 		work.Go(func() {
 			_ = c.ping(ctx, p.cfg.ProbeTimeout) // a failure shows in the connection
 		})
@@ -108,7 +108,7 @@
 	work.Wait()
 	var s silence
 	for i, c := range conns {
-		if c.asked && !c.gone {
+		if l := c.shared(); l.asked && !l.gone {
 			s.found = true
 			if answered[i].After(s.since) {
 				s.since = answered[i]
@@ -130,11 +130,11 @@
 // silent reports whether c, which waits for an answer, went silent: an idle
 // connection that still answered after c was opened is silent now, while the
 // upstream answers on another.
-func (p *Pool) silent(ctx context.Context, c *Conn) bool {
+func (p *Pool) silent(ctx context.Context, c Conn) bool {
 	q := p.inquire()
 	select {
 	case <-q.done:
-		return q.silence.found && q.answers && !c.openedAt.After(q.silence.since)
+		return q.silence.found && q.answers && !c.shared().openedAt.After(q.silence.since)
 	case <-ctx.Done():
 		return false
 	}
@@ -157,7 +157,7 @@
 }
 
 // conduct runs an inquiry.
-func (p *Pool) conduct(q *inquiry, idle []*Conn) {
+func (p *Pool) conduct(q *inquiry, idle []Conn) {
 	ctx, stop := context.WithTimeout(context.Background(), p.cfg.ProbeTimeout+p.cfg.DialTimeout)
 	defer stop()
 	q.silence = p.probe(ctx, idle)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -5,26 +5,17 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/jackc/pgx/v5/pgconn"
-
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
-	"github.com/amaranthweir/amaranthweir/internal/table"
-	"github.com/amaranthweir/amaranthweir/internal/upstream"
 )
 
 // Config describes the pool of one instance.
 type Config struct {
-	Address string // ip:port
-	Login   upstream.Login
-	// Epoch is the ownership epoch; the upstream sees it in application_name,
-	// so that a fence can close what an older owner left open.
-	Epoch table.Epoch
+	// Dial opens one connection.
+	Dial Dialer
 	// Max is how many connections may be open at once.
 	Max int
 	// Warm is how many connections are kept ready at least.
@@ -53,6 +44,9 @@
 	DefaultProbeIdle    = time.Second
 )
 
+// Dialer opens a connection to an instance.
+type Dialer func(ctx context.Context) (Conn, error)
+
 // withDefaults fills in the time-outs that were left out.
 func (c Config) withDefaults() Config {
 	c.Progress = cmp.Or(c.Progress, DefaultProgress)
@@ -62,14 +56,14 @@
 }
 
 func (c *Config) validate() error {
-	if _, _, err := net.SplitHostPort(c.Address); err != nil {
-		return fmt.Errorf("pool address: %w", err)
+	if c.Dial == nil {
+		return errors.New("pool: Dial must be set")
 	}
 	if c.Max < 1 || c.Warm < 0 || c.Warm > c.Max {
-		return fmt.Errorf("pool of %s: max %d, warm %d", c.Address, c.Max, c.Warm)
+		return fmt.Errorf("pool: max %d, warm %d", c.Max, c.Warm)
 	}
 	if min(c.IdleTimeout, c.DialTimeout, c.Progress, c.ProbeTimeout, c.ProbeIdle) <= 0 {
-		return fmt.Errorf("pool of %s: time-outs must be positive", c.Address)
+		return errors.New("pool: time-outs must be positive")
 	}
 	return nil
 }
@@ -78,12 +72,11 @@
 // counts until the upstream has ended it.
 type Pool struct {
 	cfg Config
-	pg  *pgconn.Config
 
 	mu      sync.Mutex
-	idle    []*Conn // the one used last is at the end
-	open    int     // idle, lent, being opened and being closed
-	dialing int     // being opened
+	idle    []Conn // the one used last is at the end
+	open    int    // idle, lent, being opened and being closed
+	dialing int    // being opened
 	waiting []chan handover
 	closed  bool
 	inquiry *inquiry // the one that runs
@@ -92,7 +85,7 @@
 
 // handover is what ends the wait for a connection.
 type handover struct {
-	conn *Conn
+	conn Conn
 	err  error
 }
 
@@ -102,11 +95,7 @@
 	if err := cfg.validate(); err != nil {
 		return nil, err
 	}
-	pg, err := cfg.Login.Config(cfg.Address, "amaranthweir/"+strconv.FormatUint(uint64(cfg.Epoch), 10), cfg.DialTimeout)
-	if err != nil {
-		return nil, err
-	}
-	return &Pool{cfg: cfg, pg: pg}, nil
+	return &Pool{cfg: cfg}, nil
 }
 
 // errClosed is returned by Get once the pool is closed.
@@ -115,7 +104,7 @@
 // Get lends a connection: an idle one, or the next one that is given back or
 // was opened; one more is opened while fewer than Max are open. Errors have the
 // effect NotRun.
-func (p *Pool) Get(ctx context.Context) (*Conn, error) {
+func (p *Pool) Get(ctx context.Context) (Conn, error) {
 	for {
 		c, err := p.lend(ctx)
 		if err != nil {
@@ -130,7 +119,7 @@
 }
 
 // lend returns a connection that may have ended while it rested.
-func (p *Pool) lend(ctx context.Context) (*Conn, error) {
+func (p *Pool) lend(ctx context.Context) (Conn, error) {
 	p.mu.Lock()
 	p.need.lend()
 	if p.closed {
@@ -150,14 +139,14 @@
 }
 
 // takeIdle removes one idle connection. It runs under the lock.
-func (p *Pool) takeIdle(i int) *Conn {
+func (p *Pool) takeIdle(i int) Conn {
 	c := p.idle[i]
 	p.idle = slices.Delete(p.idle, i, i+1)
 	return c
 }
 
 // wait takes what is handed over.
-func (p *Pool) wait(ctx context.Context, wake chan handover) (*Conn, error) {
+func (p *Pool) wait(ctx context.Context, wake chan handover) (Conn, error) {
 	select {
 	case h := <-wake:
 		return h.conn, h.err
@@ -204,15 +193,16 @@
 }
 
 // dial opens a connection.
-func (p *Pool) dial() (*Conn, error) {
+func (p *Pool) dial() (Conn, error) {
 	ctx, stop := context.WithTimeout(context.Background(), p.cfg.DialTimeout)
 	defer stop()
-	c, err := dial(ctx, p.pg)
+	c, err := p.cfg.Dial(ctx)
 	if err != nil {
 		return nil, err
 	}
-	c.reader.progress = p.cfg.Progress
-	c.reader.silent = func(ctx context.Context) bool { return p.silent(ctx, c) }
+	l := c.shared()
+	l.reader.progress = p.cfg.Progress
+	l.reader.silent = func(ctx context.Context) bool { return p.silent(ctx, c) }
 	return c, nil
 }
 
@@ -237,14 +227,14 @@
 }
 
 // Put gives a connection back. One that is not reusable is closed.
-func (p *Pool) Put(c *Conn) {
+func (p *Pool) Put(c Conn) {
 	p.returned()
 	p.rest(c, true)
 }
 
 // rest lets a connection that nobody has wait for its next use. One that was
 // used last is lent first.
-func (p *Pool) rest(c *Conn, used bool) {
+func (p *Pool) rest(c Conn, used bool) {
 	p.mu.Lock()
 	switch {
 	case p.closed || !c.reusable():
@@ -264,14 +254,14 @@
 
 // Discard closes a connection that must not be used again; what runs on it is
 // cancelled. It returns at once.
-func (p *Pool) Discard(c *Conn) {
+func (p *Pool) Discard(c Conn) {
 	p.returned()
 	p.retire(c)
 }
 
 // retire closes a connection that nobody has. It counts as open until the
 // upstream has ended it.
-func (p *Pool) retire(c *Conn) {
+func (p *Pool) retire(c Conn) {
 	go func() {
 		c.close()
 		p.released(nil)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -39,8 +39,12 @@
 }
 
 func config(address string, change func(*Config)) Config {
+	dial, err := DialSQL(address, upstream.Login{User: "u", Database: "ledger"}, 0, patience)
+	if err != nil {
+		panic(err)
+	}
 	cfg := Config{
-		Address: address, Login: upstream.Login{User: "u", Database: "ledger"}, Max: 4,
+		Dial: dial, Max: 4,
 		IdleTimeout: time.Minute, DialTimeout: patience, Progress: patience, ProbeTimeout: patience,
 	}
 	if change != nil {
@@ -69,7 +73,7 @@
 	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(patience))
 }
 
-func lend(t *testing.T, p *Pool) *Conn {
+func lend(t *testing.T, p *Pool) Conn {
 	t.Helper()
 	c, err := p.Get(t.Context())
 	assert.NilError(t, err)
@@ -100,7 +104,7 @@
 }
 
 // run runs one query on a connection and returns its answer.
-func run(t *testing.T, c *Conn, sql string, settings ...string) (string, error) {
+func run(t *testing.T, c Conn, sql string, settings ...string) (string, error) {
 	t.Helper()
 	var answer strings.Builder
 	_, err := c.Run(t.Context(), time.Now().Add(patience), ask(t, &answer, sql, settings...))
@@ -128,7 +132,7 @@
 // fill opens n connections and lets them rest.
 func fill(t *testing.T, p *Pool, n int) {
 	t.Helper()
-	var conns []*Conn
+	var conns []Conn
 	for range n {
 		conns = append(conns, lend(t, p))
 	}
@@ -158,7 +162,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		p, err := New(config(r.listener.Addr().String(), func(c *Config) { c.Max = limit }))
 		assert.NilError(rt, err)
-		lent := map[*Conn]bool{}
+		lent := map[Conn]bool{}
 		rt.Cleanup(func() {
 			p.Close()
 			for c := range lent {
@@ -166,7 +170,7 @@
 			}
 			waitFor(rt, "all closed", func() bool { open, _ := p.Stats(); return open == 0 && up.Stats().Open == 0 })
 		})
-		some := func() *Conn {
+		some := func() Conn {
 			for c := range lent {
 				delete(lent, c)
 				return c
@@ -336,14 +340,14 @@
 		{"closed here", errkind.UpstreamLost, func(p *Pool) error {
 			c := lend(t, p)
 			defer p.Discard(c)
-			_ = c.net.Close()
+			_ = c.shared().net.Close()
 			_, err := run(t, c, "SELECT 1")
 			return err
 		}},
 		{"closed by the upstream in a transaction", errkind.UpstreamLost, func(p *Pool) error {
 			c := lend(t, p)
 			defer p.Discard(c)
-			assert.NilError(t, c.Exec(t.Context(), "BEGIN"))
+			assert.NilError(t, c.(*SQLConn).Exec(t.Context(), "BEGIN"))
 			r.cutAll()
 			var answer strings.Builder
 			x := ask(t, &answer, "INSERT INTO k (key, value) VALUES ('tx', 'v')")
--- a/internal/pool/run.go
+++ b/internal/pool/run.go
@@ -24,9 +24,13 @@
 type Exchange struct {
 	// Settings are brought into force first, unless KeepSettings is set, as
 	// inside of a transaction.
-	Settings        []string
-	KeepSettings    bool
-	Prepares        []request.Prepare
+	Settings     []string
+	KeepSettings bool
+	Prepares     []request.Prepare
+	// Floor is the mark that the log of the instance must hold, where the
+	// protocol can ask for it.
+	Floor           table.Mark
+	HasFloor        bool
 	Messages        []byte
 	ChangesSettings bool
 	// AskMark adds a question for the mark behind the messages, which then
@@ -50,6 +54,11 @@
 	// ReadOnly is set when the error was that the upstream takes no writes, as
 	// one that is no primary any more.
 	ReadOnly bool
+	// Clean is set with an error after which the connection may be given back
+	// to its pool all the same: the upstream refused and is ready for more.
+	Clean bool
+	// OnlyRead is set when what was answered is known to have written nothing.
+	OnlyRead bool
 	// Tag is the last command tag, such as "INSERT 0 1".
 	Tag string
 }
@@ -65,7 +74,7 @@
 
 // Run does one exchange. Errors are *errkind.Error; after one, the connection
 // must be discarded.
-func (c *Conn) Run(ctx context.Context, deadline time.Time, x *Exchange) (Outcome, error) {
+func (c *SQLConn) Run(ctx context.Context, deadline time.Time, x *Exchange) (Outcome, error) {
 	if x.KeepSettings && !c.fit() { // lent long ago
 		c.doomed, c.gone = true, true
 		return Outcome{}, lost(errEnded, false)
@@ -121,7 +130,7 @@
 
 // encode returns everything that the exchange sends, and how many statements
 // were injected.
-func (c *Conn) encode(x *Exchange) ([]byte, int) {
+func (c *SQLConn) encode(x *Exchange) ([]byte, int) {
 	injected := 0
 	buf := c.out[:0]
 	for _, p := range x.Prepares {
@@ -141,7 +150,7 @@
 
 // readAnswer reads up to the ReadyForQuery of the messages, and the answer to
 // the question for the mark.
-func (c *Conn) readAnswer(r *answerReader) error {
+func (c *SQLConn) readAnswer(r *answerReader) error {
 	for {
 		msg, err := c.receive()
 		if err != nil {
@@ -166,7 +175,7 @@
 	return c.readMark(r)
 }
 
-func (c *Conn) readMark(r *answerReader) error {
+func (c *SQLConn) readMark(r *answerReader) error {
 	status := c.txStatus
 	err := c.readQuery(&r.status)
 	c.txStatus = status
--- a/internal/pool/silence_test.go
+++ b/internal/pool/silence_test.go
@@ -20,7 +20,7 @@
 	up := startUpstream(t, nil)
 	p := newPool(t, up.Address(), quick)
 	fill(t, p, 3)
-	old := map[*Conn]bool{}
+	old := map[Conn]bool{}
 	for _, c := range p.idle {
 		old[c] = true
 	}
--- a/internal/system/failover/bootstrap.go
+++ b/internal/system/failover/bootstrap.go
@@ -41,6 +41,9 @@
 	case seen < g.size():
 		return WaitBootstrap
 	}
+	if s.cfg.ExternalTerms {
+		return WaitBootstrap // announcements name no positions to choose by
+	}
 	best := g.best(func(m *member) bool { return !m.inst.Leaving })
 	if best == nil {
 		return WaitBootstrap
--- a/internal/system/failover/config.go
+++ b/internal/system/failover/config.go
@@ -22,6 +22,9 @@
 // Config holds all durations that together bound a change of primary.
 type Config struct {
 	Lease lease.Config
+	// ExternalTerms is set where the platform numbers the terms of logs: a
+	// promotion begins the next one, whatever term is agreed for the group.
+	ExternalTerms bool
 	// ProbeInterval is how often an owner probes an instance it owns.
 	ProbeInterval time.Duration
 	// ProbeTimeout is how long a probe may stay without an answer.
--- a/internal/system/failover/forget.go
+++ b/internal/system/failover/forget.go
@@ -100,6 +100,17 @@
 	return all
 }
 
+// Forget drops an instance that is gone for good, unless it is the primary: a
+// primary is followed by another before it counts no more.
+func (s *System) Forget(id table.InstanceID) {
+	g := s.byInstance[id]
+	if g == nil || g.agreed.Primary == id || g.agreed.Candidate == id {
+		return
+	}
+	s.remove(g, g.member(id))
+	s.activate(g)
+}
+
 // remove drops an instance from its group. Its owner is kept for the case that
 // it announces itself again.
 func (s *System) remove(g *group, m *member) {
--- a/internal/system/failover/group.go
+++ b/internal/system/failover/group.go
@@ -131,6 +131,7 @@
 	lastAt  time.Duration
 	done    bool
 	start   table.Position // position at which the term began
+	logTerm table.Term     // of the log, zero without external terms
 }
 
 func newGroup(name table.GroupName) *group {
--- a/internal/system/failover/promote.go
+++ b/internal/system/failover/promote.go
@@ -13,8 +13,13 @@
 // so that a new leader continues where the old one stopped.
 func (s *System) promote(now time.Duration, g *group) WaitReason {
 	c := g.member(g.agreed.Candidate)
-	if start, ok := g.promotedAt(c); ok {
-		s.proposePrimary(now, g, start)
+	// With external terms a promotion that was given up may take effect late,
+	// so only the fence shows that nobody acknowledges in an older term.
+	if s.cfg.ExternalTerms && !s.ownerFenced(now, g) {
+		return WaitOwnerRelease
+	}
+	if begun, ok := s.promotedAt(g, c); ok {
+		s.proposePrimary(now, g, begun)
 		return WaitCommit
 	}
 	if !s.ownerFenced(now, g) {
@@ -43,17 +48,28 @@
 	})
 }
 
-// promotedAt returns the position at which the term began if the candidate is
+// promotedAt returns how the term of the log began if the candidate is
 // already promoted in it.
-func (g *group) promotedAt(c *member) (table.Position, bool) {
+func (s *System) promotedAt(g *group, c *member) (termBegin, bool) {
 	if g.promotion.done && g.promotion.term == g.agreed.Term {
-		return g.promotion.start, true
+		return termBegin{start: g.promotion.start, logTerm: g.promotion.logTerm}, true
 	}
 	r := c.report
-	if c.reachable() && r.Role == table.RolePrimary && r.Mark.Term == g.agreed.Term {
-		return r.TermStart, true
+	if !c.reachable() || r.Role != table.RolePrimary {
+		return termBegin{}, false
+	}
+	if s.cfg.ExternalTerms {
+		return termBegin{start: r.Mark.Position, logTerm: r.Mark.Term}, r.Mark.Term > g.agreed.LogTerm
 	}
-	return 0, false
+	return termBegin{start: r.TermStart}, r.Mark.Term == g.agreed.Term
+}
+
+// termBegin is how the log of a promoted primary begins its term.
+type termBegin struct {
+	start table.Position
+	// logTerm is the term that the platform gave it, zero without external
+	// terms.
+	logTerm table.Term
 }
 
 // ownerFenced reports whether the owner of the old primary can acknowledge no
@@ -250,7 +266,7 @@
 		m.fenceSent, m.fenceAt = true, now
 		s.act(Fence{
 			Group: g.name(), Instance: id, Address: m.inst.Address,
-			Term: g.agreed.Term, Epoch: m.epoch, Owner: m.owner,
+			Term: g.agreed.DataTerm(), Epoch: m.epoch, Owner: m.owner,
 		})
 	}
 	return pending
@@ -259,9 +275,12 @@
 func (s *System) needsFence(now time.Duration, g *group, m *member) bool {
 	id := m.inst.ID
 	current := id == g.agreed.Candidate || g.agreed.Phase == table.PhaseStable && id == g.agreed.Primary
-	if !g.known || current || m.inst.Address == "" || m.role() != table.RolePrimary || m.mark().Term >= g.agreed.Term {
+	if !g.known || current || m.inst.Address == "" || m.role() != table.RolePrimary || m.mark().Term >= g.agreed.DataTerm() {
 		return false
 	}
+	if s.cfg.ExternalTerms && g.agreed.Phase != table.PhaseStable {
+		return false // the candidate may have begun a term that is not agreed yet
+	}
 	alive := m.reachable() || m.announced && now < m.inst.SeenAt+s.cfg.AnnounceSilence
-	return alive && m.fencedTerm < g.agreed.Term
+	return alive && m.fencedTerm < g.agreed.DataTerm()
 }
--- a/internal/system/failover/system.go
+++ b/internal/system/failover/system.go
@@ -214,6 +214,9 @@
 	if r.OK {
 		g.promotion.done = true
 		g.promotion.start = r.Status.TermStart
+		if s.cfg.ExternalTerms {
+			g.promotion.start, g.promotion.logTerm = r.Status.Mark.Position, r.Status.Mark.Term
+		}
 	}
 }
 
@@ -390,10 +393,10 @@
 	s.propose(now, g, p, control.Command{BeginTerm: &c})
 }
 
-func (s *System) proposePrimary(now time.Duration, g *group, start table.Position) {
+func (s *System) proposePrimary(now time.Duration, g *group, begun termBegin) {
 	a := g.agreed
 	g.primaryProposed = a.Term
 	p := proposal{kind: proposedPrimary, term: a.Term, candidate: a.Candidate}
-	c := control.SetPrimary{Group: a.Name, Term: a.Term, Primary: a.Candidate, TermStart: start}
+	c := control.SetPrimary{Group: a.Name, Term: a.Term, Primary: a.Candidate, TermStart: begun.start, LogTerm: begun.logTerm}
 	s.propose(now, g, p, control.Command{SetPrimary: &c})
 }
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -75,6 +75,10 @@
 	Connections int
 	// Leaving is set once the instance said it is going away.
 	Leaving bool
+	// Born orders the starts of the instance and Sequence what it said after
+	// one; zero where instances number neither.
+	Born     uint64
+	Sequence uint64
 	// SeenAt is the local moment of the latest announcement.
 	SeenAt time.Duration
 }
@@ -121,6 +125,9 @@
 	// TermStart is the position at which the current term began: what an
 	// older term holds beyond it was lost.
 	TermStart Position
+	// LogTerm is the term of the log of Primary. It differs from Term where the
+	// platform numbers the terms of logs itself; zero stands for Term.
+	LogTerm Term
 	// History holds where the latest terms began, the current one included
 	// once its primary is promoted.
 	History TermHistory
@@ -137,3 +144,11 @@
 	// to be promoted; no write is acknowledged.
 	PhasePromoting
 )
+
+// DataTerm returns the term under which the promoted primary writes its log.
+func (g Group) DataTerm() Term {
+	if g.LogTerm != 0 {
+		return g.LogTerm
+	}
+	return g.Term
+}
