--- a/cmd/amaranthweir/platform.go
+++ b/cmd/amaranthweir/platform.go
@@ -4,8 +4,10 @@
 	"context"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime/debug"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -54,6 +56,8 @@
 	if err != nil {
 		return err
 	}
+	stop := file.follow(h.Reloaded)
+	defer stop()
 	return h.Run(ctx)
 }
 
@@ -82,9 +86,42 @@
 	if f.peers != nil && time.Since(f.readAt) < settingsLife {
 		return f.peers
 	}
+	_ = f.read() // what was read before goes on
+	return f.peers
+}
+
+// read reads the file. It runs under the lock.
+func (f *settingsFile) read() error {
 	f.readAt = time.Now()
-	if s, err := platform.LoadSettings(f.path); err == nil {
-		f.peers = s.Host.Join
+	s, err := platform.LoadSettings(f.path)
+	if err != nil {
+		return err
+	}
+	f.peers = s.Host.Join
+	return nil
+}
+
+// follow reads the file again at each SIGHUP and says what came of it.
+func (f *settingsFile) follow(reloaded func(peers []string, err error)) (stop func()) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-signals:
+			}
+			f.mu.Lock()
+			err := f.read()
+			peers := f.peers
+			f.mu.Unlock()
+			reloaded(peers, err)
+		}
+	}()
+	return func() {
+		signal.Stop(signals)
+		close(done)
 	}
-	return f.peers
 }
--- a/internal/host/adapter.go
+++ b/internal/host/adapter.go
@@ -91,6 +91,15 @@
 	return t
 }
 
+// Reloaded logs that the settings were read again.
+func (h *Host) Reloaded(join []string, err error) {
+	if err != nil {
+		h.log.WithError(err).Error("settings cannot be read again: the earlier ones stay in force")
+		return
+	}
+	h.log.WithField("join", join).Info("settings read again")
+}
+
 // newEdge returns how instances are reached.
 func (h *Host) newEdge() (Edge, error) {
 	if h.adapter != nil {
