Refuse at once what a cut-off host cannot serve; promote while the old lease runs out

- a host that hears no control leader refuses at once what it cannot serve, is not ready, and ends its callers so that they come back elsewhere
- an owner refuses reads for a replica that does not answer, and the entry host avoids it for a while
- writes wait for a suspect owner instead of being sent to it
- where instances confirm writes themselves, replicas are held (PAUSE) so that the promotion runs while the lease of the old owner ends; the new primary is used only after that
- a primary that leaves serves until another one follows, for four seconds
- sessions of a host that stops end after an answer before idle ones are ended

--- a/internal/dbedge/dbedge.go
+++ b/internal/dbedge/dbedge.go
@@ -44,6 +44,9 @@
 	Mark table.Mark
 	// TermStart is the position at which its term began.
 	TermStart table.Position
+	// Held is the term in which the replica was told to receive no more, zero
+	// while it receives.
+	Held table.Term
 }
 
 // Announcer takes announcements.
@@ -93,5 +96,15 @@
 	Fence(ctx context.Context, t Target, term table.Term, epoch table.Epoch) error
 }
 
+// Holder makes replicas receive no more from their primary, or receive again.
+// It is for platforms where a write is acknowledged only once a replica has it:
+// while all replicas are held, no write of the old primary is acknowledged.
+type Holder interface {
+	// Hold stops a replica for a term above that of its log.
+	Hold(ctx context.Context, t Target, term table.Term) (Status, error)
+	// Resume lets it receive again.
+	Resume(ctx context.Context, t Target) error
+}
+
 // AnnounceInterval is how often instances are asked to announce themselves.
 const AnnounceInterval = 500 * time.Millisecond
--- a/internal/dbedge/stmtedge/stmtedge.go
+++ b/internal/dbedge/stmtedge/stmtedge.go
@@ -53,6 +53,7 @@
 	_ dbedge.Prober   = (*Edge)(nil)
 	_ dbedge.Promoter = (*Edge)(nil)
 	_ dbedge.Fencer   = (*Edge)(nil)
+	_ dbedge.Holder   = (*Edge)(nil)
 )
 
 // New returns an Edge. Close ends it.
@@ -84,6 +85,19 @@
 	return err
 }
 
+// Hold implements dbedge.Holder.
+func (e *Edge) Hold(ctx context.Context, t dbedge.Target, term table.Term) (dbedge.Status, error) {
+	return e.call(ctx, t, func(c *pool.StatementConn, ctx context.Context) (stmt.State, error) {
+		return c.Pause(ctx, term)
+	})
+}
+
+// Resume implements dbedge.Holder.
+func (e *Edge) Resume(ctx context.Context, t dbedge.Target) error {
+	_, err := e.call(ctx, t, (*pool.StatementConn).Resume)
+	return err
+}
+
 // Promote implements dbedge.Promoter. It returns once the instance is seen to
 // be primary.
 func (e *Edge) Promote(ctx context.Context, p dbedge.Promotion) (dbedge.Status, error) {
@@ -135,7 +149,9 @@
 	return statusOf(state), nil
 }
 
-func statusOf(s stmt.State) dbedge.Status { return dbedge.Status{Role: s.Role, Mark: s.Mark} }
+func statusOf(s stmt.State) dbedge.Status {
+	return dbedge.Status{Role: s.Role, Mark: s.Mark, Held: s.Held}
+}
 
 func (e *Edge) take(t dbedge.Target) *pool.StatementConn {
 	e.mu.Lock()
--- a/internal/front/listener.go
+++ b/internal/front/listener.go
@@ -60,6 +60,7 @@
 	mu       sync.Mutex
 	sessions map[*session]struct{}
 	ending   bool
+	retiring bool // sessions end after their next answer
 	work     sync.WaitGroup
 }
 
@@ -104,7 +105,7 @@
 		return // it said nothing that could be answered
 	}
 	_ = nc.SetReadDeadline(time.Time{})
-	gate, err := l.cfg.Gateway.NewSession(database, nc.RemoteAddr().String())
+	gate, err := l.open(database, nc.RemoteAddr().String())
 	if err != nil {
 		l.refuse(nc, database, errkind.Of(err))
 		return
@@ -124,6 +125,26 @@
 	s.run(ctx)
 }
 
+// open begins a session. A host that has just started waits a little for the
+// configuration.
+func (l *Listener) open(database, caller string) (*gateway.Session, error) {
+	until := time.Now().Add(knownTimeout)
+	for {
+		gate, err := l.cfg.Gateway.NewSession(database, caller)
+		if !errkind.Is(err, errkind.NotLeader) || time.Now().After(until) {
+			return gate, err
+		}
+		time.Sleep(knownPoll)
+	}
+}
+
+const (
+	// knownTimeout is how long a caller waits for a host that has just started
+	// to hear of the configuration; callers give up after two seconds.
+	knownTimeout = 1500 * time.Millisecond
+	knownPoll    = 25 * time.Millisecond
+)
+
 // refuse turns a caller away.
 func (l *Listener) refuse(nc net.Conn, database string, e *errkind.Error) {
 	l.cfg.Counters.Refused(e.Kind)
@@ -142,6 +163,7 @@
 		return false
 	}
 	l.sessions[s] = struct{}{}
+	s.retire(l.retiring, false)
 	if l.ending {
 		s.end()
 	}
@@ -154,6 +176,17 @@
 	delete(l.sessions, s)
 }
 
+// Retire makes each session end after its next answer outside of a transaction,
+// and idle ones at once if idle is set; or, with on unset, ends that again.
+func (l *Listener) Retire(on, idle bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.retiring = on
+	for s := range l.sessions {
+		s.retire(on, idle)
+	}
+}
+
 // Drain ends idle sessions, and the others at the end of their statement or
 // transaction. It returns the ones that are left when ctx ends.
 func (l *Listener) Drain(ctx context.Context) []string {
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -61,6 +61,8 @@
 	mu     sync.Mutex
 	busy   bool
 	ending bool
+	// retiring is set while the session ends after its next answer.
+	retiring bool
 }
 
 func newSession(l *Listener, nc net.Conn, in *bufio.Reader, gate *gateway.Session, database string) *session {
@@ -151,7 +153,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.busy = s.status != request.TxIdle
-	return s.ending && !s.busy
+	return (s.ending || s.retiring) && !s.busy
+}
+
+// retire makes the session end after its next answer, or not any more.
+func (s *session) retire(on, idle bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retiring = on
+	if on && idle && !s.busy {
+		s.ending = true
+		_ = s.net.SetReadDeadline(pastDeadline)
+	}
 }
 
 // end makes the session leave: at once when it is idle, else at the end of its
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,13 @@
 	// then given the position of the primary as it was at most its staleness
 	// ago, or what the session wrote, whichever is later.
 	UpstreamFloors bool
+	// Known reports whether the configuration has been heard of since the start;
+	// nil means always.
+	Known func() bool
+	// Isolated reports whether this host hears no control leader. What cannot
+	// be served now is then refused at once, for other hosts may serve it; nil
+	// means never.
+	Isolated func() bool
 	// Keys sign and read session tokens.
 	Keys *session.Keyring
 	Log  *logrus.Logger
@@ -86,6 +93,9 @@
 
 // NewSession begins the session of a caller that connected to service.
 func (g *Gateway) NewSession(service, caller string) (*Session, error) {
+	if g.cfg.Known != nil && !g.cfg.Known() {
+		return nil, errkind.New(errkind.NotLeader, "the configuration is not known yet")
+	}
 	if g.cfg.Directory.Document(service) == nil {
 		return nil, errkind.New(errkind.UnknownClass, "no document for the service %q is in force", service)
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -63,7 +64,7 @@
 		if err != nil && r.maySettle(q, err) {
 			return r.settle(ctx, q, err)
 		}
-		if err == nil || !r.mayRetry(err) {
+		if err == nil || !r.mayRetry(err) || r.session.gateway.isolated() {
 			return res, err
 		}
 		if errkind.Of(err).Effect == errkind.NotRun {
@@ -217,6 +218,10 @@
 func (r *run) learn(q *request.Request, res *request.Result, err error) {
 	g := r.session.gateway
 	bounced := errkind.Is(err, errkind.StalenessUnprovable)
+	if r.outOfReach(err) {
+		r.avoid(q)
+		return
+	}
 	now := g.cfg.Clock()
 	if !bounced && (!res.HasHint || !r.hintIsOld(q.Instance, now)) {
 		return
@@ -244,6 +249,35 @@
 	})
 }
 
+// outOfReach reports whether an error says that a replica cannot be used now:
+// its owner, or the instance, does not answer.
+func (r *run) outOfReach(err error) bool {
+	if err == nil || !r.replica {
+		return false
+	}
+	switch errkind.Of(err).Kind {
+	case errkind.UpstreamLost, errkind.UpstreamBusy, errkind.NoOwner, errkind.OutcomeUnknown:
+		return true
+	}
+	return false
+}
+
+// avoid keeps every read away from the replica of the latest attempt for a
+// while.
+func (r *run) avoid(q *request.Request) {
+	g := r.session.gateway
+	now := g.cfg.Clock()
+	g.cfg.Directory.Groups().Update(q.Group, func(v *routing.GroupView) *routing.GroupView {
+		if v == nil {
+			return nil
+		}
+		return v.WithBounce(q.Instance, routing.Bounce{Hint: routing.Hint{At: now}, Staleness: anyStaleness})
+	})
+}
+
+// anyStaleness is above the staleness of every class.
+const anyStaleness = time.Duration(math.MaxInt64)
+
 func (r *run) hintIsOld(id table.InstanceID, now time.Duration) bool {
 	v := r.session.gateway.cfg.Directory.Groups().Lookup(r.plan.group)
 	if v == nil {
--- a/internal/gateway/samples.go
+++ b/internal/gateway/samples.go
@@ -79,6 +79,9 @@
 		g.samples.mu.Lock()
 		err, found := s.err, s.err == nil
 		g.samples.mu.Unlock()
+		if !found && g.isolated() {
+			return table.Mark{}, errkind.Wrap(err, errkind.StalenessUnprovable, "%v", err)
+		}
 		if !found {
 			if err := g.pauseSample(ctx, err); err != nil {
 				return table.Mark{}, err
@@ -101,6 +104,9 @@
 	return nil
 }
 
+// isolated reports whether this host hears no control leader.
+func (g *Gateway) isolated() bool { return g.cfg.Isolated != nil && g.cfg.Isolated() }
+
 func (s *samples) of(group table.GroupName) *sample {
 	if s.groups == nil {
 		s.groups = map[table.GroupName]*sample{}
--- a/internal/host/adapter.go
+++ b/internal/host/adapter.go
@@ -75,6 +75,9 @@
 	// silentAnnouncements is how many announcements in a row an instance may
 	// miss before it counts as silent.
 	silentAnnouncements = 3
+	// linkSilence is how long a link between hosts may stay silent: callers
+	// wait for what was sent over it.
+	linkSilence = 600 * time.Millisecond
 	// statementProbe is the interval between probes of an owned instance.
 	statementProbe = 200 * time.Millisecond
 )
@@ -126,6 +129,9 @@
 	}
 	if h.adapter != nil {
 		cfg.Fencer = nil
+		if holder, ok := h.edge.(dbedge.Holder); ok {
+			cfg.Holder = holder
+		}
 		cfg.UpstreamFloors = true
 		cfg.Timing.Probe = statementProbe
 		cfg.Dial = func(t dbedge.Target, _ table.Epoch) (pool.Dialer, error) {
--- a/internal/host/beats.go
+++ b/internal/host/beats.go
@@ -42,9 +42,11 @@
 	ordered  map[table.InstanceID]bool // a report is due although nothing changed
 	hurryTil time.Time
 	draining bool
-	answered bool   // a leader has answered since the start
-	leader   string // peer address
-	next     int    // of the hosts to ask for the leader
+	answered bool // a leader has answered since the start
+	// answeredAt is when the latest answer came, on the clock of the host.
+	answeredAt time.Duration
+	leader     string // peer address
+	next       int    // of the hosts to ask for the leader
 }
 
 func newBeats(h *Host) *beats {
@@ -198,7 +200,7 @@
 // differs reports whether the leader must hear of r after it heard old.
 func differs(old, r failover.Report) bool {
 	return old.Reachable != r.Reachable || old.Role != r.Role || old.Leaving != r.Leaving ||
-		old.Mark.Term != r.Mark.Term || old.SeenTerm != r.SeenTerm || old.Quiesced != r.Quiesced
+		old.Mark.Term != r.Mark.Term || old.SeenTerm != r.SeenTerm || old.Quiesced != r.Quiesced || old.Held != r.Held
 }
 
 // lost notes a heartbeat that the leader did not take: its content goes with
@@ -241,6 +243,7 @@
 	b.stamp = reply.Stamp
 	b.told.answered(reply.Stamp.Leadership, hb.Documents)
 	b.answered = true
+	b.answeredAt = b.host.clock()
 	if len(reply.Orders) > 0 {
 		b.hurryTil = time.Now().Add(hurryTime)
 	}
@@ -338,6 +341,13 @@
 	return h.leader.heartbeat(&hb), nil
 }
 
+// unansweredFor returns for how long no leader has answered.
+func (b *beats) unansweredFor() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.host.clock() - b.answeredAt
+}
+
 // caughtUp reports whether the control state of a leader was applied since the
 // start of this host.
 func (b *beats) caughtUp() bool {
--- a/internal/host/deployment.go
+++ b/internal/host/deployment.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"context"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -11,9 +12,9 @@
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
-// cutOffAfter is for how long a host may go without a valid lease before the
+// cutOffAfter is for how long a host may hear no control leader before the
 // balancer shall send its callers elsewhere.
-const cutOffAfter = 2 * time.Second
+const cutOffAfter = 900 * time.Millisecond
 
 // parsed reads a deployment that was checked before it was agreed; nil where
 // there is none, or none that this host can read.
@@ -71,23 +72,76 @@
 	return in.Connections, d.decode == nil
 }
 
+// isolatedAfter is for how long a host must have heard no control leader to
+// count as isolated: longer than a change of leader takes as a rule.
+const isolatedAfter = 700 * time.Millisecond
+
+// knowsConfiguration reports whether this host has heard of a configuration.
+func (h *Host) knowsConfiguration() bool {
+	return h.adapter == nil || h.dir.deployment.Load() != nil
+}
+
+// isolated reports whether this host hears no control leader. With PostgreSQL
+// callers nothing is refused for that: they are not spread by a balancer that
+// watches readiness.
+func (h *Host) isolated() bool {
+	return h.adapter != nil && h.beats.unansweredFor() > isolatedAfter
+}
+
 // mayServe returns nil while this host can serve callers: it knows a deployment
 // and has not been without a lease for long.
 func (h *Host) mayServe() error {
 	if h.dir.deployment.Load() == nil {
 		return errkind.New(errkind.NotLeader, "no deployment was heard of yet")
 	}
-	if silent := h.dir.withoutLease(); silent > cutOffAfter {
-		return errkind.New(errkind.NotLeader, "no lease for %v", silent)
+	if silent := h.beats.unansweredFor(); silent > cutOffAfter {
+		return errkind.New(errkind.NotLeader, "no leader was heard for %v", silent)
 	}
 	return nil
 }
 
-// withoutLease returns for how long this host has held no lease.
-func (d *directory) withoutLease() time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.holder.ExpiredFor(d.clock())
+// Callers stay with a host that the balancer passes over: they are ended, so
+// that they come back elsewhere.
+const (
+	// retireAfter is for how long a host must not have been ready before its
+	// callers are ended.
+	retireAfter = 2500 * time.Millisecond
+	// isolationPoll is how often a host looks whether it is isolated.
+	isolationPoll = 250 * time.Millisecond
+)
+
+// retirer is a listener that can end its callers one by one.
+type retirer interface {
+	// Retire ends each caller after its next answer, and idle ones with it; or
+	// ends that again.
+	Retire(on, idle bool)
+}
+
+// watchIsolation ends the callers of a host that is cut off from the control
+// hosts, so that the balancer sends them elsewhere.
+func (h *Host) watchIsolation(ctx context.Context) error {
+	callers, ok := h.callers.(retirer)
+	if !ok || h.adapter == nil {
+		return nil
+	}
+	tick := time.NewTicker(isolationPoll)
+	defer tick.Stop()
+	retired := false
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-h.stopping:
+			return nil
+		case <-tick.C:
+		}
+		cut := h.knowsConfiguration() && h.beats.unansweredFor() > cutOffAfter+retireAfter
+		if cut != retired {
+			retired = cut
+			h.log.WithField("cut_off", cut).Warn("callers are sent elsewhere")
+			callers.Retire(cut, cut)
+		}
+	}
 }
 
 // hostsToAsk returns the peer addresses to ask for the leader: those of the
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -40,6 +40,7 @@
 	holder  lease.Holder
 	tables  tables
 	remotes map[table.HostID]*remote
+	leaving map[table.InstanceID]time.Duration
 	changed chan struct{}
 }
 
@@ -51,6 +52,20 @@
 	unlisted time.Duration
 }
 
+// leavingSince returns when this host first heard that an instance leaves.
+func (d *directory) leavingSince(in *table.Instance) time.Duration {
+	if !in.Leaving {
+		delete(d.leaving, in.ID)
+		return 0
+	}
+	at, known := d.leaving[in.ID]
+	if !known {
+		at = d.clock()
+		d.leaving[in.ID] = at
+	}
+	return at
+}
+
 // unlistedLife is how long the link to a host that is missing from the tables
 // is kept. The tables of a new leader may lack hosts that live.
 const unlistedLife = time.Minute
@@ -62,6 +77,7 @@
 		log:     log,
 		peers:   peer.DefaultTiming(),
 		remotes: map[table.HostID]*remote{},
+		leaving: map[table.InstanceID]time.Duration{},
 		changed: make(chan struct{}),
 	}
 	d.view.Store(control.NewView())
@@ -282,7 +298,7 @@
 		}
 	}
 	for name, instances := range members {
-		next := groupView(view, states, name, instances)
+		next := d.groupView(view, states, name, instances)
 		d.groups.Update(name, func(old *routing.GroupView) *routing.GroupView {
 			return old.Rebuild(next)
 		})
@@ -291,7 +307,7 @@
 	d.changed = make(chan struct{})
 }
 
-func groupView(view *control.View, states map[table.HostID]table.HostState, name table.GroupName, instances []table.Instance) *routing.GroupView {
+func (d *directory) groupView(view *control.View, states map[table.HostID]table.HostState, name table.GroupName, instances []table.Instance) *routing.GroupView {
 	agreed := view.Groups[name]
 	v := &routing.GroupView{Name: name, Term: agreed.Term}
 	if agreed.Phase == table.PhaseStable {
@@ -309,6 +325,7 @@
 			Domain:     in.Domain,
 			Role:       role,
 			Leaving:    in.Leaving,
+			LeavingAt:  d.leavingSince(&in),
 			OwnerState: states[owner],
 		})
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -90,6 +90,7 @@
 	h.dir.dial = h.security.dialPeer()
 	if a != nil {
 		h.dir.decode = a.DecodeDeployment
+		h.dir.peers.Silence = linkSilence
 	}
 	if err := h.build(); err != nil {
 		return nil, err
@@ -122,6 +123,8 @@
 		Clock:       h.clock,
 
 		UpstreamFloors: h.adapter != nil,
+		Known:          h.knowsConfiguration,
+		Isolated:       h.isolated,
 	})
 	h.owner = owner.New(h.ownerConfig())
 	h.dir.local = h.owner
@@ -174,6 +177,7 @@
 	}
 	group.Go(func() error { return h.beats.run(inner) })
 	group.Go(func() error { return h.gateway.Run(inner) })
+	group.Go(func() error { return h.watchIsolation(inner) })
 	if h.leader != nil {
 		group.Go(func() error { return h.leader.run(inner) })
 	}
--- a/internal/host/reconcile.go
+++ b/internal/host/reconcile.go
@@ -15,6 +15,9 @@
 	// notReadyPause gives the balancer time to see that this host is not
 	// ready before it refuses callers.
 	notReadyPause = 500 * time.Millisecond
+	// retirePause is for how long callers are ended only after an answer: then
+	// none has a request under way.
+	retirePause = 1500 * time.Millisecond
 	// lingerBeats is for how many heartbeats a host whose instances were handed
 	// over goes on answering other hosts, which may not have heard of it yet.
 	lingerBeats = 3
@@ -63,6 +66,13 @@
 	case <-ctx.Done():
 	case <-time.After(h.notReadyPause()):
 	}
+	if callers, ok := h.callers.(retirer); ok {
+		callers.Retire(true, false)
+		select {
+		case <-ctx.Done():
+		case <-time.After(retirePause):
+		}
+	}
 	for _, left := range h.callers.Drain(ctx) {
 		h.log.WithField("left", left).Warn("shutting down: not finished")
 	}
--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -62,6 +62,9 @@
 	if r.Continues {
 		return nil // the transaction was checked when it began
 	}
+	if in.cfg.UpstreamFloors && in.outOfReach() {
+		return errkind.New(errkind.UpstreamLost, "%s does not answer", in.id).WithEffect(errkind.NotRun)
+	}
 	if in.ending.Load() {
 		return errkind.New(errkind.NoOwner, "%s is being handed over", in.id)
 	}
@@ -75,6 +78,13 @@
 	return in.mayAcknowledge(term, errkind.NotRun)
 }
 
+// outOfReach reports whether the latest probe of the instance failed.
+func (in *instance) outOfReach() bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.health.probed && !in.health.reachable
+}
+
 // mayRead checks a read that states a staleness. The primary may serve it
 // under its lease; a replica when its age is proven and it holds the floor.
 func (in *instance) mayRead(r *request.Request) error {
--- a/internal/owner/instance.go
+++ b/internal/owner/instance.go
@@ -38,6 +38,7 @@
 	trackNow chan struct{} // asks for the primary's position at once
 	ending   atomic.Bool   // set once no new work may begin
 	working  atomic.Int32  // requests from their start to their answer
+	holding  atomic.Bool   // while it is told to receive no more, or again
 	serving  atomic.Bool   // set once connections of earlier owners are closed
 
 	mu     sync.Mutex
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -65,6 +65,8 @@
 	Prober    dbedge.Prober
 	// Fencer is nil where nothing closes what earlier owners left open.
 	Fencer dbedge.Fencer
+	// Holder is nil where replicas cannot be held.
+	Holder dbedge.Holder
 	// UpstreamFloors is set where an instance itself refuses a read that its
 	// log is too short for. No age of replicas is then tracked here.
 	UpstreamFloors bool
--- a/internal/owner/report.go
+++ b/internal/owner/report.go
@@ -52,6 +52,7 @@
 		Role:       h.status.Role,
 		Mark:       h.status.Mark,
 		TermStart:  h.status.TermStart,
+		Held:       h.status.Held,
 		After:      h.after,
 		SeenTerm:   seen,
 		Acked:      h.acked,
@@ -75,6 +76,40 @@
 		in.gate.hold(order.Bound)
 	case failover.OrderResume:
 		in.gate.resume()
+	case failover.OrderHold:
+		go in.hold(order.Term)
+		return
+	case failover.OrderReceive:
+		go in.receive()
+		return
+	}
+	in.hurry()
+}
+
+// hold makes an owned replica receive no more, and looks at it again.
+func (in *instance) hold(term table.Term) {
+	if in.cfg.Holder == nil || in.holding.Swap(true) {
+		return
+	}
+	defer in.holding.Store(false)
+	ctx, stop := context.WithTimeout(context.Background(), in.cfg.Timing.ProbeTimeout)
+	defer stop()
+	if _, err := in.cfg.Holder.Hold(ctx, in.target(), term); err != nil {
+		in.log.WithError(err).Warn("replica not held")
+	}
+	in.hurry()
+}
+
+// receive lets an owned replica receive again.
+func (in *instance) receive() {
+	if in.cfg.Holder == nil || in.holding.Swap(true) {
+		return
+	}
+	defer in.holding.Store(false)
+	ctx, stop := context.WithTimeout(context.Background(), in.cfg.Timing.ProbeTimeout)
+	defer stop()
+	if err := in.cfg.Holder.Resume(ctx, in.target()); err != nil {
+		in.log.WithError(err).Warn("replica still held")
 	}
 	in.hurry()
 }
--- a/internal/pool/statementconn.go
+++ b/internal/pool/statementconn.go
@@ -300,6 +300,16 @@
 	return c.state(ctx, &stmt.Statement{Kind: stmt.StepDown, Term: term})
 }
 
+// Pause tells a replica to receive no more until a Resume.
+func (c *StatementConn) Pause(ctx context.Context, term table.Term) (stmt.State, error) {
+	return c.state(ctx, &stmt.Statement{Kind: stmt.Pause, Term: term})
+}
+
+// Resume lets a replica receive again.
+func (c *StatementConn) Resume(ctx context.Context) (stmt.State, error) {
+	return c.state(ctx, &stmt.Statement{Kind: stmt.Resume})
+}
+
 func (c *StatementConn) state(ctx context.Context, s *stmt.Statement) (stmt.State, error) {
 	a, err := c.Ask(ctx, s)
 	if err != nil {
--- a/internal/stmt/stmt.go
+++ b/internal/stmt/stmt.go
@@ -43,6 +43,9 @@
 	Status
 	// StepDown makes a primary of an older term a replica.
 	StepDown
+	// Pause makes a replica receive no more, Resume lets it receive again.
+	Pause
+	Resume
 	kindCount
 )
 
@@ -61,7 +64,7 @@
 	Value string
 	// Writes is set when a Prepare names a statement that writes.
 	Writes bool
-	// Term is what a StepDown refers to.
+	// Term is what a StepDown or a Pause refers to.
 	Term table.Term
 }
 
@@ -121,8 +124,10 @@
 
 // State is what an instance says about itself in answer to a Status.
 type State struct {
-	Role        table.Role
-	Mark        table.Mark
+	Role table.Role
+	Mark table.Mark
+	// Held is the term of a Pause in force, zero if there is none.
+	Held        table.Term
 	Connections int
 }
 
--- a/internal/system/failover/group.go
+++ b/internal/system/failover/group.go
@@ -102,8 +102,12 @@
 	moveAsked   bool
 
 	// Change of primary, while PhasePromoting.
-	fenced     bool // the owner of the old primary can acknowledge nothing
-	fencedAt   time.Duration
+	fenced   bool // the owner of the old primary can acknowledge nothing
+	fencedAt time.Duration
+	// held is set once no replica receives from the old primary: it then
+	// acknowledges no write, whatever its owner does.
+	held       bool
+	heldAt     time.Duration
 	termSeen   table.Term // the agreed term that this leader saw at termSeenAt
 	termSeenAt time.Duration
 	floorKnown bool
@@ -209,6 +213,7 @@
 // clearChange forgets everything about the change of primary under way.
 func (g *group) clearChange() {
 	g.fenced = false
+	g.held = false
 	g.floorKnown = false
 	g.ackedKnown = false
 	g.promotion = promotion{}
--- a/internal/system/failover/promote.go
+++ b/internal/system/failover/promote.go
@@ -13,16 +13,17 @@
 // so that a new leader continues where the old one stopped.
 func (s *System) promote(now time.Duration, g *group) WaitReason {
 	c := g.member(g.agreed.Candidate)
-	// With external terms a promotion that was given up may take effect late,
-	// so only the fence shows that nobody acknowledges in an older term.
-	if s.cfg.ExternalTerms && !s.ownerFenced(now, g) {
-		return WaitOwnerRelease
-	}
+	fenced := s.ownerFenced(now, g)
 	if begun, ok := s.promotedAt(g, c); ok {
+		// With external terms the candidate may lead already while the owner of
+		// the old primary may still read there.
+		if s.cfg.ExternalTerms && !fenced {
+			return WaitOwnerRelease
+		}
 		s.proposePrimary(now, g, begun)
 		return WaitCommit
 	}
-	if !s.ownerFenced(now, g) {
+	if !fenced && !s.logFenced(now, g) {
 		return WaitOwnerRelease
 	}
 	s.readPositions(now, g)
@@ -111,10 +112,82 @@
 	return false
 }
 
+// logFenced reports whether the old primary can have no further write
+// acknowledged, because no replica receives any. It holds only where a write is
+// acknowledged by an instance once a replica has it, and needs every replica.
+func (s *System) logFenced(now time.Duration, g *group) bool {
+	if !s.cfg.ExternalTerms || g.expected < 2 || g.agreed.Primary == "" {
+		return false
+	}
+	if g.held {
+		return true
+	}
+	term := g.heldTerm()
+	all, replicas := true, 0
+	for _, id := range g.order {
+		m := g.members[id]
+		if id == g.agreed.Primary {
+			continue
+		}
+		replicas++
+		if m.reachable() && m.readSince(g.termSeenAt) && m.report.Held >= term {
+			continue
+		}
+		all = false
+		if m.owner != "" && !s.leases.Late(now, m.owner) {
+			s.tell(now, m.owner, Order{
+				Kind: OrderHold, Group: g.name(), Instance: id, Address: m.inst.Address, Term: term,
+			})
+		}
+	}
+	if all && replicas > 0 {
+		g.held, g.heldAt = true, now
+	}
+	return g.held
+}
+
+// heldTerm is a term above that of every log of the group.
+func (g *group) heldTerm() table.Term {
+	term := g.agreed.DataTerm()
+	for _, id := range g.order {
+		if mark := g.members[id].mark(); g.plausible(mark) {
+			term = max(term, mark.Term)
+		}
+	}
+	return term + 1
+}
+
+// letReceive lets the replicas of a stable group receive again that were held.
+// It reports whether one of them is held still.
+func (s *System) letReceive(now time.Duration, g *group) bool {
+	if !g.known || g.agreed.Phase != table.PhaseStable {
+		return false
+	}
+	held := false
+	for _, id := range g.order {
+		m := g.members[id]
+		if id == g.agreed.Primary || m.report.Held == 0 || !m.reachable() || s.leases.Late(now, m.owner) {
+			continue
+		}
+		held = true
+		s.tell(now, m.owner, Order{Kind: OrderReceive, Group: g.name(), Instance: id, Address: m.inst.Address})
+	}
+	return held
+}
+
+// quietAt is the moment after which positions count: no write is acknowledged
+// that was not held by then.
+func (g *group) quietAt() time.Duration {
+	if g.held && (!g.fenced || g.heldAt < g.fencedAt) {
+		return g.heldAt
+	}
+	return g.fencedAt
+}
+
 // readPositions asks for the positions that were not read after the fence.
 func (s *System) readPositions(now time.Duration, g *group) {
 	for _, id := range g.order {
-		if m := g.members[id]; !m.readSince(g.fencedAt) {
+		if m := g.members[id]; !m.readSince(g.quietAt()) {
 			s.tellProbe(now, m)
 		}
 	}
@@ -136,13 +209,13 @@
 	for _, id := range g.order {
 		m := g.members[id]
 		switch {
-		case m.readSince(g.fencedAt):
+		case m.readSince(g.quietAt()):
 			marks = append(marks, m.readMark)
 		case m.reachable() && !s.leases.Late(now, m.owner):
 			open = true
 		}
 	}
-	late := now >= g.fencedAt+s.cfg.ReadBound
+	late := now >= g.quietAt()+s.cfg.ReadBound
 	need := max(1, g.size()-1)
 	switch {
 	case open && !late && !g.floorKnown:
@@ -178,7 +251,7 @@
 	if !m.reachable() || m.report.Mark.Less(g.floor) {
 		return false
 	}
-	return m.readSince(g.fencedAt) || g.plannedSafe(m)
+	return m.readSince(g.quietAt()) || g.plannedSafe(m)
 }
 
 // orderPromotion has the candidate promoted and gives it up when that takes
@@ -209,8 +282,8 @@
 // replace agrees on a further term with another candidate, because c is out of
 // reach, lacks acknowledged writes or could not be promoted.
 func (s *System) replace(now time.Duration, g *group, c *member) WaitReason {
-	open := !c.reported || c.reachable() && !c.readSince(g.fencedAt)
-	if open && c.failedIn != g.agreed.Term && now < g.fencedAt+s.cfg.ReadBound {
+	open := !c.reported || c.reachable() && !c.readSince(g.quietAt())
+	if open && c.failedIn != g.agreed.Term && now < g.quietAt()+s.cfg.ReadBound {
 		return WaitPositions
 	}
 	if g.agreed.Primary == "" && !c.reachable() && !s.silent(now, c) {
--- a/internal/system/failover/report.go
+++ b/internal/system/failover/report.go
@@ -38,6 +38,9 @@
 	Role      table.Role
 	Mark      table.Mark
 	TermStart table.Position
+	// Held is the term in which the replica was told to receive no more, zero
+	// while it receives.
+	Held table.Term
 	// Leaving is set once the instance said it is going away.
 	Leaving bool
 	// After is the latest stamp received before the probe began.
@@ -72,6 +75,11 @@
 	// OrderQuiesce asks the owner of the primary to hold new writes back, let
 	// running ones end and report. It ends by itself after Bound.
 	OrderQuiesce
+	// OrderHold asks the owner of a replica to make it receive no more from the
+	// old primary, in Term.
+	OrderHold
+	// OrderReceive asks the owner of a replica to let it receive again.
+	OrderReceive
 	// OrderResume ends a quiesce without a change of primary.
 	OrderResume
 )
@@ -89,6 +97,10 @@
 		return "quiesce"
 	case OrderResume:
 		return "resume"
+	case OrderHold:
+		return "hold"
+	case OrderReceive:
+		return "receive"
 	default:
 		return "unknown"
 	}
--- a/internal/system/failover/system.go
+++ b/internal/system/failover/system.go
@@ -279,11 +279,12 @@
 func (s *System) visit(now time.Duration, g *group) bool {
 	reason := s.decide(now, g)
 	fencing := s.fenceOld(now, g)
+	receiving := s.letReceive(now, g)
 	if reason != g.wait {
 		g.wait, g.waitSince = reason, now
 		s.act(Wait{Group: g.name(), Reason: reason})
 	}
-	return reason != WaitNothing || fencing || g.suspected || g.planned != nil || g.departure != nil
+	return reason != WaitNothing || fencing || receiving || g.suspected || g.planned != nil || g.departure != nil
 }
 
 func (s *System) decide(now time.Duration, g *group) WaitReason {
--- a/internal/system/lease/holder.go
+++ b/internal/system/lease/holder.go
@@ -42,15 +42,6 @@
 	return h.until - now
 }
 
-// ExpiredFor returns for how long the lease has not been held at now: zero
-// while it is, and all of now where it never was.
-func (h *Holder) ExpiredFor(now time.Duration) time.Duration {
-	if h.Valid(now) {
-		return 0
-	}
-	return now - h.until
-}
-
 // Release gives the lease up at now. The host tells the grantor only
 // afterwards.
 func (h *Holder) Release(now time.Duration) {
--- a/internal/system/routing/reason.go
+++ b/internal/system/routing/reason.go
@@ -35,6 +35,8 @@
 	ReasonPrimaryLeaving
 	// ReasonNoOwner: refused, no live host owns the instance.
 	ReasonNoOwner
+	// ReasonOwnerSuspect: refused, the owner of the primary may be dead.
+	ReasonOwnerSuspect
 	// ReasonUnprovable: refused, no primary and every replica too stale.
 	ReasonUnprovable
 	reasonCount
@@ -55,6 +57,7 @@
 	ReasonNoPrimary:         "no_primary",
 	ReasonPrimaryLeaving:    "primary_leaving",
 	ReasonNoOwner:           "no_owner",
+	ReasonOwnerSuspect:      "owner_suspect",
 	ReasonUnprovable:        "unprovable",
 }
 
--- a/internal/system/routing/routing.go
+++ b/internal/system/routing/routing.go
@@ -21,6 +21,9 @@
 	waitShare = 4
 	// sampleInterval is how often an owner hears from its replicas.
 	sampleInterval = 20 * time.Millisecond
+	// leavingPrimary is how long a primary that leaves is still used, until
+	// another one follows it: no more than a few seconds.
+	leavingPrimary = 4 * time.Second
 	// hintLife is how long a hint rules a replica out. After it the replica
 	// is tried again.
 	hintLife = time.Second
@@ -68,10 +71,10 @@
 		return refuse(errkind.NoPrimary, ReasonNoPrimary)
 	}
 	if q.Access == config.AccessWrite {
-		return toPrimary(v, ReasonWrite)
+		return toPrimary(now, v, ReasonWrite)
 	}
 	if q.Staleness <= 0 {
-		return toPrimary(v, ReasonCurrentRead)
+		return toPrimary(now, v, ReasonCurrentRead)
 	}
 	var s survey
 	s.take(now, q, v)
@@ -80,7 +83,7 @@
 	}
 	o := s.pick(q.Seed, fit)
 	if overflows(now, q, v, o) {
-		return toPrimary(v, ReasonReplicasBusy)
+		return toPrimary(now, v, ReasonReplicasBusy)
 	}
 	why := ReasonReplicaRemote
 	if o.candidate.Domain == q.Home {
@@ -101,7 +104,7 @@
 
 // fallBack decides for a read that no replica is known to be fit for.
 func fallBack(now time.Duration, q *Query, v *GroupView, s *survey) Decision {
-	d := toPrimary(v, ReasonReplicasStale)
+	d := toPrimary(now, v, ReasonReplicasStale)
 	switch {
 	case s.per[lagging] > 0:
 		o := s.pick(q.Seed, lagging)
@@ -121,15 +124,17 @@
 }
 
 // toPrimary sends the request to the primary, or refuses it.
-func toPrimary(v *GroupView, why Reason) Decision {
+func toPrimary(now time.Duration, v *GroupView, why Reason) Decision {
 	c := v.Find(v.Primary)
 	switch {
 	case v.Primary == "" || c == nil:
 		return refuse(errkind.NoPrimary, ReasonNoPrimary)
-	case c.Leaving:
+	case c.Leaving && now >= c.LeavingAt+leavingPrimary:
 		return refuse(errkind.NoPrimary, ReasonPrimaryLeaving)
 	case !owned(c):
 		return refuse(errkind.NoOwner, ReasonNoOwner)
+	case c.OwnerState == table.HostSuspect:
+		return refuse(errkind.NoOwner, ReasonOwnerSuspect)
 	}
 	return Decision{Instance: c.Instance, Owner: c.Owner, Reason: why}
 }
--- a/internal/system/routing/view.go
+++ b/internal/system/routing/view.go
@@ -20,11 +20,14 @@
 
 // Candidate is one instance of a group as the entry host knows it.
 type Candidate struct {
-	Instance   table.InstanceID
-	Owner      table.HostID // empty when no host owns it
-	Domain     table.Domain
-	Role       table.Role
-	Leaving    bool
+	Instance table.InstanceID
+	Owner    table.HostID // empty when no host owns it
+	Domain   table.Domain
+	Role     table.Role
+	Leaving  bool
+	// LeavingAt is the local moment at which this host heard that the instance
+	// leaves.
+	LeavingAt  time.Duration
 	OwnerState table.HostState
 
 	Hint  Hint
