--- a/internal/config/deployment.go
+++ b/internal/config/deployment.go
@@ -82,7 +82,7 @@
 
 func (r *Route) document(version uint64, limits GroupLimits) *Document {
 	class := Class{
-		Rank: r.Rank, Groups: []table.GroupName{r.Group}, Deadline: r.Timeout, Worth: 1,
+		Rank: r.Rank, Groups: []table.GroupName{r.Group}, Deadline: r.Timeout, Objective: r.Objective, Worth: 1,
 	}
 	writes, reads := class, class
 	writes.Name, writes.Access = ClassName(r.Database, true), AccessWrite
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -42,6 +42,8 @@
 	Staleness time.Duration
 	// Deadline is how long after its arrival an answer is still of use.
 	Deadline time.Duration
+	// Objective is how soon an answer is worth most; zero means none.
+	Objective time.Duration
 	// Worth weighs a timely answer of this class against others.
 	Worth int
 	// RatePerSecond is the arrival rate the class declares; zero means none.
--- a/internal/dbedge/dbedge.go
+++ b/internal/dbedge/dbedge.go
@@ -78,6 +78,10 @@
 	Probe(ctx context.Context, t Target) (Status, error)
 }
 
+// ErrBusy is what a Prober returns when the instance answered that it has no
+// room for the question: it lives, and nothing else is known.
+var ErrBusy = errors.New("the instance is busy")
+
 // ErrTermOver is what a Promoter returns when the instance has seen a higher
 // term, or the same term under another primary.
 var ErrTermOver = errors.New("the term is over at the instance")
--- a/internal/dbedge/stmtedge/stmtedge.go
+++ b/internal/dbedge/stmtedge/stmtedge.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -18,7 +19,7 @@
 const (
 	// keptTimeout bounds a call over a connection kept from an earlier one;
 	// after it the call goes on over a new one.
-	keptTimeout = 120 * time.Millisecond
+	keptTimeout = 100 * time.Millisecond
 	// keptFor is how long a connection that no call uses is kept.
 	keptFor = 2 * time.Second
 	// promotedPoll is the pause between looks whether a promotion took effect.
@@ -127,9 +128,9 @@
 		keptCtx, stop := context.WithTimeout(ctx, keptTimeout)
 		state, err := do(c, keptCtx)
 		stop()
-		if err == nil {
+		if err == nil || errors.Is(err, dbedge.ErrBusy) {
 			e.give(t, c)
-			return statusOf(state), nil
+			return statusOf(state), err
 		}
 		c.Close()
 		if ctx.Err() != nil {
@@ -141,6 +142,10 @@
 		return dbedge.Status{}, fmt.Errorf("connect to %s: %w", t.Instance, err)
 	}
 	state, err := do(c, ctx)
+	if errors.Is(err, dbedge.ErrBusy) {
+		e.give(t, c)
+		return dbedge.Status{}, err
+	}
 	if err != nil {
 		c.Close()
 		return dbedge.Status{}, fmt.Errorf("ask %s: %w", t.Instance, err)
--- a/internal/host/adapter.go
+++ b/internal/host/adapter.go
@@ -80,6 +80,9 @@
 	linkSilence = 600 * time.Millisecond
 	// statementProbe is the interval between probes of an owned instance.
 	statementProbe = 200 * time.Millisecond
+	// statementProbeTimeout is how long one may stay without an answer: instances
+	// answer at once, also that they are busy.
+	statementProbeTimeout = 200 * time.Millisecond
 )
 
 // timing returns the durations of failover on this platform.
@@ -89,6 +92,7 @@
 		return t
 	}
 	t.ExternalTerms = true
+	t.ProbeTimeout = statementProbeTimeout
 	t.PromoteBound, t.PromoteRetry = promoteBound, promoteRetry
 	t.AnnounceSilence = silentAnnouncements * a.AnnounceInterval
 	return t
@@ -134,6 +138,7 @@
 		}
 		cfg.UpstreamFloors = true
 		cfg.Timing.Probe = statementProbe
+		cfg.Timing.ProbeTimeout = statementProbeTimeout
 		cfg.Dial = func(t dbedge.Target, _ table.Epoch) (pool.Dialer, error) {
 			return pool.DialStatements(t, h.adapter.Upstream), nil
 		}
--- a/internal/host/beats.go
+++ b/internal/host/beats.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"sync"
 	"time"
 
@@ -288,7 +289,7 @@
 		Group:     o.Group,
 		Instance:  o.Instance,
 		Witness:   true,
-		Reachable: err == nil,
+		Reachable: err == nil || errors.Is(err, dbedge.ErrBusy),
 		Role:      st.Role,
 		Mark:      st.Mark,
 		TermStart: st.TermStart,
--- a/internal/host/documents.go
+++ b/internal/host/documents.go
@@ -51,6 +51,7 @@
 				Rank:          c.Rank,
 				RatePerSecond: c.RatePerSecond / float64(len(c.Groups)),
 				Weight:        c.Worth,
+				Objective:     c.Objective,
 			})
 		}
 		if !named {
--- a/internal/owner/report.go
+++ b/internal/owner/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/amaranthweir/amaranthweir/internal/dbedge"
@@ -133,7 +134,14 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	h := &in.health
-	changed = !h.probed || h.reachable != (err == nil)
+	changed = !h.probed || h.reachable != (err == nil || errors.Is(err, dbedge.ErrBusy))
+	if errors.Is(err, dbedge.ErrBusy) {
+		if !h.probed {
+			return false // it lives, but what it is must be known first
+		}
+		h.reachable = true
+		return changed
+	}
 	if err != nil {
 		if !h.probed || h.reachable {
 			h.downSince = asked
--- a/internal/pool/statementconn.go
+++ b/internal/pool/statementconn.go
@@ -315,6 +315,9 @@
 	if err != nil {
 		return stmt.State{}, err
 	}
+	if a.Code == stmt.CodeBusy {
+		return stmt.State{}, dbedge.ErrBusy
+	}
 	if a.Code != stmt.CodeNone || len(a.Rows) != 1 {
 		return stmt.State{}, refusedBy(&a)
 	}
--- a/internal/system/admission/admission.go
+++ b/internal/system/admission/admission.go
@@ -21,6 +21,10 @@
 	// RatePerSecond is the part of the class's declared arrival rate that
 	// this instance stands for; zero means none is declared.
 	RatePerSecond float64
+	// Objective is how long after its offer an answer is worth most; zero means
+	// that none is declared. Work that can still meet it goes before work of
+	// its class that cannot.
+	Objective time.Duration
 	// Weight is the share among classes of the rank; values below 1 count as 1.
 	Weight int
 }
@@ -85,6 +89,9 @@
 	if d.Rank >= config.RankCount {
 		return fmt.Errorf("class %q: no rank %d", d.Name, d.Rank)
 	}
+	if d.Objective < 0 {
+		return fmt.Errorf("class %q: objective %v is negative", d.Name, d.Objective)
+	}
 	if !(d.RatePerSecond >= 0) || d.Weight < 0 {
 		return fmt.Errorf("class %q: rate %v or weight %d is negative", d.Name, d.RatePerSecond, d.Weight)
 	}
@@ -144,6 +151,7 @@
 		r.cost = max(r.class.mean, minService)
 	}
 	r.startBy = startLimit(now, r)
+	r.wantedBy = wantedLimit(now, r)
 	if reason, ok := q.refusal(now, r); ok {
 		q.refuse(r, reason)
 		return
--- a/internal/system/admission/class.go
+++ b/internal/system/admission/class.go
@@ -26,6 +26,8 @@
 	rank   config.Rank
 	rate   float64 // declared requests a second, zero when none
 	weight float64
+	// objective is how soon an answer is worth most, zero when none.
+	objective time.Duration
 
 	tokens   float64 // starts that are left within the declared rate
 	tokensAt time.Duration
@@ -57,6 +59,7 @@
 	}
 	c.rate = d.RatePerSecond
 	c.weight = max(1, float64(d.Weight))
+	c.objective = d.Objective
 }
 
 // refill adds the tokens that the declared rate gave since the last call.
@@ -129,14 +132,33 @@
 	}
 }
 
-// first returns the request whose turn it is, nil when none is queued.
-func (c *class) first() *Request {
+// first returns the request whose turn it is, nil when none is queued. While
+// the class has more work than slots, first come, first served would answer all
+// of it late: the caller whose turn it is goes on waiting once its objective is
+// missed, as long as another one's can be met.
+func (c *class) first(now time.Duration) *Request {
 	if len(c.active) == 0 {
 		return nil
 	}
-	return c.active[0].queue.head
+	turn := c.active[0].queue.head
+	if !turn.missed(now) {
+		return turn
+	}
+	var best *caller
+	for _, k := range c.active {
+		if !k.queue.head.missed(now) && (best == nil || k.before(best)) {
+			best = k
+		}
+	}
+	if best == nil {
+		return turn
+	}
+	return best.queue.head
 }
 
+// missed reports whether a start at now is too late for the objective.
+func (r *Request) missed(now time.Duration) bool { return r.wantedBy > 0 && now > r.wantedBy }
+
 // charge moves the tags of the caller of r on by the cost of r.
 func (c *class) charge(r *Request) {
 	k := r.caller
--- a/internal/system/admission/estimate.go
+++ b/internal/system/admission/estimate.go
@@ -27,6 +27,15 @@
 	return limit
 }
 
+// wantedLimit returns the latest start of r that meets the objective of its
+// class, zero if it has none.
+func wantedLimit(now time.Duration, r *Request) time.Duration {
+	if r.class.objective == 0 {
+		return 0
+	}
+	return max(1, now+r.class.objective-r.cost)
+}
+
 // refusal decides whether r is refused at its offer.
 func (q *Queue) refusal(now time.Duration, r *Request) (Reason, bool) {
 	if r.startBy < now {
--- a/internal/system/admission/rank.go
+++ b/internal/system/admission/rank.go
@@ -131,7 +131,7 @@
 	if best == nil {
 		return nil
 	}
-	return best.first()
+	return best.first(now)
 }
 
 // goesBefore orders classes of one rank.
--- a/internal/system/admission/request.go
+++ b/internal/system/admission/request.go
@@ -33,6 +33,7 @@
 	heapPlace int           // place in the heap of start limits
 	cost      time.Duration // expected service time
 	startBy   time.Duration // latest start that meets the deadline
+	wantedBy  time.Duration // latest start that meets the objective, zero if there is none
 	startedAt time.Duration
 }
 
