Know instances and hosts at once after a change of leader or a full restart

The next one did not know the address of the primary in the cut zone, which does not announce itself any more, so no other host could be asked to look at it, and 3.6 s passed until its silence counted. Hosts found the new leader only by asking one after the other. After a full restart, service waited for the announcements of the instances.

--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -12,6 +12,7 @@
 	ReplaceDeployment *ReplaceDeployment `json:"replace_deployment,omitempty"`
 	BeginTerm         *BeginTerm         `json:"begin_term,omitempty"`
 	SetPrimary        *SetPrimary        `json:"set_primary,omitempty"`
+	NoteInstances     *NoteInstances     `json:"note_instances,omitempty"`
 	AssignOwners      *AssignOwners      `json:"assign_owners,omitempty"`
 	SetKeys           *SetKeys           `json:"set_keys,omitempty"`
 }
@@ -56,6 +57,14 @@
 	LogTerm table.Term `json:"log_term,omitempty"`
 }
 
+// NoteInstances records where instances are reached, and forgets those that are
+// gone, so that control hosts that all restart know them before they announce
+// themselves again. It decides nothing.
+type NoteInstances struct {
+	Known []table.Instance   `json:"known,omitempty"`
+	Gone  []table.InstanceID `json:"gone,omitempty"`
+}
+
 // AssignOwners gives instances to hosts. Each assignment is refused by itself
 // unless its epoch is exactly one above the instance's epoch in force.
 type AssignOwners struct {
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -53,7 +53,7 @@
 // Snapshot returns the whole state as bytes, the same ones for the same state.
 func (s *State) Snapshot() ([]byte, error) {
 	e := s.view.whole()
-	e.History = s.history
+	e.History, e.Instances = s.history, s.view.Instances
 	return json.Marshal(e)
 }
 
@@ -88,6 +88,8 @@
 		return s.beginTerm(c.BeginTerm)
 	case c.SetPrimary != nil:
 		return s.setPrimary(c.SetPrimary)
+	case c.NoteInstances != nil:
+		return s.noteInstances(c.NoteInstances)
 	case c.AssignOwners != nil:
 		return s.assignOwners(c.AssignOwners)
 	case c.SetKeys != nil:
@@ -213,6 +215,22 @@
 	return Result{Revision: s.Revision(), Group: &g}
 }
 
+func (s *State) noteInstances(n *NoteInstances) Result {
+	s.note(changeInstances, "")
+	next := maps.Clone(s.view.Instances)
+	if next == nil {
+		next = map[table.InstanceID]table.Instance{}
+	}
+	for _, in := range n.Known {
+		next[in.ID] = in
+	}
+	for _, id := range n.Gone {
+		delete(next, id)
+	}
+	s.view.Instances = next
+	return Result{Revision: s.Revision()}
+}
+
 func (s *State) assignOwners(a *AssignOwners) Result {
 	r := Result{Refusal: RefusedInvalid}
 	for i, o := range a.Ownerships {
@@ -276,6 +294,8 @@
 		return "begin term"
 	case c.SetPrimary != nil:
 		return "set primary"
+	case c.NoteInstances != nil:
+		return "note instances"
 	case c.AssignOwners != nil:
 		return "assign owners"
 	case c.SetKeys != nil:
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -48,6 +48,9 @@
 	Groups     map[table.GroupName]table.Group
 	Owners     map[table.InstanceID]table.Ownership
 	Keys       Keys
+	// Instances is where instances were reached last. Deltas leave it out: hosts
+	// have the tables of the leader.
+	Instances map[table.InstanceID]table.Instance
 
 	changes []change
 }
@@ -67,6 +70,7 @@
 	changeOwner
 	changeKeys
 	changeDeployment
+	changeInstances
 )
 
 // NewView returns the view of a state in which nothing was changed yet.
@@ -88,8 +92,9 @@
 	Owners     map[table.InstanceID]table.Ownership `json:"owners,omitempty"`
 	Keys       *Keys                                `json:"keys,omitempty"`
 	Deployment *Deployment                          `json:"deployment,omitempty"`
-	// History is only in snapshots of the state.
-	History map[string][]pastVersion `json:"history,omitempty"`
+	// Instances and History are only in snapshots of the state.
+	Instances map[table.InstanceID]table.Instance `json:"instances,omitempty"`
+	History   map[string][]pastVersion            `json:"history,omitempty"`
 }
 
 // EncodeDelta returns, as JSON, what changed after revision since. If the
@@ -157,7 +162,7 @@
 	case e.Revision == v.Revision:
 		return v, nil
 	}
-	next := &View{Revision: e.Revision, Keys: v.Keys, Deployment: v.Deployment}
+	next := &View{Revision: e.Revision, Keys: v.Keys, Deployment: v.Deployment, Instances: e.Instances}
 	if e.Deployment != nil {
 		next.Deployment = *e.Deployment
 	}
--- a/internal/host/act.go
+++ b/internal/host/act.go
@@ -44,9 +44,20 @@
 			"address": in.Address, "leaving": in.Leaving,
 		}).Info("instance announced")
 		l.instanceChanged(in.ID)
+		l.noteInstance(in)
 	}
 }
 
+// noteInstance has it recorded where an instance is reached, unless that is
+// known already.
+func (l *leader) noteInstance(in table.Instance) {
+	in.Mark, in.SeenAt, in.Sequence = table.Mark{}, 0, 0
+	if l.fed.Instances[in.ID] == in {
+		return
+	}
+	l.propose(control.Command{NoteInstances: &control.NoteInstances{Known: []table.Instance{in}}})
+}
+
 // overtaken reports whether an announcement is older than what the leader
 // knows: it was delayed, or its sender is gone and another instance lives at
 // the address.
@@ -84,6 +95,7 @@
 	l.log.WithField("instance", id).Info("instance gone")
 	delete(l.instances, id)
 	l.failover.Forget(id)
+	l.propose(control.Command{NoteInstances: &control.NoteInstances{Gone: []table.InstanceID{id}}})
 	l.version.Number++
 	l.recent = tableLog{forgotten: l.version.Number} // hosts get whole tables
 }
@@ -208,7 +220,7 @@
 	}
 	ctx, stop := context.WithTimeout(l.ctx, nudgeTimeout)
 	defer stop()
-	_ = peer.Call(ctx, l.host.dir.dial, h.PeerAddress, methodNudge, struct{}{}, &struct{}{})
+	_ = peer.Call(ctx, l.host.dir.dial, h.PeerAddress, methodNudge, nudge{Leader: l.host.settings.PeerAddress}, &struct{}{})
 }
 
 // apply hands a document to the replicated log.
--- a/internal/host/backend.go
+++ b/internal/host/backend.go
@@ -149,8 +149,12 @@
 }
 
 // takeNudge answers methodNudge.
-func (h *Host) takeNudge(context.Context, []byte) (any, error) {
-	h.beats.soon()
+func (h *Host) takeNudge(_ context.Context, body []byte) (any, error) {
+	var in nudge
+	if err := json.Unmarshal(body, &in); err != nil {
+		return nil, badMessage(err)
+	}
+	h.beats.nudged(in.Leader)
 	return struct{}{}, nil
 }
 
--- a/internal/host/beats.go
+++ b/internal/host/beats.go
@@ -97,6 +97,17 @@
 	}
 }
 
+// nudged sends the next heartbeat at once to the leader that asked for it. One
+// that no longer leads says who does.
+func (b *beats) nudged(leader string) {
+	b.mu.Lock()
+	if leader != "" {
+		b.leader = leader
+	}
+	b.mu.Unlock()
+	b.soon()
+}
+
 // announce takes an announcement to be passed on.
 func (b *beats) announce(a dbedge.Announcement) {
 	b.mu.Lock()
--- a/internal/host/leader.go
+++ b/internal/host/leader.go
@@ -205,6 +205,23 @@
 	return true
 }
 
+// recall adds the instances that were recorded to those of the tables of an
+// earlier leader, and tells the systems of all of them: a primary that is cut
+// off does not announce itself to this leader, and must be looked at all the
+// same. They count as seen now: probes show soon whether they live.
+func (l *leader) recall(now time.Duration, view *control.View) {
+	for id, in := range view.Instances {
+		if _, known := l.instances[id]; !known {
+			l.instances[id] = in
+		}
+	}
+	for id, in := range l.instances {
+		in.SeenAt = now
+		l.instances[id] = in
+		l.failover.Announced(in)
+	}
+}
+
 func (l *leader) stepDown() {
 	l.leading = false
 	l.grantor.StepDown()
@@ -231,6 +248,7 @@
 		l.instances[in.ID] = in
 	}
 	view := l.server.View()
+	l.recall(now, view)
 	owners := map[table.HostID]struct{}{}
 	for _, o := range view.Owners {
 		owners[o.Host] = struct{}{}
@@ -239,7 +257,13 @@
 	l.grantor.Lead(now, until, slices.Collect(maps.Keys(owners)))
 	l.failover.Lead(now, number)
 	l.ownership.Lead(now)
+	for _, in := range l.instances {
+		l.ownership.Announced(in)
+	}
 	l.log.WithField("revision", view.Revision).Info("leadership begins")
+	for id := range l.hosts {
+		go l.nudge(id)
+	}
 }
 
 // feed gives the systems what changed in the agreed state.
@@ -334,6 +358,7 @@
 		l.announced(now, a)
 	}
 	if !overtaken {
+		l.logWitnesses(hb)
 		l.failover.Reported(now, hb.Host, hb.Reports)
 	}
 	for _, r := range hb.Released {
@@ -346,6 +371,17 @@
 	return reply
 }
 
+// logWitnesses logs what hosts found that were asked to look at a primary.
+func (l *leader) logWitnesses(hb *heartbeat) {
+	for _, r := range hb.Reports {
+		if r.Witness {
+			l.log.WithFields(logrus.Fields{
+				"host": hb.Host, "instance": r.Instance, "group": r.Group, "reachable": r.Reachable,
+			}).Info("witness")
+		}
+	}
+}
+
 // answer fills in what the host does not have yet.
 func (l *leader) answer(now time.Duration, hb *heartbeat, reply *heartbeatReply) {
 	reply.Stamp = l.failover.Stamp(now)
--- a/internal/host/wire.go
+++ b/internal/host/wire.go
@@ -46,6 +46,12 @@
 	Released []table.Ownership
 }
 
+// nudge asks a host to send its heartbeat at once.
+type nudge struct {
+	// Leader is where: the peer address of the host that asks for it.
+	Leader string
+}
+
 // tablesVersion numbers the tables of one leadership.
 type tablesVersion struct {
 	Leadership uint64
