--- /dev/null
+++ b/internal/pool/statementconn_test.go
@@ -0,0 +1,173 @@
+package pool
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthweir/amaranthweir/internal/dbedge"
+	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/request"
+	"github.com/amaranthweir/amaranthweir/internal/stmt"
+	"github.com/amaranthweir/amaranthweir/internal/stmt/stmttest"
+	"github.com/amaranthweir/amaranthweir/internal/table"
+	"github.com/amaranthweir/amaranthweir/standin/typed"
+)
+
+// startGroup returns a primary and a replica of the group "g".
+func startGroup(t *testing.T) (g *typed.Group, primary, replica *typed.Instance) {
+	t.Helper()
+	g = typed.NewGroup("g", stmttest.Codec{})
+	t.Cleanup(g.Close)
+	var err error
+	primary, err = g.Add("g-1", "127.0.0.1:0")
+	assert.NilError(t, err)
+	replica, err = g.Add("g-2", "127.0.0.1:0")
+	assert.NilError(t, err)
+	return g, primary, replica
+}
+
+func target(in *typed.Instance) dbedge.Target {
+	return dbedge.Target{Group: "g", Instance: in.ID, Address: in.Address}
+}
+
+func openStatements(t *testing.T, in *typed.Instance) *StatementConn {
+	t.Helper()
+	ctx, stop := context.WithTimeout(t.Context(), patience)
+	defer stop()
+	c, err := OpenStatements(ctx, target(in), stmttest.Codec{})
+	assert.NilError(t, err)
+	t.Cleanup(c.Close)
+	c.reader.progress = patience
+	return c
+}
+
+// do runs one statement and returns its answer.
+func do(t *testing.T, c Conn, s stmt.Statement, change func(*Exchange, *stmt.Unit)) (stmt.Answer, Outcome, error) {
+	t.Helper()
+	u := stmt.Unit{Statement: s, Writes: s.Kind == stmt.Write}
+	var got []byte
+	x := &Exchange{Pass: func(p []byte) error { got = append(got, p...); return nil }}
+	if change != nil {
+		change(x, &u)
+	}
+	x.Messages = stmt.AppendUnit(nil, &u)
+	out, err := c.Run(t.Context(), time.Now().Add(patience), x)
+	if err != nil || got == nil {
+		return stmt.Answer{}, out, err
+	}
+	a, parseErr := stmt.ParseAnswer(got)
+	assert.NilError(t, parseErr)
+	return a, out, nil
+}
+
+func readItem(item string) stmt.Statement {
+	return stmt.Statement{Kind: stmt.Read, ID: "r-" + item, Text: "READ " + item}
+}
+
+func writeItem(id, item, data string) stmt.Statement {
+	return stmt.Statement{Kind: stmt.Write, ID: id, Text: "WRITE " + item + " " + data}
+}
+
+func TestStatementsRunAndTellThePosition(t *testing.T) {
+	_, primary, _ := startGroup(t)
+	c := openStatements(t, primary)
+	a, out, err := do(t, c, writeItem("w1", "apron", "red"), nil)
+	assert.NilError(t, err)
+	assert.Assert(t, a.Signature != "" && !out.OnlyRead && out.HasMark)
+	assert.Equal(t, out.Mark, table.Mark{Term: 1, Position: 1})
+	a, out, err = do(t, c, readItem("apron"), nil)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, a.Rows, []string{"red"})
+	assert.Assert(t, out.OnlyRead)
+}
+
+func TestAnotherInstanceAtTheAddress(t *testing.T) {
+	_, primary, _ := startGroup(t)
+	_, err := OpenStatements(t.Context(), dbedge.Target{Group: "g", Instance: "g-9", Address: primary.Address}, stmttest.Codec{})
+	assert.Assert(t, errkind.Is(err, errkind.UpstreamLost), "%v", err)
+	assert.Equal(t, errkind.Of(err).Effect, errkind.NotRun)
+}
+
+// The settings and names of one session are never in force for another.
+func TestSettingsAndNamesFollowTheSession(t *testing.T) {
+	_, primary, _ := startGroup(t)
+	c := openStatements(t, primary)
+	prepare := request.Prepare{Name: "aw1", Parse: stmt.AppendPrepared(nil, "q1", false)}
+	with := func(settings ...string) func(*Exchange, *stmt.Unit) {
+		return func(x *Exchange, _ *stmt.Unit) { x.Settings = settings }
+	}
+	a, _, err := do(t, c, readItem("x"), with("suffix one"))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, a.Rows, []string{"one"})
+	a, _, err = do(t, c, readItem("x"), with("suffix two", "other v"))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, a.Rows, []string{"two"})
+	execute := stmt.Statement{Kind: stmt.Execute, ID: "e", Text: "EXECUTE mine x", Name: "aw1", Value: "x"}
+	for range 2 {
+		a, _, err = do(t, c, execute, func(x *Exchange, _ *stmt.Unit) { x.Prepares = []request.Prepare{prepare} })
+		assert.NilError(t, err)
+		assert.DeepEqual(t, a.Rows, []string{""}) // no setting is left
+	}
+}
+
+// A statement is never sent where its transaction could not be opened.
+func TestNothingRunsOutsideOfItsTransaction(t *testing.T) {
+	g, _, replica := startGroup(t)
+	c := openStatements(t, replica)
+	opens := func(_ *Exchange, u *stmt.Unit) { u.Opens = stmt.Begin }
+	_, out, err := do(t, c, writeItem("w1", "apron", "red"), opens)
+	assert.Assert(t, errkind.Is(err, errkind.NoPrimary), "%v", err)
+	assert.Equal(t, errkind.Of(err).Effect, errkind.NotRun)
+	assert.Assert(t, out.Clean, "the connection is as good as before")
+	assert.Equal(t, g.Runs("w1"), 0)
+}
+
+func TestLaggingReplicaHasNotRunIt(t *testing.T) {
+	g, primary, replica := startGroup(t)
+	g.Lag = time.Hour
+	c := openStatements(t, replica)
+	_, _, err := do(t, openStatements(t, primary), writeItem("w1", "apron", "red"), nil)
+	assert.NilError(t, err)
+	floor := func(x *Exchange, _ *stmt.Unit) { x.Floor, x.HasFloor = table.Mark{Term: 1, Position: 1}, true }
+	_, out, err := do(t, c, readItem("apron"), floor)
+	assert.Assert(t, errkind.Is(err, errkind.StalenessUnprovable), "%v", err)
+	assert.Assert(t, out.Clean)
+	assert.Equal(t, g.Runs("r-apron"), 0)
+	_, _, err = do(t, c, readItem("apron"), nil)
+	assert.NilError(t, err)
+}
+
+func TestResetRollsBack(t *testing.T) {
+	g, primary, _ := startGroup(t)
+	c := openStatements(t, primary)
+	_, out, err := do(t, c, writeItem("w1", "apron", "red"), func(_ *Exchange, u *stmt.Unit) { u.Opens = stmt.Begin })
+	assert.NilError(t, err)
+	assert.Equal(t, out.TxStatus, request.TxOpen)
+	assert.Assert(t, !c.reusable())
+	assert.Assert(t, c.Reset(t.Context()))
+	assert.Equal(t, g.Kept("w1"), 0)
+}
+
+func TestLostAnswerOfAWriteIsUnknown(t *testing.T) {
+	g, primary, _ := startGroup(t)
+	c := openStatements(t, primary)
+	primary.LoseAnswers(1)
+	_, _, err := do(t, c, writeItem("w1", "apron", "red"), nil)
+	assert.Assert(t, errkind.Is(err, errkind.UpstreamLost), "%v", err)
+	assert.Equal(t, errkind.Of(err).Effect, errkind.Unknown)
+	assert.Equal(t, g.Kept("w1"), 1)
+	assert.Assert(t, !c.Reset(t.Context()))
+}
+
+func TestBusyInstanceHasNotRunIt(t *testing.T) {
+	_, primary, _ := startGroup(t)
+	c := openStatements(t, primary)
+	primary.RefuseBusy(1)
+	_, out, err := do(t, c, readItem("apron"), nil)
+	assert.Assert(t, errkind.Is(err, errkind.UpstreamBusy), "%v", err)
+	assert.Equal(t, errkind.Of(err).Effect, errkind.NotRun)
+	assert.Assert(t, out.Clean)
+}
