--- a/standin/typed/group.go
+++ b/standin/typed/group.go
@@ -156,6 +156,13 @@
 	in.group.changed.Broadcast()
 }
 
+// Up reports whether the instance runs.
+func (in *Instance) Up() bool {
+	in.group.mu.Lock()
+	defer in.group.mu.Unlock()
+	return in.up
+}
+
 // Role returns the role as the instance sees itself.
 func (in *Instance) Role() table.Role {
 	in.group.mu.Lock()
