--- a/internal/host/adapter.go
+++ b/internal/host/adapter.go
@@ -72,6 +72,10 @@
 	// take up to about a second for one.
 	promoteBound = 4 * time.Second
 	promoteRetry = 1500 * time.Millisecond
+	// beatInterval and lateAfter let a cut be noticed soon: callers wait for another
+	// primary meanwhile.
+	beatInterval = 130 * time.Millisecond
+	lateAfter    = 290 * time.Millisecond
 	// silentAnnouncements is how many announcements in a row an instance may
 	// miss before it counts as silent.
 	silentAnnouncements = 3
@@ -93,6 +97,7 @@
 	}
 	t.ExternalTerms = true
 	t.ProbeTimeout = statementProbeTimeout
+	t.Lease.Heartbeat, t.Lease.LateAfter = beatInterval, lateAfter
 	t.PromoteBound, t.PromoteRetry = promoteBound, promoteRetry
 	t.AnnounceSilence = silentAnnouncements * a.AnnounceInterval
 	return t
--- a/internal/host/deployment.go
+++ b/internal/host/deployment.go
@@ -14,7 +14,7 @@
 
 // cutOffAfter is for how long a host may hear no control leader before the
 // balancer shall send its callers elsewhere.
-const cutOffAfter = 900 * time.Millisecond
+const cutOffAfter = 600 * time.Millisecond
 
 // parsed reads a deployment that was checked before it was agreed; nil where
 // there is none, or none that this host can read.
@@ -74,7 +74,7 @@
 
 // isolatedAfter is for how long a host must have heard no control leader to
 // count as isolated: longer than a change of leader takes as a rule.
-const isolatedAfter = 700 * time.Millisecond
+const isolatedAfter = 600 * time.Millisecond
 
 // knowsConfiguration reports whether this host has heard of a configuration.
 func (h *Host) knowsConfiguration() bool {
@@ -105,7 +105,7 @@
 const (
 	// retireAfter is for how long a host must not have been ready before its
 	// callers are ended.
-	retireAfter = 2500 * time.Millisecond
+	retireAfter = 1200 * time.Millisecond
 	// isolationPoll is how often a host looks whether it is isolated.
 	isolationPoll = 250 * time.Millisecond
 )
