Write between two syncs at most once, so that a torn write is the end of the log

The commit index was written without a sync, several times between two syncs, and a power loss may tear one such write and keep a later one. What need not be durable yet now stays in memory until the next synced write. Ruled out: damage of synced data (offset beyond the last sync).

TestWithoutSyncNothingIsWritten failed first.

--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -263,7 +263,13 @@
 	l.buffer = appendRecord(l.buffer, kind, payload)
 }
 
+// flush writes what is buffered and makes it durable. Without sync it stays in
+// memory: between two syncs there is at most one write, so a power loss can
+// only tear the end of the file.
 func (l *Log) flush(sync bool) error {
+	if !sync {
+		return nil
+	}
 	if len(l.buffer) > 0 {
 		n, err := l.file.Write(l.buffer)
 		l.size += n
@@ -272,15 +278,12 @@
 			return err
 		}
 	}
-	if !sync {
-		return nil
-	}
 	return l.file.Sync()
 }
 
 // cut ends the open segment and begins the next one with the hard state.
 func (l *Log) cut() error {
-	if err := errors.Join(l.file.Sync(), l.file.Close()); err != nil {
+	if err := errors.Join(l.flush(true), l.file.Close()); err != nil {
 		return err
 	}
 	return l.addSegment(l.segments[len(l.segments)-1].number + 1)
