--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -124,6 +124,9 @@
 		return
 	}
 	for _, id := range r.node.Members().Learners {
+		if r.cfg.Open && !r.wantsVoter() {
+			break
+		}
 		if r.change(consensus.PromoteLearner, id) {
 			return
 		}
@@ -153,6 +156,23 @@
 	silentTimeouts = 6
 )
 
+// wantsVoter reports whether a learner of an open membership shall become a
+// voter. The number of voters is kept odd: when the control hosts are cut into
+// two halves, one of them then has a majority. A learner that is left over
+// stands by for a voter that falls silent.
+func (r *replica) wantsVoter() bool {
+	members := r.node.Members()
+	if len(members.Voters)%2 == 0 || len(members.Learners) > 1 {
+		return true
+	}
+	for _, id := range members.Voters {
+		if id != r.id && r.node.Unheard(id) >= uint64(silentTimeouts*r.cfg.ElectionTicks) {
+			return true
+		}
+	}
+	return false
+}
+
 // dropSilentVoter removes a voter of an open membership that has been silent
 // for long, so that hosts that never come back do not count for a quorum. The
 // others must be enough to bear a further loss.
