--- a/cmd/amaranthweir/deployment_test.go
+++ b/cmd/amaranthweir/deployment_test.go
@@ -68,6 +68,7 @@
 func (d *deployment) control(n int) string {
 	return fmt.Sprintf("127.0.1.%d:%s", n+1, d.ports["calls"])
 }
+
 func (d *deployment) entry(n int) string {
 	return fmt.Sprintf("127.0.2.%d:%s", n+1, d.ports["callers"])
 }
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -80,9 +80,7 @@
 		if err != nil && !errors.As(err, &malformed) {
 			return // it left, or breaks the protocol
 		}
-		if !s.start() {
-			return
-		}
+		s.start()
 		var a stmt.Answer
 		if malformed != nil {
 			a = failed(stmt.CodeMalformed, malformed.Reason)
@@ -139,13 +137,12 @@
 	return err
 }
 
-// start marks the session as busy; it fails once the session is ending and
-// outside of a transaction.
-func (s *session) start() bool {
+// start marks the session as busy. A statement that arrived is answered, also
+// where the session is ending.
+func (s *session) start() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.busy = true
-	return true
 }
 
 // finish marks the session as idle and reports whether it has to end.
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -48,6 +48,7 @@
 func (f *fakeAuthority) Term(table.GroupName, table.InstanceID) (table.Term, bool) {
 	return 1, f.primary
 }
+
 func (f *fakeAuthority) LogTerm(g table.GroupName, id table.InstanceID) (table.Term, bool) {
 	return f.Term(g, id)
 }
--- a/internal/owner/report.go
+++ b/internal/owner/report.go
@@ -133,43 +133,65 @@
 	}
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	h := &in.health
-	changed = !h.probed || h.reachable != (err == nil || errors.Is(err, dbedge.ErrBusy))
-	if errors.Is(err, dbedge.ErrBusy) {
-		if !h.probed {
-			return false // it lives, but what it is must be known first
-		}
-		h.reachable = true
-		return changed
-	}
-	if err != nil {
-		if !h.probed || h.reachable {
-			h.downSince = asked
-		}
-		h.probed, h.reachable = true, false
-		if changed {
-			in.log.WithError(err).Warn("probe failed")
-		}
-		return changed
+	switch {
+	case errors.Is(err, dbedge.ErrBusy):
+		return in.noteBusy()
+	case err != nil:
+		return in.noteMissed(asked, err)
 	}
+	h := &in.health
+	changed = !h.probed || !h.reachable
 	h.probed, h.reachable = true, true
 	h.status, h.after, h.quiesced = st, stamp, 0
 	if quiet == in.gate.quiet() {
 		h.quiesced = quiet
 	}
 	in.age.observeReplica(asked, st)
-	if st.Role == table.RolePrimary && in.seen.Less(st.Mark) {
-		in.seen = st.Mark
+	in.noteStatus(st)
+	if changed {
+		in.log.WithField("role", st.Role.String()).Info("probe succeeded")
 	}
-	if st.Role == table.RolePrimary && (!h.ackedSet || h.acked.Term < st.Mark.Term) {
-		h.acked, h.ackedSet = st.Mark, true // covers what earlier owners acknowledged
+	return changed
+}
+
+// noteBusy notes that the instance answered that it has no room: it lives. What
+// it is must be known from an earlier probe. It runs under the lock.
+func (in *instance) noteBusy() (changed bool) {
+	h := &in.health
+	if !h.probed {
+		return false
 	}
+	changed = !h.reachable
+	h.reachable = true
+	return changed
+}
+
+// noteMissed notes a probe without an answer. It runs under the lock.
+func (in *instance) noteMissed(asked time.Time, err error) (changed bool) {
+	h := &in.health
+	changed = !h.probed || h.reachable
 	if changed {
-		in.log.WithField("role", st.Role.String()).Info("probe succeeded")
+		h.downSince = asked
+		in.log.WithError(err).Warn("probe failed")
 	}
+	h.probed, h.reachable = true, false
 	return changed
 }
 
+// noteStatus takes what a primary says of its log. It runs under the lock.
+func (in *instance) noteStatus(st dbedge.Status) {
+	if st.Role != table.RolePrimary {
+		return
+	}
+	if in.seen.Less(st.Mark) {
+		in.seen = st.Mark
+	}
+	h := &in.health
+	if !h.ackedSet || h.acked.Term < st.Mark.Term {
+		h.acked, h.ackedSet = st.Mark, true // covers what earlier owners acknowledged
+	}
+}
+
 // raiseAcked notes that writes up to m are about to be acknowledged.
 func (in *instance) raiseAcked(m table.Mark) {
 	in.mu.Lock()
--- a/standin/typed/session.go
+++ b/standin/typed/session.go
@@ -113,45 +113,81 @@
 		s.in.busy--
 		return refusal(stmt.CodeBusy, s.in), true
 	}
+	if a, done := s.command(st); done {
+		return a, true
+	}
+	if a, done := s.arrange(st); done {
+		return a, true
+	}
+	switch {
+	case s.failed:
+		return refusal(stmt.CodeMalformed, s.in), true
+	case floor != nil && s.in.lacks(*floor):
+		return s.fail(stmt.CodeLagging), true
+	}
+	return s.work(st)
+}
+
+// command carries out what the proxy asks of the instance itself.
+func (s *session) command(st *stmt.Statement) (a stmt.Answer, done bool) {
+	in := s.in
 	switch st.Kind {
 	case stmt.Status:
-		return s.status(), true
 	case stmt.Pause:
-		if st.Term > g.term && s.in.role == table.RoleReplica {
-			s.in.held = st.Term
+		if st.Term > in.group.term && in.role == table.RoleReplica {
+			in.held = st.Term
 		}
-		return s.status(), true
 	case stmt.Resume:
-		s.in.held = 0
-		s.in.receiveAll()
-		return s.status(), true
+		in.held = 0
+		in.receiveAll()
 	case stmt.StepDown:
-		if s.in.role == table.RolePrimary && s.in.term < st.Term {
-			s.in.role, s.in.term = table.RoleReplica, g.term
-			s.in.follow()
+		if in.role == table.RolePrimary && in.term < st.Term {
+			in.role, in.term = table.RoleReplica, in.group.term
+			in.follow()
 		}
-		return s.status(), true
+	default:
+		return stmt.Answer{}, false
+	}
+	return s.status(), true
+}
+
+// arrange carries out what changes the session only.
+func (s *session) arrange(st *stmt.Statement) (a stmt.Answer, done bool) {
+	switch st.Kind {
 	case stmt.Discard:
 		clear(s.settings)
 		clear(s.prepared)
-		return stmt.Answer{}, true
 	case stmt.Set:
 		s.settings[st.Name] = st.Value
-		return stmt.Answer{}, true
 	case stmt.Prepare:
 		s.prepared[st.Name] = *st
-		return stmt.Answer{}, true
 	case stmt.Rollback:
 		s.tx, s.failed = nil, false
-		return stmt.Answer{}, true
-	}
-	if s.failed {
-		return refusal(stmt.CodeMalformed, s.in), true
+	default:
+		return stmt.Answer{}, false
 	}
-	if floor != nil && s.in.lacks(*floor) {
-		return s.fail(stmt.CodeLagging), true
+	return stmt.Answer{}, true
+}
+
+// access is what a statement reads or writes.
+type access struct {
+	writes     bool
+	item, data string
+}
+
+// access resolves a prepared name; it is false where the name is not known.
+func (s *session) access(st *stmt.Statement) (access, bool) {
+	_, arguments, _ := strings.Cut(st.Text, " ")
+	a := access{writes: st.Kind == stmt.Write}
+	if st.Kind == stmt.Execute {
+		p, ok := s.prepared[st.Name]
+		if !ok {
+			return a, false
+		}
+		a.writes, arguments = p.Writes, st.Value
 	}
-	return s.work(st)
+	a.item, a.data, _ = strings.Cut(arguments, " ")
+	return a, true
 }
 
 // work runs what a caller asked for. It runs under the lock.
@@ -162,20 +198,12 @@
 		time.Sleep(d)
 		g.mu.Lock()
 	}
-	writes := st.Kind == stmt.Write
-	item, data, _ := strings.Cut(st.Text, " ")
-	item, data, _ = strings.Cut(data, " ")
-	if st.Kind == stmt.Execute {
-		p, ok := s.prepared[st.Name]
-		if !ok {
-			return s.fail(stmt.CodeNoStatement), true
-		}
-		writes = p.Writes
-		item, data, _ = strings.Cut(st.Value, " ")
-	}
+	what, known := s.access(st)
 	replica := s.in.role == table.RoleReplica
 	switch {
-	case st.Kind == stmt.Begin && replica, writes && (replica || s.tx != nil && s.tx.readOnly):
+	case !known:
+		return s.fail(stmt.CodeNoStatement), true
+	case replica && (st.Kind == stmt.Begin || what.writes), what.writes && s.tx != nil && s.tx.readOnly:
 		return s.fail(stmt.CodeReadOnly), true
 	case st.Kind == stmt.Begin || st.Kind == stmt.BeginRead:
 		s.tx = &tx{readOnly: st.Kind == stmt.BeginRead}
@@ -184,18 +212,24 @@
 		return refusal(stmt.CodeMalformed, s.in), true
 	}
 	g.runs[st.ID]++
+	return s.perform(st, what)
+}
+
+// perform runs a statement that nothing speaks against.
+func (s *session) perform(st *stmt.Statement, what access) (stmt.Answer, bool) {
 	a := stmt.Answer{Signature: string(s.in.ID) + "." + strconv.Itoa(len(s.in.log))}
+	one := write{what.item, what.data, st.ID}
 	switch {
-	case writes && s.tx != nil:
-		s.tx.writes = append(s.tx.writes, write{item, data, st.ID})
-	case writes:
-		return a, s.commit([]write{{item, data, st.ID}})
+	case what.writes && s.tx != nil:
+		s.tx.writes = append(s.tx.writes, one)
+	case what.writes:
+		return a, s.commit([]write{one})
 	case st.Kind == stmt.Commit:
 		done := s.tx.writes
 		s.tx = nil
 		return a, len(done) == 0 || s.commit(done)
 	default:
-		a.Rows = []string{s.in.value(item, s.settings["suffix"])}
+		a.Rows = []string{s.in.value(what.item, s.settings["suffix"])}
 	}
 	return a, true
 }
