--- a/cmd/amaranthweir/platform.go
+++ b/cmd/amaranthweir/platform.go
@@ -14,6 +14,7 @@
 
 	"github.com/amaranthweir/amaranthweir/internal/dbedge/stmtedge"
 	"github.com/amaranthweir/amaranthweir/internal/host"
+	"github.com/amaranthweir/amaranthweir/internal/logsink"
 	"github.com/amaranthweir/amaranthweir/platform"
 )
 
@@ -40,6 +41,8 @@
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(s.MemoryBytes * memoryShare / 100)
 	}
+	log := logsink.New(os.Stdout)
+	defer log.Close()
 	requester := platform.NewPromotions(s.PromotionsAddress, s.Name)
 	h, err := host.NewAdapted(&s.Host, &host.Adapter{
 		Edge:             stmtedge.New(platform.Lines{}, requester),
@@ -49,6 +52,7 @@
 		CallsAddress:     s.CallsAddress,
 		Calls:            callsOf(s),
 		AnnounceInterval: s.HeartbeatInterval,
+		Log:              log,
 		NotReadyPause:    notReadyPause,
 		ShutdownBound:    s.ShutdownBound - shutdownMargin,
 		Join:             file.join,
--- a/internal/host/adapter.go
+++ b/internal/host/adapter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -49,6 +50,8 @@
 	Calls        func(b *Backend) http.Handler
 	// AnnounceInterval is how often instances announce themselves.
 	AnnounceInterval time.Duration
+	// Log takes the log lines.
+	Log io.Writer
 	// NotReadyPause is how long the balancer takes to see that a host is not
 	// ready; ShutdownBound bounds a whole shutdown.
 	NotReadyPause time.Duration
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -67,6 +67,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if a != nil {
+		log.SetOutput(a.Log)
+	}
 	h := &Host{
 		settings:    s,
 		adapter:     a,
