--- a/internal/front/listener.go
+++ b/internal/front/listener.go
@@ -60,7 +60,7 @@
 	mu       sync.Mutex
 	sessions map[*session]struct{}
 	ending   bool
-	retiring bool // sessions end after their next answer
+	retiring bool // sessions end at a good moment
 	work     sync.WaitGroup
 }
 
@@ -163,7 +163,7 @@
 		return false
 	}
 	l.sessions[s] = struct{}{}
-	s.retire(l.retiring, false)
+	s.retire(l.retiring, time.Now())
 	if l.ending {
 		s.end()
 	}
@@ -176,14 +176,15 @@
 	delete(l.sessions, s)
 }
 
-// Retire makes each session end after its next answer outside of a transaction,
-// and idle ones at once if idle is set; or, with on unset, ends that again.
-func (l *Listener) Retire(on, idle bool) {
+// Retire makes sessions end at a good moment, see session.retire, or, with on
+// unset, ends that again. It is called at intervals.
+func (l *Listener) Retire(on bool) {
+	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.retiring = on
 	for s := range l.sessions {
-		s.retire(on, idle)
+		s.retire(on, now)
 	}
 }
 
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -27,6 +27,9 @@
 	nameBytes = 10
 	// keptOutBytes is the largest answer buffer that an idle session keeps.
 	keptOutBytes = 4 << 10
+	// retireIdle is how long a session must have been idle to be ended: a caller
+	// at work sends its next statement sooner.
+	retireIdle = 300 * time.Millisecond
 )
 
 // prepared is what a name of the session stands for.
@@ -61,13 +64,14 @@
 	mu     sync.Mutex
 	busy   bool
 	ending bool
-	// retiring is set while the session ends after its next answer.
-	retiring bool
+	// retiring is set while the session ends at the next good moment.
+	retiring  bool
+	idleSince time.Time
 }
 
 func newSession(l *Listener, nc net.Conn, in *bufio.Reader, gate *gateway.Session, database string) *session {
 	return &session{
-		listener: l, net: nc, in: in, gate: gate, status: request.TxIdle,
+		listener: l, net: nc, in: in, gate: gate, status: request.TxIdle, idleSince: time.Now(),
 		database: database, reads: config.ClassName(database, false), writes: config.ClassName(database, true),
 	}
 }
@@ -93,7 +97,7 @@
 		if cap(s.out) > keptOutBytes {
 			s.out = nil
 		}
-		if s.finish() || err != nil {
+		if s.finish(a.Code != stmt.CodeNone) || err != nil {
 			return
 		}
 	}
@@ -146,19 +150,22 @@
 }
 
 // finish marks the session as idle and reports whether it has to end.
-func (s *session) finish() (end bool) {
+func (s *session) finish(refused bool) (end bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.busy = s.status != request.TxIdle
-	return (s.ending || s.retiring) && !s.busy
+	s.idleSince = time.Now()
+	return (s.ending || s.retiring && refused) && !s.busy
 }
 
-// retire makes the session end after its next answer, or not any more.
-func (s *session) retire(on, idle bool) {
+// retire makes the session end where no statement of its caller can be on its
+// way: after a refusal, which sends the caller elsewhere, or once it has been
+// idle for a while.
+func (s *session) retire(on bool, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.retiring = on
-	if on && idle && !s.busy {
+	if on && !s.busy && now.Sub(s.idleSince) >= retireIdle {
 		s.ending = true
 		_ = s.net.SetReadDeadline(pastDeadline)
 	}
--- a/internal/host/deployment.go
+++ b/internal/host/deployment.go
@@ -112,9 +112,9 @@
 
 // retirer is a listener that can end its callers one by one.
 type retirer interface {
-	// Retire ends each caller after its next answer, and idle ones with it; or
-	// ends that again.
-	Retire(on, idle bool)
+	// Retire ends callers where no statement of theirs can be on its way, or
+	// ends that again. It is called at intervals.
+	Retire(on bool)
 }
 
 // watchIsolation ends the callers of a host that is cut off from the control
@@ -139,7 +139,10 @@
 		if cut != retired {
 			retired = cut
 			h.log.WithField("cut_off", cut).Warn("callers are sent elsewhere")
-			callers.Retire(cut, cut)
+			callers.Retire(cut)
+		}
+		if retired {
+			callers.Retire(true)
 		}
 	}
 }
--- a/internal/host/reconcile.go
+++ b/internal/host/reconcile.go
@@ -15,8 +15,8 @@
 	// notReadyPause gives the balancer time to see that this host is not
 	// ready before it refuses callers.
 	notReadyPause = 500 * time.Millisecond
-	// retirePause is for how long callers are ended only after an answer: then
-	// none has a request under way.
+	// retirePause is for how long callers are ended only where they have no
+	// request under way.
 	retirePause = 1500 * time.Millisecond
 	// lingerBeats is for how many heartbeats a host whose instances were handed
 	// over goes on answering other hosts, which may not have heard of it yet.
@@ -66,13 +66,7 @@
 	case <-ctx.Done():
 	case <-time.After(h.notReadyPause()):
 	}
-	if callers, ok := h.callers.(retirer); ok {
-		callers.Retire(true, false)
-		select {
-		case <-ctx.Done():
-		case <-time.After(retirePause):
-		}
-	}
+	h.retireCallers(ctx)
 	for _, left := range h.callers.Drain(ctx) {
 		h.log.WithField("left", left).Warn("shutting down: not finished")
 	}
@@ -100,6 +94,25 @@
 	return notReadyPause
 }
 
+// retireCallers ends callers at good moments for a while.
+func (h *Host) retireCallers(ctx context.Context) {
+	callers, ok := h.callers.(retirer)
+	if !ok {
+		return
+	}
+	ctx, stop := context.WithTimeout(ctx, retirePause)
+	defer stop()
+	tick := time.NewTicker(drainPoll)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		callers.Retire(true)
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+		}
+	}
+}
+
 // Abandon names what a host that has to end at once leaves unfinished.
 func (h *Host) Abandon() {
 	for _, left := range h.callers.Left() {
