--- a/internal/api/errors.go
+++ b/internal/api/errors.go
@@ -88,8 +88,6 @@
 	errkind.TxAborted:           http.StatusConflict,
 	errkind.IdleInTransaction:   http.StatusConflict,
 	errkind.UpstreamBusy:        http.StatusServiceUnavailable,
-	errkind.UpstreamFailed:      http.StatusBadGateway,
-	errkind.StatementTimeout:    http.StatusGatewayTimeout,
 }
 
 // describe returns the HTTP status and the body for err.
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -38,8 +38,6 @@
 	TxAborted
 	IdleInTransaction
 	UpstreamBusy
-	UpstreamFailed
-	StatementTimeout
 	kindCount
 )
 
@@ -102,8 +100,6 @@
 	NoQuorum:            {"no_quorum", "57P06", "no majority of the control hosts answers", Unknown, true},
 	IdleInTransaction:   {"idle_in_transaction", "25P03", "the transaction was idle for too long", NotRun, false},
 	UpstreamBusy:        {"upstream_busy", "53300", "the upstream has no room for the statement", NotRun, true},
-	UpstreamFailed:      {"upstream_failed", "58000", "the upstream failed while it ran the statement", Unknown, true},
-	StatementTimeout:    {"statement_timeout", "57014", "the statement took longer than its class allows", Unknown, true},
 	TxAborted:           {"transaction_aborted", "25P02", "the current transaction is aborted", NotRun, false},
 }
 
--- a/internal/front/listener.go
+++ b/internal/front/listener.go
@@ -15,6 +15,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/amaranthweir/amaranthweir/internal/drain"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/gateway"
 	"github.com/amaranthweir/amaranthweir/internal/stmt"
@@ -197,17 +198,10 @@
 		s.end()
 	}
 	l.mu.Unlock()
-	done := make(chan struct{})
-	go func() {
-		l.work.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
+	if drain.Wait(ctx, &l.work) {
 		return nil
-	case <-ctx.Done():
-		return l.Left()
 	}
+	return l.Left()
 }
 
 // Left names the callers that are connected.
--- a/internal/pg/listener.go
+++ b/internal/pg/listener.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/amaranthweir/amaranthweir/internal/auth"
+	"github.com/amaranthweir/amaranthweir/internal/drain"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/gateway"
 	"github.com/amaranthweir/amaranthweir/internal/request"
@@ -336,15 +337,8 @@
 		e.session.end()
 	}
 	l.mu.Unlock()
-	done := make(chan struct{})
-	go func() {
-		l.work.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
+	if drain.Wait(ctx, &l.work) {
 		return nil
-	case <-ctx.Done():
 	}
 	return l.Left()
 }
--- a/internal/pool/statementconn.go
+++ b/internal/pool/statementconn.go
@@ -338,9 +338,6 @@
 	return err == nil && c.reusable()
 }
 
-// Reached returns the mark of the latest answer on the connection.
-func (c *StatementConn) Reached() (table.Mark, bool) { return c.reached, c.hasReached }
-
 // Close ends the connection.
 func (c *StatementConn) Close() { c.close() }
 
