--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -209,6 +209,9 @@
 	if errkind.Is(err, errkind.UpstreamLost) || errkind.Is(err, errkind.NoPrimary) {
 		in.hurry() // it may be gone, or be primary no more
 	}
+	if err == nil || out.Clean {
+		in.heardAt.Store(int64(since(time.Now())))
+	}
 	in.end(e, out, err)
 	e.ticket.release()
 	if err != nil {
--- a/internal/owner/instance.go
+++ b/internal/owner/instance.go
@@ -41,6 +41,10 @@
 	holding  atomic.Bool   // while it is told to receive no more, or again
 	serving  atomic.Bool   // set once connections of earlier owners are closed
 
+	// heardAt is when the instance answered a statement last, in nanoseconds
+	// since the start of the process.
+	heardAt atomic.Int64
+
 	mu     sync.Mutex
 	held   map[request.SessionID]*transaction
 	health health
@@ -125,8 +129,9 @@
 func (in *instance) watch(ctx context.Context) {
 	tick := time.NewTicker(in.cfg.Timing.Probe)
 	defer tick.Stop()
+	asked := true // by an order, or because something failed
 	for {
-		if in.probeOnce(ctx) {
+		if (asked || in.probeDue(time.Now())) && in.probeOnce(ctx) {
 			in.cfg.Changed()
 		}
 		if ctx.Err() != nil {
@@ -143,7 +148,9 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+			asked = false
 		case <-in.probeNow:
+			asked = true
 		}
 	}
 }
--- a/internal/owner/report.go
+++ b/internal/owner/report.go
@@ -13,6 +13,7 @@
 // health is what the probes of an instance showed.
 type health struct {
 	probed    bool
+	probedAt  time.Duration // of the latest probe, since the start of the process
 	reachable bool
 	downSince time.Time // of the first probe that failed
 	status    dbedge.Status
@@ -133,6 +134,7 @@
 	}
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	in.health.probedAt = since(asked)
 	switch {
 	case errors.Is(err, dbedge.ErrBusy):
 		return in.noteBusy()
@@ -154,6 +156,30 @@
 	return changed
 }
 
+// restingProbes is how many intervals pass at most between two probes of an
+// instance that answers statements.
+const restingProbes = 5
+
+// probeDue reports whether an instance is to be probed though nobody asked: a
+// probe costs a slot, and one that answers statements shows that it lives. Only
+// where instances check floors themselves; elsewhere probes tell the age.
+func (in *instance) probeDue(at time.Time) bool {
+	if !in.cfg.UpstreamFloors {
+		return true
+	}
+	now := since(at)
+	in.mu.Lock()
+	h := in.health
+	in.mu.Unlock()
+	heard := time.Duration(in.heardAt.Load())
+	return !h.rests(now, heard, in.cfg.Timing.Probe)
+}
+
+// rests reports whether the next probe can wait.
+func (h *health) rests(now, heard, interval time.Duration) bool {
+	return h.probed && h.reachable && now-heard < interval && now-h.probedAt < restingProbes*interval
+}
+
 // noteBusy notes that the instance answered that it has no room: it lives. What
 // it is must be known from an earlier probe. It runs under the lock.
 func (in *instance) noteBusy() (changed bool) {
