Forget instances that are gone, and what they said before

What a deregistered instance said earlier may arrive later and brought it back; one that was lost without a word counted for ever among those whose positions a change of primary reads; owners went on probing instances that no table lists. TestLateAnnouncements, TestUnlistedInstancesAreGivenUp.

--- a/internal/host/act.go
+++ b/internal/host/act.go
@@ -16,6 +16,9 @@
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
+// maxGone bounds the instances that are remembered as gone.
+const maxGone = 4096
+
 // nudgeTimeout bounds the call that makes a host send a heartbeat at once.
 const nudgeTimeout = 200 * time.Millisecond
 
@@ -65,6 +68,9 @@
 	if in.Sequence == 0 && in.Born == 0 {
 		return false // instances that number nothing
 	}
+	if born, left := l.gone[in.ID]; left && in.Born <= born {
+		return true
+	}
 	if old, known := l.instances[in.ID]; known {
 		if in.Born < old.Born || in.Born == old.Born && in.Sequence != 0 && in.Sequence < old.Sequence {
 			return true
@@ -89,9 +95,14 @@
 
 // forget drops an instance that is gone for good.
 func (l *leader) forget(id table.InstanceID) {
-	if _, known := l.instances[id]; !known {
+	old, known := l.instances[id]
+	if !known {
 		return
 	}
+	if len(l.gone) >= maxGone {
+		clear(l.gone) // they went long ago
+	}
+	l.gone[id] = old.Born
 	l.log.WithField("instance", id).Info("instance gone")
 	delete(l.instances, id)
 	l.failover.Forget(id)
@@ -160,9 +171,9 @@
 	}
 }
 
-// propose hands a command to the replicated log. Its effect comes back through
+// proposeToLog hands a command to the replicated log. Its effect comes back through
 // the view; a command that got lost is proposed again by its system.
-func (l *leader) propose(c control.Command) {
+func (l *leader) proposeToLog(c control.Command) {
 	parent := l.ctx
 	go func() {
 		ctx, stop := context.WithTimeout(parent, proposeTimeout)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -50,6 +50,7 @@
 	leader      *leader // nil on a host that is no control host
 	stopping    chan struct{}
 	reconciling sync.Mutex
+	unlisted    unlistedSince // guarded by reconciling
 
 	callerSocket net.Listener
 	peerSocket   net.Listener
@@ -79,6 +80,7 @@
 		log:         log,
 		metrics:     metrics.New(),
 		stopping:    make(chan struct{}),
+		unlisted:    unlistedSince{},
 	}
 	if err := h.timing.Validate(); err != nil {
 		return nil, err
--- a/internal/host/leader.go
+++ b/internal/host/leader.go
@@ -37,6 +37,7 @@
 	sender    *lateTransport
 	addresses map[table.HostID]string
 	wake      chan struct{}
+	propose   func(c control.Command) // proposeToLog, except in tests
 
 	mu        sync.Mutex
 	leading   bool
@@ -46,14 +47,17 @@
 	fed       *control.View // the control state that the systems have
 	hosts     map[table.HostID]table.Host
 	instances map[table.InstanceID]table.Instance
-	versions  hostVersions
-	waits     map[table.GroupName]string
-	version   tablesVersion
-	recent    tableLog
-	stepPace  pace
-	deltas    deltas
-	whole     *tables // handed out last
-	ctx       context.Context
+	// gone is the start of each instance that went for good: what it said before
+	// may still arrive.
+	gone     map[table.InstanceID]uint64
+	versions hostVersions
+	waits    map[table.GroupName]string
+	version  tablesVersion
+	recent   tableLog
+	stepPace pace
+	deltas   deltas
+	whole    *tables // handed out last
+	ctx      context.Context
 }
 
 // lateTransport is a transport that is set once the host runs.
@@ -84,10 +88,12 @@
 		fed:       control.NewView(),
 		hosts:     map[table.HostID]table.Host{},
 		instances: map[table.InstanceID]table.Instance{},
+		gone:      map[table.InstanceID]uint64{},
 		versions:  newHostVersions(),
 		waits:     map[table.GroupName]string{},
 	}
 	l.failover = failover.New(h.timing, l.grantor)
+	l.propose = l.proposeToLog
 	var voters []table.HostID
 	open := h.settings.Control.Open
 	for _, v := range h.settings.Control.Voters {
--- a/internal/host/reconcile.go
+++ b/internal/host/reconcile.go
@@ -30,9 +30,10 @@
 	h.reconciling.Lock()
 	defer h.reconciling.Unlock()
 	view := h.dir.view.Load()
+	listed := h.listedInstances()
 	for id, epoch := range h.owner.Owned() {
 		o := view.Owners[id]
-		if o.Host != h.settings.Host || o.Epoch != epoch {
+		if o.Host != h.settings.Host || o.Epoch != epoch || h.unlisted.since(id, listed[id], h.clock()) > unlistedBound {
 			h.log.WithFields(logrus.Fields{"instance": id, "epoch": epoch, "owner": o.Host}).Info("instance released")
 			h.owner.Release(id)
 		}
@@ -53,6 +54,35 @@
 	}
 }
 
+// unlistedBound is how long an owned instance may be missing from the tables of
+// the leader before it is given up: those of a new leader may lack some at first.
+const unlistedBound = 5 * time.Second
+
+// listedInstances are the instances in the tables of the leader.
+func (h *Host) listedInstances() map[table.InstanceID]bool {
+	instances := h.dir.currentTables().Instances
+	listed := make(map[table.InstanceID]bool, len(instances))
+	for _, in := range instances {
+		listed[in.ID] = true
+	}
+	return listed
+}
+
+// unlistedSince is since when owned instances are missing from the tables.
+type unlistedSince map[table.InstanceID]time.Duration
+
+// since returns for how long an instance has been missing.
+func (u unlistedSince) since(id table.InstanceID, listed bool, now time.Duration) time.Duration {
+	if listed {
+		delete(u, id)
+		return 0
+	}
+	if _, known := u[id]; !known {
+		u[id] = now
+	}
+	return now - u[id]
+}
+
 // shutdown ends the work of this host without cutting a request: it is not
 // ready for new callers first, hands its instances over while requests finish,
 // and names what is left when the bound is reached.
--- a/internal/system/failover/forget.go
+++ b/internal/system/failover/forget.go
@@ -11,6 +11,9 @@
 	// goneAfter is how long an instance that said it is leaving must have been
 	// silent and out of reach to be gone.
 	goneAfter = 10 * time.Second
+	// lostAfter is the same for an instance that said nothing before, where the
+	// platform starts another one in its place.
+	lostAfter = 15 * time.Second
 	// forgetBound is how long the check that precedes forgetting may take; it
 	// is made again at the next review.
 	forgetBound = 2 * time.Second
@@ -63,14 +66,19 @@
 	}
 }
 
-// gone returns an instance that said it is leaving and went, nil if none did.
+// gone returns an instance that said it is leaving and went, or that is lost;
+// nil if there is none.
 func (s *System) gone(now time.Duration, g *group, p *member) *member {
 	for _, id := range g.order {
 		m := g.members[id]
-		if m == p || !m.leaving() || m.reachable() {
+		if m == p || m.reachable() || !m.leaving() && !s.cfg.ExternalTerms {
 			continue
 		}
-		if now >= max(m.inst.SeenAt, m.reachedAt, s.ledSince)+goneAfter {
+		silence := goneAfter
+		if !m.leaving() {
+			silence = lostAfter
+		}
+		if now >= max(m.inst.SeenAt, m.reachedAt, s.ledSince)+silence {
 			return m
 		}
 	}
