--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -256,7 +256,7 @@
 		return false
 	}
 	switch errkind.Of(err).Kind {
-	case errkind.UpstreamLost, errkind.UpstreamBusy, errkind.NoOwner, errkind.OutcomeUnknown:
+	case errkind.UpstreamLost, errkind.NoOwner, errkind.OutcomeUnknown:
 		return true
 	}
 	return false
