Count a replica that left until no acknowledged write depends on it

What left stays in the tables, out of use and also for the next leader, until the others hold what the primary held after it had gone. An instance that is silent without a word is no longer forgotten: it may be in touch with its primary only. TestReplicaThatLeftStillCounts failed before.

--- a/internal/host/act.go
+++ b/internal/host/act.go
@@ -31,7 +31,7 @@
 		return
 	}
 	if a.Gone {
-		l.forget(in.ID)
+		l.left(now, in.ID)
 		return
 	}
 	l.dropPredecessors(&in)
@@ -72,6 +72,9 @@
 		return true
 	}
 	if old, known := l.instances[in.ID]; known {
+		if old.Left && in.Born <= old.Born {
+			return true
+		}
 		if in.Born < old.Born || in.Born == old.Born && in.Sequence != 0 && in.Sequence < old.Sequence {
 			return true
 		}
@@ -88,24 +91,38 @@
 func (l *leader) dropPredecessors(in *table.Instance) {
 	for id, other := range l.instances {
 		if id != in.ID && other.Address == in.Address && other.Born < in.Born {
-			l.forget(id)
+			l.left(in.SeenAt, id)
 		}
 	}
 }
 
-// forget drops an instance that is gone for good.
-func (l *leader) forget(id table.InstanceID) {
-	old, known := l.instances[id]
-	if !known {
+// left takes the last word of an instance, or that another one lives at its
+// address. It stays in the tables, out of use, until no write can depend on it,
+// for a later leader must count it too.
+func (l *leader) left(now time.Duration, id table.InstanceID) {
+	in, known := l.instances[id]
+	if !known || in.Left {
 		return
 	}
 	if len(l.gone) >= maxGone {
 		clear(l.gone) // they went long ago
 	}
-	l.gone[id] = old.Born
+	l.gone[id] = in.Born
+	in.Leaving, in.Left = true, true
+	l.instances[id] = in
+	l.log.WithField("instance", id).Info("instance left")
+	l.failover.Left(now, id)
+	l.instanceChanged(id)
+	l.noteInstance(in)
+}
+
+// dismissed drops an instance that has left and counts no more.
+func (l *leader) dismissed(id table.InstanceID) {
+	if in, known := l.instances[id]; !known || !in.Left {
+		return // one that may come back
+	}
 	l.log.WithField("instance", id).Info("instance gone")
 	delete(l.instances, id)
-	l.failover.Forget(id)
 	l.propose(control.Command{NoteInstances: &control.NoteInstances{Gone: []table.InstanceID{id}}})
 	l.version.Number++
 	l.recent = tableLog{forgotten: l.version.Number} // hosts get whole tables
@@ -145,6 +162,8 @@
 	case failover.MoveOwner:
 		l.log.WithFields(logrus.Fields{"instance": a.Instance, "from": a.From, "to": a.To}).Info("move owner")
 		l.ownership.Move(now, a.Instance, a.From, a.To)
+	case failover.Dismissed:
+		l.dismissed(a.Instance)
 	case failover.Wait:
 		l.log.WithFields(logrus.Fields{"group": a.Group, "waits_for": a.Reason.String()}).Info("change of primary")
 		l.waits[a.Group] = a.Reason.String()
--- a/internal/host/instances_test.go
+++ b/internal/host/instances_test.go
@@ -46,16 +46,18 @@
 	assert.Equal(t, l.instances["i-1"].Address, "10.0.0.2:80", "from before its start")
 
 	l.announced(5, numbered("i-2", "10.0.0.2:80", 300, 1))
-	assert.Equal(t, len(l.instances), 1, "another one lives there now")
+	assert.Assert(t, l.instances["i-1"].Left, "another one lives there now")
 	l.announced(6, numbered("i-1", "10.0.0.2:80", 200, 2))
+	assert.Assert(t, l.instances["i-1"].Left)
+	l.dismissed("i-1")
 	assert.Equal(t, len(l.instances), 1)
 
 	l.announced(7, dbedge.Announcement{Group: "g", Instance: "i-2", Born: 300, Gone: true})
-	assert.Equal(t, len(l.instances), 0)
+	assert.Assert(t, l.instances["i-2"].Left && l.instances["i-2"].Leaving, "it counts until no write depends on it")
 	l.announced(8, numbered("i-2", "10.0.0.2:80", 300, 7))
-	assert.Equal(t, len(l.instances), 0, "it has said that it goes")
+	assert.Assert(t, l.instances["i-2"].Left, "it has said that it goes")
 	l.announced(9, numbered("i-2", "10.0.0.2:80", 400, 1))
-	assert.Equal(t, len(l.instances), 1, "and came back")
+	assert.Assert(t, !l.instances["i-2"].Left, "and came back")
 }
 
 func TestUnlistedInstancesAreGivenUp(t *testing.T) {
--- a/internal/host/leader.go
+++ b/internal/host/leader.go
@@ -225,6 +225,9 @@
 		in.SeenAt = now
 		l.instances[id] = in
 		l.failover.Announced(in)
+		if in.Left {
+			l.failover.Left(now, id)
+		}
 	}
 }
 
--- a/internal/system/failover/action.go
+++ b/internal/system/failover/action.go
@@ -7,7 +7,7 @@
 )
 
 // Action is what the caller of Step does next. It is one of Propose, Promote,
-// Fence, TellOwner, MoveOwner and Wait.
+// Fence, TellOwner, MoveOwner, Dismissed and Wait.
 type Action interface{ action() }
 
 // Propose appends a command to the replicated log. Its effect comes back by
@@ -51,6 +51,10 @@
 	To       table.HostID
 }
 
+// Dismissed says that an instance that has left no longer counts: the others
+// hold all that it may have held.
+type Dismissed struct{ Instance table.InstanceID }
+
 // Wait says that a group waits for Reason. It is returned when the reason
 // changes; Waiting returns the reason in force.
 type Wait struct {
@@ -63,6 +67,7 @@
 func (Fence) action()     {}
 func (TellOwner) action() {}
 func (MoveOwner) action() {}
+func (Dismissed) action() {}
 func (Wait) action()      {}
 
 // WaitReason is what a group waits for.
--- a/internal/system/failover/external_test.go
+++ b/internal/system/failover/external_test.go
@@ -195,3 +195,26 @@
 		assert.Assert(t, e.promoted() == nil)
 	}
 }
+
+// A replica that leaves counts for the acknowledgement of writes until it is
+// gone. When the primary is cut off right after it said that it goes, a write
+// may have been acknowledged because it alone has it: no other replica is
+// promoted before it is known.
+func TestReplicaThatLeftStillCounts(t *testing.T) {
+	e := newExternal(t)
+	e.s.Announced(table.Instance{ID: "i-4", Group: externalGroup, Address: "10.0.0.1:4", SeenAt: e.now, Leaving: true})
+	e.s.SetOwner(externalGroup, table.Ownership{Instance: "i-4", Host: "h-4", Epoch: 1})
+	e.report("i-4", table.RoleReplica, table.Mark{Term: 7, Position: 100})
+	e.step()
+	e.s.Left(e.now, "i-4")
+	e.leases.expired["h-4"] = true
+	e.leases.expired["h-1"] = true
+	e.cutPrimary()
+	for range 50 {
+		e.report("i-2", table.RoleReplica, table.Mark{Term: 7, Position: 100})
+		e.report("i-3", table.RoleReplica, table.Mark{Term: 7, Position: 100})
+		e.step()
+		e.agree()
+		assert.Assert(t, e.promoted() == nil, "the one that left may hold more")
+	}
+}
--- a/internal/system/failover/forget.go
+++ b/internal/system/failover/forget.go
@@ -11,9 +11,9 @@
 	// goneAfter is how long an instance that said it is leaving must have been
 	// silent and out of reach to be gone.
 	goneAfter = 10 * time.Second
-	// lostAfter is the same for an instance that said nothing before, where the
-	// platform starts another one in its place.
-	lostAfter = 15 * time.Second
+	// leftAfter is the same for one that said that it goes at once: it may still
+	// receive for a moment.
+	leftAfter = time.Second
 	// forgetBound is how long the check that precedes forgetting may take; it
 	// is made again at the next review.
 	forgetBound = 2 * time.Second
@@ -62,23 +62,22 @@
 	}
 	if s.othersHold(now, g, p, m) {
 		s.remove(g, m)
+		s.act(Dismissed{Instance: m.inst.ID})
 		g.departure = nil
 	}
 }
 
-// gone returns an instance that said it is leaving and went, or that is lost;
-// nil if there is none.
+// gone returns an instance that said it is leaving and went, nil if none did.
 func (s *System) gone(now time.Duration, g *group, p *member) *member {
 	for _, id := range g.order {
 		m := g.members[id]
-		if m == p || m.reachable() || !m.leaving() && !s.cfg.ExternalTerms {
+		if m == p || m.reachable() || !m.leaving() {
 			continue
 		}
-		silence := goneAfter
-		if !m.leaving() {
-			silence = lostAfter
+		if m.left && now >= max(m.leftAt, m.reachedAt)+leftAfter {
+			return m
 		}
-		if now >= max(m.inst.SeenAt, m.reachedAt, s.ledSince)+silence {
+		if now >= max(m.inst.SeenAt, m.reachedAt, s.ledSince)+goneAfter {
 			return m
 		}
 	}
@@ -108,14 +107,17 @@
 	return all
 }
 
-// Forget drops an instance that is gone for good, unless it is the primary: a
-// primary is followed by another before it counts no more.
-func (s *System) Forget(id table.InstanceID) {
+// Left takes the last word of an instance: it goes now. It counts on among
+// those whose positions must be read until the others hold what the primary held
+// after it had gone: a write may be acknowledged because it alone has it.
+func (s *System) Left(now time.Duration, id table.InstanceID) {
 	g := s.byInstance[id]
-	if g == nil || g.agreed.Primary == id || g.agreed.Candidate == id {
+	if g == nil {
 		return
 	}
-	s.remove(g, g.member(id))
+	m := g.member(id)
+	m.left, m.leftAt = true, now
+	m.inst.Leaving = true
 	s.activate(g)
 }
 
--- a/internal/system/failover/group.go
+++ b/internal/system/failover/group.go
@@ -21,6 +21,8 @@
 	reported  bool
 	report    Report        // latest report of the owner in force
 	downSince time.Duration // while the report says unreachable
+	left      bool          // it said that it goes, at leftAt
+	leftAt    time.Duration
 	read      bool          // whether readAt and readMark are set
 	readAt    time.Duration // the latest probe that succeeded began after this moment
 	readMark  table.Mark    // what it returned
--- a/internal/system/failover/system.go
+++ b/internal/system/failover/system.go
@@ -131,6 +131,7 @@
 	s.byInstance[i.ID] = g
 	old := m.inst
 	m.inst = i
+	m.left = false
 	if o, ok := s.unplaced[i.ID]; ok {
 		s.SetOwner(i.Group, o)
 	}
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -75,6 +75,8 @@
 	Connections int
 	// Leaving is set once the instance said it is going away.
 	Leaving bool
+	// Left is set once it said its last word.
+	Left bool
 	// Born orders the starts of the instance and Sequence what it said after
 	// one; zero where instances number neither.
 	Born     uint64
