--- a/internal/host/act.go
+++ b/internal/host/act.go
@@ -71,13 +71,8 @@
 	if born, left := l.gone[in.ID]; left && in.Born <= born {
 		return true
 	}
-	if old, known := l.instances[in.ID]; known {
-		if old.Left && in.Born <= old.Born {
-			return true
-		}
-		if in.Born < old.Born || in.Born == old.Born && in.Sequence != 0 && in.Sequence < old.Sequence {
-			return true
-		}
+	if old, known := l.instances[in.ID]; known && olderThan(in, &old) {
+		return true
 	}
 	for _, other := range l.instances {
 		if other.ID != in.ID && in.Address != "" && other.Address == in.Address && other.Born > in.Born {
@@ -87,7 +82,16 @@
 	return false
 }
 
-// dropPredecessors forgets the instances that lived at the address before.
+// olderThan reports whether an instance said in before old. Nothing follows its
+// last word but a new start.
+func olderThan(in, old *table.Instance) bool {
+	if in.Born != old.Born {
+		return in.Born < old.Born
+	}
+	return old.Left || in.Sequence != 0 && in.Sequence < old.Sequence
+}
+
+// dropPredecessors takes out of use the instances that lived at the address before.
 func (l *leader) dropPredecessors(in *table.Instance) {
 	for id, other := range l.instances {
 		if id != in.ID && other.Address == in.Address && other.Born < in.Born {
