--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -166,13 +166,19 @@
 		return true
 	}
 	for _, id := range members.Voters {
-		if id != r.id && r.node.Unheard(id) >= uint64(silentTimeouts*r.cfg.ElectionTicks) {
+		if r.silent(id) {
 			return true
 		}
 	}
 	return false
 }
 
+// silent reports whether another voter has not been heard of for long enough to
+// be dropped.
+func (r *replica) silent(id consensus.NodeID) bool {
+	return id != r.id && r.node.Unheard(id) >= uint64(silentTimeouts*r.cfg.ElectionTicks)
+}
+
 // dropSilentVoter removes a voter of an open membership that has been silent
 // for long, so that hosts that never come back do not count for a quorum. The
 // others must be enough to bear a further loss.
@@ -181,21 +187,20 @@
 	if len(voters) <= minVoters {
 		return false
 	}
-	var silent consensus.NodeID
+	var lost consensus.NodeID
 	alive := 0
 	for _, id := range voters {
-		unheard := r.node.Unheard(id)
 		switch {
-		case id == r.id || unheard < uint64(r.cfg.ElectionTicks):
+		case id == r.id || r.node.Unheard(id) < uint64(r.cfg.ElectionTicks):
 			alive++
-		case unheard >= uint64(silentTimeouts*r.cfg.ElectionTicks):
-			silent = id
+		case r.silent(id):
+			lost = id
 		}
 	}
-	if silent.IsZero() || alive < max(minVoters, (len(voters)-1)/2+2) {
+	if lost.IsZero() || alive < max(minVoters, (len(voters)-1)/2+2) {
 		return false
 	}
-	return r.change(consensus.RemoveMember, silent)
+	return r.change(consensus.RemoveMember, lost)
 }
 
 func (r *replica) remove(p proposal) {
