Owner: a late probe says nothing while statements are answered

Conclusion: a probe that timed out counts only where no statement was answered in the latter half of its time. A refused connection counts at once as before.

--- a/internal/owner/report.go
+++ b/internal/owner/report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"time"
 
 	"github.com/amaranthweir/amaranthweir/internal/dbedge"
@@ -138,6 +139,8 @@
 	switch {
 	case errors.Is(err, dbedge.ErrBusy):
 		return in.noteBusy()
+	case isTimeout(err) && in.heardWithin(in.cfg.Timing.ProbeTimeout/2):
+		return false // only the probe was late: statements are answered
 	case err != nil:
 		return in.noteMissed(asked, err)
 	}
@@ -192,6 +195,17 @@
 	return changed
 }
 
+// isTimeout reports whether an error says no more than that nothing came.
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// heardWithin reports whether the instance answered a statement within d.
+func (in *instance) heardWithin(d time.Duration) bool {
+	return since(time.Now())-time.Duration(in.heardAt.Load()) < d
+}
+
 // noteMissed notes a probe without an answer. It runs under the lock.
 func (in *instance) noteMissed(asked time.Time, err error) (changed bool) {
 	h := &in.health
