Routing: reads leave a busy replica by their objective, and queues are remembered

Cause: after the loss of a replica, the reads of a group all went to the other one until its queue ate a quarter of the deadline, which is longer than the objective; the primary's slots stayed idle. What a host knew of the queue was up to 200 ms old at the owner and was taken to drain at once, so that at 78 hosts, which hear of an instance a few times a second, nearly every host took the queue for empty.

--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -36,6 +36,7 @@
 		Access:    c.Access,
 		Staleness: c.Staleness,
 		Deadline:  now + c.Deadline,
+		Objective: c.Objective,
 		Rank:      c.Rank,
 		Home:      g.cfg.Domain,
 	}, view)
--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -120,9 +120,10 @@
 
 // hint is what helps the next routing decision.
 func (in *instance) hint(now time.Time) request.Hint {
+	waits := in.slots.waits()
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	h := request.Hint{Mark: in.health.status.Mark, QueueWait: in.waits}
+	h := request.Hint{Mark: in.health.status.Mark, QueueWait: waits}
 	if in.cfg.UpstreamFloors {
 		h.AgeKnown = true // the instance itself checks what it is asked for
 		return h
--- a/internal/owner/instance.go
+++ b/internal/owner/instance.go
@@ -8,7 +8,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/amaranthweir/amaranthweir/internal/config"
 	"github.com/amaranthweir/amaranthweir/internal/dbedge"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/pool"
@@ -48,8 +47,7 @@
 	mu     sync.Mutex
 	held   map[request.SessionID]*transaction
 	health health
-	seen   table.Mark                      // the furthest that the primary was seen
-	waits  [config.RankCount]time.Duration // for a slot, by rank
+	seen   table.Mark // the furthest that the primary was seen
 	age    ageProof
 }
 
@@ -140,10 +138,7 @@
 		if in.takeOver(ctx) {
 			in.pool.Maintain(ctx, time.Now())
 		}
-		waits := in.slots.tick()
-		in.mu.Lock()
-		in.waits = waits
-		in.mu.Unlock()
+		in.slots.tick()
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/owner/slots.go
+++ b/internal/owner/slots.go
@@ -145,14 +145,19 @@
 	})
 }
 
-// tick refuses what waits in vain, and returns how long work of each rank
-// would wait now.
-func (s *slots) tick() (waits [config.RankCount]time.Duration) {
+// tick refuses what waits in vain.
+func (s *slots) tick() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := since(time.Now())
-	s.queue.Tick(now)
+	s.queue.Tick(since(time.Now()))
 	s.settle()
+}
+
+// waits returns how long work of each rank would wait for a slot now.
+func (s *slots) waits() (waits [config.RankCount]time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := since(time.Now())
 	for rank := range waits {
 		waits[rank] = s.queue.WaitEstimate(now, config.Rank(rank))
 	}
--- a/internal/system/admission/policybench/run.go
+++ b/internal/system/admission/policybench/run.go
@@ -29,6 +29,7 @@
 	Flooding bool // the callers that flood
 	Offered  int  // after the warm-up, as all counts below
 	InTime   int  // answered by the deadline
+	Soon     int  // answered within the objective, of those with one
 	Late     int  // answered after it
 	Refused  int
 	GaveUp   int // callers that gave up while their request waited
@@ -88,6 +89,7 @@
 type job struct {
 	request  admission.Request
 	load     int
+	host     int
 	instance int
 	offered  time.Duration
 	service  time.Duration
@@ -164,7 +166,7 @@
 		}
 		s.policies = append(s.policies, policy)
 	}
-	s.topology = newTopology(p.Instances)
+	s.topology = newTopology(&p)
 	s.post(0, event{kind: tick})
 	end := warmUp + length
 	for s.events[0].at < end {
@@ -211,7 +213,9 @@
 			s.policies[i].Tick(s.now)
 			s.drain(i)
 		}
-		s.topology.refresh(s.now, s.policies)
+		if s.profile.Hosts == 0 {
+			s.topology.refresh(s.now, s.policies)
+		}
 		s.post(tickInterval, event{kind: tick})
 	}
 }
@@ -219,7 +223,9 @@
 func (s *simulation) arrive(load int) {
 	s.post(s.gap(load), event{kind: arrive, load: load})
 	l := &s.profile.Loads[load]
-	j := &job{load: load, instance: s.instance(l), offered: s.now, service: s.service(l), waiting: true}
+	j := &job{load: load, host: s.host(), offered: s.now, waiting: true}
+	j.instance = s.instance(j.host, l)
+	j.service = s.service(l)
 	j.counted = s.now >= warmUp
 	j.request = admission.Request{
 		Class: l.Class, Rank: l.Rank, Caller: l.Prefix + s.callers[s.random.IntN(l.Callers)], Deadline: s.now + l.Deadline, User: j,
@@ -232,10 +238,18 @@
 	}
 }
 
-// instance draws or chooses the instance of a request.
-func (s *simulation) instance(l *Load) int {
+// host draws the entry host of a request.
+func (s *simulation) host() int {
+	if s.profile.Hosts == 0 {
+		return 0
+	}
+	return s.random.IntN(s.profile.Hosts)
+}
+
+// instance draws or chooses the instance of a request that came to a host.
+func (s *simulation) instance(host int, l *Load) int {
 	if s.profile.Routed {
-		return s.topology.choose(s.now, l, s.random.Uint64())
+		return s.topology.choose(s.now, host, l, s.random.Uint64())
 	}
 	return s.random.IntN(len(s.policies))
 }
@@ -246,6 +260,9 @@
 	}
 	s.count(j, func(c *ClassResult) {
 		c.Answers.RecordValue(min(s.now-j.offered, maxAnswer).Microseconds())
+		if s.now-j.offered <= s.profile.Loads[j.load].Objective {
+			c.Soon++
+		}
 		if s.now <= j.request.Deadline {
 			c.InTime++
 		} else {
@@ -254,6 +271,14 @@
 	})
 	s.policies[j.instance].Finish(s.now, &j.request, j.service)
 	s.drain(j.instance)
+	s.answer(j)
+}
+
+// answer brings a host, with an answer or a refusal, the hint of the instance.
+func (s *simulation) answer(j *job) {
+	if s.profile.Hosts > 0 {
+		s.topology.hear(s.now, j.host, j.instance, s.policies[j.instance])
+	}
 }
 
 // drain acts on the outcomes of one instance.
@@ -265,6 +290,7 @@
 		j.waiting = false
 		if o.Verdict == admission.Refuse {
 			s.count(j, func(c *ClassResult) { c.Refused++ })
+			s.answer(j)
 			continue
 		}
 		s.post(j.service, event{kind: finish, job: j})
--- a/internal/system/routing/routing.go
+++ b/internal/system/routing/routing.go
@@ -19,6 +19,9 @@
 	// waitShare is the part of the remaining deadline, as a divisor, that a
 	// read may wait for a replica.
 	waitShare = 4
+	// queueShare is the part of the objective, as a divisor, that a read may
+	// queue at a replica while the primary has room.
+	queueShare = 16
 	// sampleInterval is how often an owner hears from its replicas.
 	sampleInterval = 20 * time.Millisecond
 	// leavingPrimary is how long a primary that leaves is still used, until
@@ -39,8 +42,10 @@
 	HasFloor bool
 	// Deadline is the local moment after which an answer is of no use.
 	Deadline time.Duration
-	Rank     config.Rank
-	Home     table.Domain // failure domain of the entry host
+	// Objective is how soon an answer is worth most; zero means none.
+	Objective time.Duration
+	Rank      config.Rank
+	Home      table.Domain // failure domain of the entry host
 	// Seed spreads requests over equal replicas.
 	Seed uint64
 }
@@ -93,15 +98,24 @@
 }
 
 // overflows reports whether the primary should take a read because the queues
-// of the replicas eat up the deadline while its own is short.
+// of the replicas eat up the deadline or the objective while its own is short.
 func overflows(now time.Duration, q *Query, v *GroupView, o *option) bool {
-	if o.cost <= budget(now, q) {
+	if o.cost <= patience(now, q) {
 		return false
 	}
 	c := v.Find(v.Primary)
 	return c != nil && !c.Leaving && owned(c) && 2*cost(now, q, c) < o.cost
 }
 
+// patience is how long a read may queue at a replica before the primary may
+// take it.
+func patience(now time.Duration, q *Query) time.Duration {
+	if q.Objective == 0 {
+		return budget(now, q)
+	}
+	return min(budget(now, q), q.Objective/queueShare)
+}
+
 // fallBack decides for a read that no replica is known to be fit for.
 func fallBack(now time.Duration, q *Query, v *GroupView, s *survey) Decision {
 	d := toPrimary(now, v, ReasonReplicasStale)
@@ -166,11 +180,9 @@
 }
 
 // cost is the expected time until c gives a slot to work of the rank of q.
-// A replica of another failure domain must be clearly better to win. What
-// waited at the moment of the hint has moved up since; without that, a host
-// would never again ask an instance whose last answer told of a long queue.
+// A replica of another failure domain must be clearly better to win.
 func cost(now time.Duration, q *Query, c *Candidate) time.Duration {
-	wait := max(0, c.Hint.QueueWait[q.Rank]-(now-c.Hint.At))
+	wait := c.Hint.wait(now, q.Rank)
 	if c.Domain != q.Home {
 		wait += wait/4 + remoteCost
 	}
--- a/internal/system/routing/view.go
+++ b/internal/system/routing/view.go
@@ -54,6 +54,14 @@
 	return h.At > 0 && now-h.At <= hintLife
 }
 
+// wait is how long work of a rank is expected to wait now. A queue lasts, and
+// many hosts hear of it, each at another moment; but the older the hint, the
+// less it counts, so that the instance is asked again.
+func (h *Hint) wait(now time.Duration, rank config.Rank) time.Duration {
+	left := float64(hintLife-(now-h.At)) / float64(hintLife)
+	return time.Duration(max(0, left) * float64(h.QueueWait[rank]))
+}
+
 // avoidance is the memory of a bounce.
 type avoidance struct {
 	at        time.Duration // moment of the bounce
