Transactions whose opening was given up are ended; a hand-over waits for a bounded time

The gateway tells an owner the end of a session only where it knows of an open transaction; one whose opening had an unknown outcome (the deadline passed, the caller left) may be open all the same. It then held its connection and its locks until the link between the hosts ended, and the next statement of the session there was refused as an internal error. And where the end did come, it could come before the owner had noted the transaction.

Ruled out: a lost order (the owner had taken it), a statement that runs (the instance answered all).

Change: the gateway ends the session at the owner after an opening of unknown outcome; the owner keeps nothing once the caller has given up; and a hand-over rolls back what rests after one second, for the instance takes no new work meanwhile.

Tests, each failing before: TestTransactionOfUnknownOpeningIsEnded, TestTransactionOfACallerThatGaveUpIsNotKept, TestHandOverEndsTransactionsThatRest.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -35,6 +35,7 @@
 type fakeUpstream struct {
 	script []error
 	seen   []request.Request
+	ended  []request.SessionID
 	status byte
 	mark   table.Mark
 }
@@ -57,7 +58,7 @@
 }
 
 func (f *fakeUpstream) AwaitReplica(context.Context, table.InstanceID, table.Mark) error { return nil }
-func (f *fakeUpstream) EndSession(request.SessionID)                                     {}
+func (f *fakeUpstream) EndSession(s request.SessionID)                                   { f.ended = append(f.ended, s) }
 
 // fakeDirectory has one document and the same two instances in each group.
 type fakeDirectory struct {
@@ -153,6 +154,28 @@
 	}
 }
 
+// The transaction may have been opened all the same: its owner must not keep it
+// for a session that does not know of it.
+func TestTransactionOfUnknownOpeningIsEnded(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		err   error
+		ended int
+	}{
+		{"an outcome that is not known", unknownError(errkind.OutcomeUnknown), 1},
+		{"a caller that gave up", unknownError(errkind.Cancelled), 1},
+		{"a refusal", notRunError(errkind.DeadlineUnreachable), 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, d := newSession(t)
+			d.upstream.script = []error{c.err}
+			_, err := do(t, s, "/* class=payment */ begin")
+			assert.Assert(t, err != nil)
+			assert.Equal(t, len(d.upstream.ended), c.ended)
+		})
+	}
+}
+
 func TestPlan(t *testing.T) {
 	for _, c := range []struct {
 		sql       string
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -207,6 +207,9 @@
 	r.instance, r.owner, r.executor = d.Instance, d.Owner, executor
 	r.replica = view.Primary != d.Instance
 	res, err := executor.Execute(ctx, q, &r.sink)
+	if err != nil && r.plan.begins && errkind.Of(err).Effect != errkind.NotRun {
+		executor.EndSession(r.session.id) // it may have been opened all the same
+	}
 	r.learn(q, &res, err)
 	return res, err
 }
--- a/internal/owner/claimed.go
+++ b/internal/owner/claimed.go
@@ -17,7 +17,7 @@
 // together with its effect. A repeat gets the first outcome.
 func (in *instance) runClaimed(ctx context.Context, e *execution) (request.Result, error) {
 	out, err := in.claimed(ctx, e)
-	in.end(e, out, err)
+	in.end(ctx, e, out, err)
 	e.ticket.release()
 	if err != nil {
 		return request.Result{TxStatus: request.TxIdle}, err
--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -216,7 +216,7 @@
 	if err == nil || out.Clean {
 		in.heardAt.Store(int64(since(time.Now())))
 	}
-	in.end(e, out, err)
+	in.end(ctx, e, out, err)
 	e.ticket.release()
 	if err != nil {
 		return request.Result{TxStatus: request.TxIdle}, err
@@ -286,11 +286,13 @@
 }
 
 // end gives the connection back, keeps it for an open transaction, or closes
-// it when anything about it is in doubt.
-func (in *instance) end(e *execution, out pool.Outcome, err error) {
+// it when anything about it is in doubt. Once ctx has ended the caller waits no
+// more, and the end of its session may have come already: nothing is kept then.
+func (in *instance) end(ctx context.Context, e *execution, out pool.Outcome, err error) {
 	in.mu.Lock()
 	tx := e.tx
 	tx.inUse = false
+	tx.doomed = tx.doomed || ctx.Err() != nil && out.TxStatus != request.TxIdle
 	open := err == nil && !tx.doomed && out.TxStatus != request.TxIdle
 	if open {
 		in.held[e.r.Session] = tx
--- a/internal/owner/handover.go
+++ b/internal/owner/handover.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/amaranthweir/amaranthweir/internal/request"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
@@ -17,9 +18,7 @@
 		return
 	}
 	go func() {
-		for in.running() > 0 {
-			time.Sleep(handOverPoll)
-		}
+		in.awaitEnd(time.Now().Add(o.cfg.Timing.HandOver))
 		o.mu.Lock()
 		if o.instances[id] == in {
 			delete(o.instances, id)
@@ -31,6 +30,33 @@
 	}()
 }
 
+// awaitEnd returns once nothing runs on the instance. Transactions that rest at
+// until or later are rolled back.
+func (in *instance) awaitEnd(until time.Time) {
+	for in.running() > 0 {
+		if time.Now().After(until) {
+			in.endResting()
+		}
+		time.Sleep(handOverPoll)
+	}
+}
+
+// endResting rolls back the transactions that run no statement.
+func (in *instance) endResting() {
+	in.mu.Lock()
+	var resting []request.SessionID
+	for s, tx := range in.held {
+		if !tx.inUse {
+			resting = append(resting, s)
+		}
+	}
+	in.mu.Unlock()
+	for _, s := range resting {
+		in.log.WithField("session", s).Info("transaction rolled back: the instance moves to another host")
+		in.endSession(s)
+	}
+}
+
 // Released returns what this host handed over.
 func (o *Owner) Released() []table.Ownership {
 	o.mu.RLock()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -96,6 +96,9 @@
 	Dial time.Duration
 	// Idle is after how long a spare connection is closed.
 	Idle time.Duration
+	// HandOver is how long transactions may hold a hand-over up; those that rest
+	// after it are rolled back, for the instance takes no new work.
+	HandOver time.Duration
 	// ReplicaPoll is the interval between looks at a replica that a write
 	// waits for.
 	ReplicaPoll time.Duration
@@ -116,6 +119,7 @@
 		ProbeTimeout: 250 * time.Millisecond,
 		Dial:         time.Second,
 		Idle:         time.Minute,
+		HandOver:     time.Second,
 		ReplicaPoll:  5 * time.Millisecond,
 	}
 }
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/amaranthweir/amaranthweir/internal/config"
 	"github.com/amaranthweir/amaranthweir/internal/dbedge/pgedge"
@@ -71,6 +72,19 @@
 	return ctx.Err()
 }
 
+func waitFor(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if holds() {
+			return poll.Success()
+		}
+		return poll.Continue("%s: not yet", what)
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(patience))
+}
+
+// patience bounds waits; nothing is measured by it.
+const patience = 20 * time.Second
+
 // answers collects the types of the messages of an answer.
 type answers struct{ kinds string }
 
@@ -255,6 +269,36 @@
 	assert.Assert(t, !o.HandedOver(table.Ownership{Instance: "g-1", Epoch: 2}))
 }
 
+// A transaction that rests holds the hand-over up for a while, but not for
+// ever: the instance takes no new work in that time.
+func TestHandOverEndsTransactionsThatRest(t *testing.T) {
+	o, in := serve(t, &fakeAuthority{allow: -1, primary: true}, &fakePeers{confirms: true})
+	o.cfg.Timing.HandOver = 10 * time.Millisecond
+	begin := write(t, "BEGIN")
+	begin.MayCommit = false
+	_, err := o.Execute(t.Context(), begin, &answers{})
+	assert.NilError(t, err)
+	o.HandOver("g-1", 1)
+	waitFor(t, "the hand-over", func() bool { return len(o.Released()) == 1 })
+	waitFor(t, "all connections closed", func() bool { return in.Stats().Open == 0 })
+}
+
+// The caller gave up while its transaction was being opened: the end of its
+// session came before there was a transaction to end.
+func TestTransactionOfACallerThatGaveUpIsNotKept(t *testing.T) {
+	o, _ := serve(t, &fakeAuthority{allow: -1, primary: true}, &fakePeers{confirms: true})
+	in, err := o.instance("g-1")
+	assert.NilError(t, err)
+	ctx, stop := context.WithCancel(t.Context())
+	r := write(t, "BEGIN")
+	tx, err := in.begin(ctx, r)
+	assert.NilError(t, err)
+	stop()
+	o.EndSession(r.Session)
+	in.end(ctx, &execution{r: r, tx: tx}, pool.Outcome{TxStatus: request.TxOpen}, nil)
+	assert.Equal(t, in.running(), 0)
+}
+
 // startAuthority has a later term that began at start.
 type startAuthority struct {
 	fakeAuthority
