Gateway: a breaker for owners of primaries that refuse

Cause: when the owner of a primary could not use it, all that waited at all hosts asked it again every 2 to 50 ms, and each host asked for the primary's position as often.

Change: a host sends an owner that refused one request, then one after 20 to 320 ms, until it serves one; a new owner is asked at once, with one request first. Questions for positions follow the same rule. What waits goes on looking locally, and the deadline is as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/request"
 	"github.com/amaranthweir/amaranthweir/internal/session"
+	"github.com/amaranthweir/amaranthweir/internal/system/breaker"
 	"github.com/amaranthweir/amaranthweir/internal/system/routing"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
@@ -81,7 +82,11 @@
 	sessions atomic.Uint64
 	requests atomic.Uint64
 	budget   retryBudget
-	samples  samples
+	// primaries and positions spare owners of primaries that refuse: requests,
+	// and questions for positions.
+	primaries breaker.Breaker
+	positions breaker.Breaker
+	samples   samples
 
 	decisions decisionLog
 }
--- a/internal/gateway/samples.go
+++ b/internal/gateway/samples.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/amaranthweir/amaranthweir/internal/config"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/request"
+	"github.com/amaranthweir/amaranthweir/internal/system/breaker"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
@@ -174,7 +176,7 @@
 	ctx, stop := context.WithTimeout(context.Background(), sampleTimeout)
 	defer stop()
 	askedAt := g.cfg.Clock()
-	answer, err := g.PrimaryPosition(ctx, group)
+	answer, err := g.askGently(ctx, group)
 	g.samples.mu.Lock()
 	defer g.samples.mu.Unlock()
 	p.err = err
@@ -184,3 +186,35 @@
 	close(p.flight)
 	p.flight = nil
 }
+
+// askGently asks for the position unless the owner refused it lately.
+func (g *Gateway) askGently(ctx context.Context, group table.GroupName) (request.PositionSample, error) {
+	key, ok := g.primaryKey(group)
+	if !ok {
+		return request.PositionSample{}, errkind.New(errkind.NoPrimary, "group %s", group)
+	}
+	if !g.positions.Allow(g.cfg.Clock(), key, rand.Float64()) {
+		return request.PositionSample{}, errkind.New(errkind.NoOwner, "%s refused the position of %s", key.Owner, key.Instance)
+	}
+	answer, err := g.PrimaryPosition(ctx, group)
+	if err != nil {
+		g.positions.Refused(g.cfg.Clock(), key)
+		return answer, err
+	}
+	g.positions.Served(key)
+	return answer, nil
+}
+
+// primaryKey returns the primary of a group with its owner, or false while
+// there is none.
+func (g *Gateway) primaryKey(group table.GroupName) (breaker.Key, bool) {
+	v := g.cfg.Directory.Groups().Lookup(group)
+	if v == nil {
+		return breaker.Key{}, false
+	}
+	c := v.Find(v.Primary)
+	if c == nil {
+		return breaker.Key{}, false
+	}
+	return breaker.Key{Instance: c.Instance, Owner: c.Owner}, true
+}
--- a/internal/system/routing/reason.go
+++ b/internal/system/routing/reason.go
@@ -39,6 +39,8 @@
 	ReasonOwnerSuspect
 	// ReasonUnprovable: refused, no primary and every replica too stale.
 	ReasonUnprovable
+	// ReasonOwnerRefuses: refused, the owner refused the latest requests.
+	ReasonOwnerRefuses
 	reasonCount
 )
 
@@ -59,6 +61,7 @@
 	ReasonNoOwner:           "no_owner",
 	ReasonOwnerSuspect:      "owner_suspect",
 	ReasonUnprovable:        "unprovable",
+	ReasonOwnerRefuses:      "owner_refuses",
 }
 
 // String returns the stable name of the reason.
