Log lines: a bound a second for each kind

Cause: the sink never blocks, but its volume had no bound: a flood wrote a line or more for each request, and a slow reader lost a change of primary as soon as the routing of the request beside it.

Change: a formatter in front of the sink leaves out lines of a kind beyond 500 a second about requests and 2,000 of another, and lines about requests while half of the sink's room is taken. What is left out is counted by kind, in a metric and in a line.

--- a/internal/host/adapter.go
+++ b/internal/host/adapter.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -18,6 +17,7 @@
 	"github.com/amaranthweir/amaranthweir/internal/dbedge/pgedge"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/front"
+	"github.com/amaranthweir/amaranthweir/internal/logsink"
 	"github.com/amaranthweir/amaranthweir/internal/owner"
 	"github.com/amaranthweir/amaranthweir/internal/pg"
 	"github.com/amaranthweir/amaranthweir/internal/pool"
@@ -51,7 +51,7 @@
 	// AnnounceInterval is how often instances announce themselves.
 	AnnounceInterval time.Duration
 	// Log takes the log lines.
-	Log io.Writer
+	Log *logsink.Sink
 	// NotReadyPause is how long the balancer takes to see that a host is not
 	// ready; ShutdownBound bounds a whole shutdown.
 	NotReadyPause time.Duration
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -23,6 +23,7 @@
 	"github.com/amaranthweir/amaranthweir/internal/config"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/gateway"
+	"github.com/amaranthweir/amaranthweir/internal/logsink"
 	"github.com/amaranthweir/amaranthweir/internal/metrics"
 	"github.com/amaranthweir/amaranthweir/internal/owner"
 	"github.com/amaranthweir/amaranthweir/internal/peer"
@@ -68,9 +69,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if a != nil {
-		log.SetOutput(a.Log)
-	}
+	counters := metrics.New()
+	boundLines(log, a, counters)
 	h := &Host{
 		settings:    s,
 		adapter:     a,
@@ -78,7 +78,7 @@
 		incarnation: uint64(time.Now().UnixNano()),
 		started:     bootclock.Now(),
 		log:         log,
-		metrics:     metrics.New(),
+		metrics:     counters,
 		stopping:    make(chan struct{}),
 		unlisted:    unlistedSince{},
 	}
@@ -240,6 +240,17 @@
 	return errkind.Wrap(err, errkind.BadRequest, "%v", err)
 }
 
+// boundLines bounds what a host logs a second, and sends it where the adapter
+// wants it.
+func boundLines(log *logrus.Logger, a *Adapter, counters *metrics.Metrics) {
+	limiter := &logsink.Limiter{Next: log.Formatter, LeftOut: counters.LineLeftOut}
+	if a != nil {
+		log.SetOutput(a.Log)
+		limiter.Crowded = a.Log.Crowded
+	}
+	log.SetFormatter(limiter)
+}
+
 func newLog(s *config.Settings) (*logrus.Logger, error) {
 	level, err := logrus.ParseLevel(s.LogLevel)
 	if err != nil {
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -32,6 +32,9 @@
 // Write implements io.Writer. It never waits; a line for which there is no room
 // is counted and left out.
 func (s *Sink) Write(line []byte) (int, error) {
+	if len(line) == 0 {
+		return 0, nil // left out by a Limiter
+	}
 	select {
 	case s.lines <- bytes.Clone(line):
 	default:
@@ -40,6 +43,9 @@
 	return len(line), nil
 }
 
+// Crowded reports whether the room for lines is half used.
+func (s *Sink) Crowded() bool { return len(s.lines) > queueLines/2 }
+
 // Dropped returns how many lines were left out and not yet reported.
 func (s *Sink) Dropped() uint64 { return s.dropped.Load() }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -24,6 +24,7 @@
 	refused   *prometheus.CounterVec
 	announced *prometheus.CounterVec
 	lease     prometheus.Gauge
+	leftOut   *prometheus.CounterVec
 }
 
 // New returns counters at zero.
@@ -61,8 +62,12 @@
 		lease: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "lease_valid", Help: "1 while this host holds its lease.",
 		}),
+		leftOut: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "log_lines_left_out_total",
+			Help: "Log lines over the limit of their kind, or for which there was no room.",
+		}, []string{"kind"}),
 	}
-	m.registry.MustRegister(m.requests, m.seconds, m.reads, m.retries, m.callers, m.refused, m.announced, m.lease)
+	m.registry.MustRegister(m.requests, m.seconds, m.reads, m.retries, m.callers, m.refused, m.announced, m.lease, m.leftOut)
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -117,3 +122,6 @@
 	}
 	m.lease.Set(0)
 }
+
+// LineLeftOut counts a log line that was left out; its kind is its message.
+func (m *Metrics) LineLeftOut(kind string) { m.leftOut.WithLabelValues(kind).Inc() }
