--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -45,6 +45,7 @@
 	Apply        applyCommand        `cmd:"" help:"Hand a service document to the system. Sending the same document again is safe."`
 	Status       statusCommand       `cmd:"" help:"Print what a host knows of the system: documents, hosts, groups, instances."`
 	Explain      explainCommand      `cmd:"" help:"Print what a host would do with a request now, and why."`
+	Trace        traceCommand        `cmd:"" help:"Print the log lines of all hosts about one request, in order of cause and effect."`
 	Switchover   switchOverCommand   `cmd:"" help:"Begin a planned change of the primary of a group."`
 	Bench        benchCommand        `cmd:"" help:"Drive the classes of a service with load and judge the promises by what callers saw."`
 	HashPassword hashPasswordCommand `cmd:"" help:"Read a password from standard input and print its verifier for the users of the settings."`
