Gateway: work of a rank that an instance mostly refuses is refused at once

Change: each host compares, for each instance and rank, what was refused with what was admitted in the last second, and holds back what goes beyond as many again.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/amaranthweir/amaranthweir/internal/session"
 	"github.com/amaranthweir/amaranthweir/internal/system/breaker"
 	"github.com/amaranthweir/amaranthweir/internal/system/routing"
+	"github.com/amaranthweir/amaranthweir/internal/system/throttle"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
@@ -87,6 +88,8 @@
 	primaries breaker.Breaker
 	positions breaker.Breaker
 	samples   samples
+	// throttle spares instances that refuse most of what is sent.
+	throttle throttle.Throttle
 
 	decisions decisionLog
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -11,6 +11,7 @@
 	"github.com/amaranthweir/amaranthweir/internal/request"
 	"github.com/amaranthweir/amaranthweir/internal/system/breaker"
 	"github.com/amaranthweir/amaranthweir/internal/system/routing"
+	"github.com/amaranthweir/amaranthweir/internal/system/throttle"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
@@ -201,6 +202,7 @@
 		executor.EndSession(r.session.id) // it may have been opened all the same
 	}
 	r.noteOwner(err)
+	g.throttle.Answered(g.cfg.Clock(), throttle.Key{Instance: d.Instance, Rank: q.Rank}, overloaded(err))
 	r.learn(q, &res, err)
 	return res, err
 }
@@ -220,7 +222,13 @@
 		Home:      g.cfg.Domain,
 		Seed:      rand.Uint64(),
 	}, view)
-	if d.Refused() || d.Instance != view.Primary {
+	if d.Refused() {
+		return d
+	}
+	if !g.throttle.Allow(now, throttle.Key{Instance: d.Instance, Rank: q.Rank}, rand.Float64()) {
+		return routing.Decision{Reason: routing.ReasonThrottled, Refuse: errkind.DeadlineUnreachable}
+	}
+	if d.Instance != view.Primary {
 		return d
 	}
 	if !g.primaries.Allow(now, breaker.Key{Instance: d.Instance, Owner: d.Owner}, rand.Float64()) {
@@ -251,6 +259,18 @@
 	}
 }
 
+// overloaded reports whether an owner had no room for a request.
+func overloaded(err error) bool {
+	if err == nil {
+		return false
+	}
+	switch errkind.Of(err).Kind {
+	case errkind.DeadlineUnreachable, errkind.CallerLimit, errkind.UpstreamBusy:
+		return true
+	}
+	return false
+}
+
 // unreachable reports whether a kind says that the owner has no use of the
 // primary now.
 func unreachable(kind errkind.Kind) bool {
--- a/internal/system/routing/reason.go
+++ b/internal/system/routing/reason.go
@@ -41,6 +41,8 @@
 	ReasonUnprovable
 	// ReasonOwnerRefuses: refused, the owner refused the latest requests.
 	ReasonOwnerRefuses
+	// ReasonThrottled: refused, the instance refuses most work of that rank.
+	ReasonThrottled
 	reasonCount
 )
 
@@ -62,6 +64,7 @@
 	ReasonOwnerSuspect:      "owner_suspect",
 	ReasonUnprovable:        "unprovable",
 	ReasonOwnerRefuses:      "owner_refuses",
+	ReasonThrottled:         "throttled",
 }
 
 // String returns the stable name of the reason.
