Peer: texts that recur on a link travel as numbers

Change: the sender of a link gives each text a number with its first use and sends the number from then on, once the other end has said in a pong that it understands.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"storj.io/drpc/drpcconn"
@@ -58,6 +59,8 @@
 	out    chan outgoing
 	turn   chan struct{} // holds one element while a frame is sent
 	done   chan struct{}
+	names  nameSender  // belongs to who has the turn
+	shorts atomic.Bool // the other end understands names
 
 	mu     sync.Mutex
 	nextID uint64
@@ -142,6 +145,9 @@
 	if o.call != nil && !o.call.leave() {
 		return
 	}
+	if l.shorts.Load() {
+		l.names.shorten(o.frame)
+	}
 	if err := l.stream.Send(o.frame); err != nil {
 		go l.close()
 	}
@@ -179,6 +185,9 @@
 		if err != nil {
 			return
 		}
+		if f.GetTakesNames() {
+			l.shorts.Store(true)
+		}
 		a := f.GetAnswer()
 		if a == nil {
 			continue
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -504,3 +505,33 @@
 	assert.NilError(t, c.Call(t.Context(), address, "count", nil, &n))
 	assert.Equal(t, n, 2)
 }
+
+// A host that does not read, as one that is suspended, fills the small window
+// between the two: the call ends with its context all the same, and the next one
+// goes to another host.
+func TestCallerToAHostThatDoesNotRead(t *testing.T) {
+	address := startServer(t, &Server{Methods: map[string]Method{
+		"heartbeat": func(context.Context, []byte) (any, error) { return struct{}{}, nil },
+	}})
+	mine, other := net.Pipe()
+	defer other.Close()
+	var plain DialFunc
+	c := Caller{Dial: func(ctx context.Context, to string) (net.Conn, error) {
+		if to == "suspended" {
+			return mine, nil
+		}
+		return plain.dial(ctx, to)
+	}}
+	defer c.Close()
+	ctx, stop := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer stop()
+	done := make(chan error, 1)
+	go func() { done <- c.Call(ctx, "suspended", "heartbeat", strings.Repeat("x", 1<<16), &struct{}{}) }()
+	select {
+	case err := <-done:
+		assert.Assert(t, err != nil)
+	case <-time.After(patience):
+		t.Fatal("the call goes on")
+	}
+	assert.NilError(t, c.Call(t.Context(), address, "heartbeat", struct{}{}, &struct{}{}))
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -116,11 +116,15 @@
 	}
 	defer e.end()
 	defer stop()
+	var names nameReceiver
 	for {
 		f, err := stream.Recv()
 		if err != nil {
 			return nil
 		}
+		if err := names.restore(f); err != nil {
+			return err
+		}
 		e.take(f)
 	}
 }
@@ -166,7 +170,7 @@
 	case *peerpb.Frame_EndSession:
 		e.endSession(decodeSession(b.EndSession))
 	case *peerpb.Frame_Ping:
-		e.send(&peerpb.Frame{Body: &peerpb.Frame_Pong{Pong: &peerpb.Empty{}}})
+		e.send(&peerpb.Frame{Body: &peerpb.Frame_Pong{Pong: &peerpb.Empty{}}, TakesNames: true})
 	}
 }
 
