Logs: the caller's name of a request, and a line for each request that failed

Cause: a caller complains with its own id, which no line held, and a request that was refused for good or whose outcome is unknown left no line on its entry host; only attempts that were tried again did.

Change: routing lines carry caller_id; 'request failed' tells kind, effect and time; trace takes either name. The three ways of docs/OPERATIONS.md are tests with processes now. The first of them failed and showed a fault of the throttle of today: an instance that said four times that it was busy made its host refuse the request after 40 ms of 3 s; what the instance itself refuses counts no more (TestWhatIsSentAgain, 'an instance that is busy for a while').

--- a/cmd/amaranthweir/deployment_test.go
+++ b/cmd/amaranthweir/deployment_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -25,8 +24,14 @@
 	"github.com/amaranthweir/amaranthweir/standin/typed"
 )
 
-// patience bounds waits; nothing is measured by it.
-const patience = 30 * time.Second
+const (
+	// patience bounds waits; nothing is measured by it.
+	patience = 30 * time.Second
+	// promoteTime is how long a promotion usually takes, slowPromoteTime one that
+	// outlasts what quickRoute allows.
+	promoteTime     = 100 * time.Millisecond
+	slowPromoteTime = 2 * time.Second
+)
 
 // deployment is the platform with three control hosts and three entry hosts as
 // processes, each on a loopback address of its own, and one group of instances.
@@ -50,7 +55,7 @@
 	name, ip string
 	control  bool
 	cmd      *exec.Cmd
-	log      *bytes.Buffer
+	log      *lockedBuffer
 	settings string
 }
 
@@ -145,7 +150,7 @@
 	}
 	m.settings = filepath.Join(dir, "settings")
 	assert.NilError(d.t, os.WriteFile(m.settings, []byte(s.String()), 0o600))
-	m.log = &bytes.Buffer{}
+	m.log = &lockedBuffer{}
 	d.hosts[m.name] = m
 	d.run(m)
 }
@@ -204,7 +209,7 @@
 // startInstances starts the group and its heartbeats.
 func (d *deployment) startInstances() {
 	d.group = typed.NewGroup("g1", instanceLines{})
-	d.group.PromoteTime = 100 * time.Millisecond
+	d.group.SetPromoteTime(promoteTime)
 	var all []*typed.Instance
 	for n := range zones {
 		in, err := d.group.Add(table.InstanceID(fmt.Sprint("i-", n+1)), fmt.Sprintf("127.0.3.%d:%s", n+1, d.ports["instances"]))
--- /dev/null
+++ b/cmd/amaranthweir/explain_test.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthweir/amaranthweir/internal/cli"
+	"github.com/amaranthweir/amaranthweir/internal/config"
+)
+
+// lockedBuffer takes the log of a process while a test reads it.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+// String returns what was written so far.
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// trace runs the command of that name over the logs of all hosts until its
+// output holds all parts, in their order.
+func (d *deployment) trace(t *testing.T, id string, parts ...string) {
+	t.Helper()
+	var out string
+	defer func() {
+		if t.Failed() {
+			t.Logf("trace of %s:\n%s", id, out)
+		}
+	}()
+	d.until(fmt.Sprintf("the logs explain %s", id), func() bool {
+		args := []string{"trace", "--request", id}
+		dir := t.TempDir()
+		for name, m := range d.hosts {
+			file := filepath.Join(dir, name)
+			assert.NilError(t, os.WriteFile(file, []byte(m.log.String()), 0o600))
+			args = append(args, file)
+		}
+		var o, e bytes.Buffer
+		serve := func(context.Context, *config.Settings) error { return nil }
+		cli.Run(t.Context(), args, &o, &e, serve, nil)
+		out = o.String() + e.String()
+		return holdsInOrder(out, parts)
+	})
+}
+
+func holdsInOrder(text string, parts []string) bool {
+	for _, part := range parts {
+		_, after, found := strings.Cut(text, part)
+		if !found {
+			return false
+		}
+		text = after
+	}
+	return true
+}
+
+// explainBusy follows "Refused as busy although instances seem idle" of
+// docs/OPERATIONS.md.
+func explainBusy(t *testing.T, d *deployment) {
+	primary := d.group.Primary()
+	primary.RefuseBusy(1 << 30)
+	defer primary.RefuseBusy(0)
+	c, err := connect(d.entry(1), "payments")
+	assert.NilError(t, err)
+	defer c.close()
+	r, err := c.ask("busy-1", "READ apron")
+	assert.NilError(t, err)
+	assert.Equal(t, r.code, "BUSY")
+	d.trace(t, "busy-1",
+		`"msg":"route"`,
+		`"kind":"upstream_busy"`, `"msg":"attempt refused"`,
+		`"effect":"not run"`, `"kind":"upstream_busy"`, `"msg":"request failed"`,
+	)
+}
+
+// quickRoute is a route whose reads may be 400 ms old and wait for 300 ms.
+const quickRoute = `,
+{"name":"r9","host":"quick","path_prefix":"/","kind":"bounded_stale","timeout_ms":300,"target_latency_ms":100,"priority":1,"service":"g1","max_staleness_ms":400}`
+
+// explainDoubtAndStaleness follows "Outcome unknown at a change of primary" and
+// "A read refused as stale": a primary falls silent, and its successor takes
+// longer than a read may be old.
+func explainDoubtAndStaleness(t *testing.T, d *deployment) {
+	d.replace(40, quickRoute)
+	var reader *caller
+	d.until("the route is known", func() bool {
+		var err error
+		reader, err = connect(d.entry(1), "quick")
+		return err == nil
+	})
+	defer reader.close()
+	writer, err := connect(d.entry(0), "payments")
+	assert.NilError(t, err)
+	defer writer.close()
+
+	old := d.group.Primary()
+	d.group.SetPromoteTime(slowPromoteTime)
+	old.Silence(true)
+	written := make(chan string, 1)
+	go func() {
+		r, err := writer.ask("doubt-1", "WRITE pay 4")
+		written <- fmt.Sprint(r.code, err)
+	}()
+	n := 0
+	d.until("a read is refused", func() bool {
+		n++
+		r, err := reader.ask(fmt.Sprint("stale-", n), "READ apron")
+		assert.NilError(t, err)
+		return r.code == "BUSY"
+	})
+	assert.Equal(t, <-written, "INDOUBT<nil>")
+
+	d.trace(t, "doubt-1", `"instance":"`+string(old.ID)+`"`, `"msg":"route"`, `"effect":"unknown"`, `"msg":"request failed"`)
+	d.trace(t, fmt.Sprint("stale-", n), `"kind":"staleness_unprovable"`, `"msg":"request failed"`)
+	assert.Assert(t, holdsInOrder(d.controlLogs(), []string{`"msg":"change of primary"`, `"msg":"promote"`}), d.logs())
+	d.until("another primary serves", func() bool { return d.group.Primary() != old })
+	d.group.SetPromoteTime(promoteTime)
+	old.Silence(false)
+	under(t, d, func() {})
+}
+
+// controlLogs returns the logs of all control hosts.
+func (d *deployment) controlLogs() string {
+	var out strings.Builder
+	for _, m := range d.hosts {
+		if m.control {
+			out.WriteString(m.log.String())
+		}
+	}
+	return out.String()
+}
--- a/cmd/amaranthweir/platform_test.go
+++ b/cmd/amaranthweir/platform_test.go
@@ -84,7 +84,7 @@
 			assert.Assert(t, d.group.Kept(id) <= 1, "write %s", id)
 		}
 	}
-	assert.Assert(t, acked > 0, "nothing was served")
+	assert.Assert(t, acked > 0, "nothing was served\n%s", d.logs())
 }
 
 // TestPlatform runs the whole path as separate processes, in the users'
@@ -95,6 +95,8 @@
 	t.Run("databases that are not there", func(t *testing.T) { unknownDatabases(t, d) })
 	t.Run("two operators at once", func(t *testing.T) { operators(t, d) })
 	t.Run("an answer is lost", func(t *testing.T) { lostAnswer(t, d) })
+	t.Run("explaining a refusal as busy", func(t *testing.T) { explainBusy(t, d) })
+	t.Run("explaining doubt and staleness", func(t *testing.T) { explainDoubtAndStaleness(t, d) })
 	t.Run("settings change", func(t *testing.T) { reload(t, d) })
 	t.Run("an entry host is restarted", func(t *testing.T) { restart(t, d) })
 	t.Run("a primary is killed", func(t *testing.T) { killPrimary(t, d) })
--- a/internal/front/statements.go
+++ b/internal/front/statements.go
@@ -217,7 +217,7 @@
 	for _, k := range kinds {
 		text.Statements = append(text.Statements, statement.Statement{Kind: k})
 	}
-	return &gateway.Work{Messages: stmt.AppendUnit(nil, u), Texts: []statement.Text{text}}
+	return &gateway.Work{Messages: stmt.AppendUnit(nil, u), Texts: []statement.Text{text}, CallerID: u.Statement.ID}
 }
 
 // collector takes the answer of a unit.
--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -20,6 +20,7 @@
 type decision struct {
 	at       time.Time
 	request  string
+	callerID string
 	service  string
 	class    string
 	rank     config.Rank
@@ -76,6 +77,9 @@
 		"reason":   d.Reason.String(),
 		"attempt":  d.attempt,
 	}
+	if d.callerID != "" {
+		fields["caller_id"] = d.callerID
+	}
 	if d.hasFloor {
 		fields["floor_term"], fields["floor_position"] = d.floor.Term, d.floor.Position
 		fields["instance_term"], fields["instance_position"] = d.known.Term, d.known.Position
@@ -96,6 +100,7 @@
 	case log.queue <- decision{
 		at:       time.Now(),
 		request:  q.ID,
+		callerID: r.work.CallerID,
 		service:  q.Service,
 		class:    q.Class,
 		rank:     q.Rank,
--- a/internal/gateway/do.go
+++ b/internal/gateway/do.go
@@ -39,6 +39,7 @@
 	res, err := run.execute(ctx)
 	s.observe(run, err)
 	if err != nil {
+		run.logFailure(err)
 		return s.failed(), err
 	}
 	s.settle(run, res)
@@ -227,6 +228,17 @@
 	return c.sink.Answer(p)
 }
 
+// logFailure writes what became of a request that was not answered, and what is
+// known of its effect.
+func (r *run) logFailure(err error) {
+	e := errkind.Of(err)
+	r.session.gateway.cfg.Log.WithFields(logrus.Fields{
+		"request": r.id, "caller_id": r.work.CallerID, "service": r.session.service, "class": r.plan.class.Name,
+		"group": r.plan.group, "instance": r.instance, "owner": r.owner, "attempt": r.attempts,
+		"kind": e.Kind.String(), "effect": e.Effect.String(), "took_ms": time.Since(r.started).Milliseconds(),
+	}).WithError(err).Info("request failed")
+}
+
 // logRefusal writes why an attempt was refused, once for each cause in a row.
 func (r *run) logRefusal(q *request.Request, err, before error) {
 	if before != nil && before.Error() == err.Error() {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"testing"
 	"time"
 
@@ -130,6 +131,7 @@
 		{"a write of unknown outcome", "insert", []error{unknownError(errkind.UpstreamLost)}, 1, errkind.UpstreamLost, false},
 		{"a write lost with an old term", "insert", []error{notRunError(errkind.LeaseLost)}, 2, errkind.Internal, false},
 		{"a payment lost with an old term", "/* class=payment */ insert", []error{notRunError(errkind.LeaseLost)}, 1, errkind.LeaseLost, false},
+		{"an instance that is busy for a while", "insert", slices.Repeat([]error{notRunError(errkind.UpstreamBusy)}, 5), 6, errkind.Internal, false},
 		{"a refused slot", "insert", []error{notRunError(errkind.DeadlineUnreachable)}, 1, errkind.DeadlineUnreachable, false},
 		{"a read of unknown outcome", "/* class=look */ select", []error{unknownError(errkind.UpstreamLost)}, 2, errkind.Internal, false},
 		{"a read beyond the retry budget", "/* class=look */ select", []error{unknownError(errkind.UpstreamLost), unknownError(errkind.UpstreamLost)}, 2, errkind.UpstreamLost, false},
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -30,6 +30,7 @@
 	sink     countingSink
 	started  time.Time
 	deadline time.Time
+	id       string // of the request, in the logs of all hosts
 	attempts int
 	decided  routing.Decision // of the latest attempt
 
@@ -45,6 +46,7 @@
 	ctx, stop := context.WithDeadline(ctx, r.deadline)
 	defer stop()
 	q := r.request()
+	r.id = q.ID
 	if tx := r.session.tx; tx != nil {
 		r.attempts = 1
 		r.instance, r.owner, r.executor, r.replica = tx.instance, tx.owner, tx.executor, tx.replica
@@ -259,13 +261,14 @@
 	}
 }
 
-// overloaded reports whether an owner had no room for a request.
+// overloaded reports whether an owner had no room for a request. An instance that
+// says so itself is asked again: others may fill it for a moment.
 func overloaded(err error) bool {
 	if err == nil {
 		return false
 	}
 	switch errkind.Of(err).Kind {
-	case errkind.DeadlineUnreachable, errkind.CallerLimit, errkind.UpstreamBusy:
+	case errkind.DeadlineUnreachable, errkind.CallerLimit:
 		return true
 	}
 	return false
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -55,6 +55,9 @@
 	Texts []statement.Text
 	// OnlyPrepares is set when the messages run nothing.
 	OnlyPrepares bool
+	// CallerID is how the caller names the unit, for the logs; empty where the
+	// protocol has no such name.
+	CallerID string
 }
 
 // UseToken takes the token of an earlier session.
--- a/internal/logsink/limiter.go
+++ b/internal/logsink/limiter.go
@@ -1,7 +1,6 @@
 package logsink
 
 import (
-	"fmt"
 	"sync"
 	"time"
 
@@ -47,10 +46,9 @@
 // out is empty.
 func (l *Limiter) Format(e *logrus.Entry) ([]byte, error) {
 	reports, ok := l.admit(e)
-	var out []byte
-	for kind, n := range reports {
-		out = fmt.Appendf(out, `{"kind":%q,"level":"warning","lines":%d,"msg":"log lines were left out","time":%q}`+"\n",
-			kind, n, e.Time.Format(time.RFC3339Nano))
+	out, err := l.formatReports(e, reports)
+	if err != nil {
+		return nil, err
 	}
 	if !ok {
 		if l.LeftOut != nil {
@@ -62,6 +60,24 @@
 	return append(out, line...), err
 }
 
+// formatReports formats a line for each kind of which lines were left out.
+func (l *Limiter) formatReports(e *logrus.Entry, leftOut map[string]int) (out []byte, err error) {
+	for kind, n := range leftOut {
+		line, err := l.Next.Format(&logrus.Entry{
+			Logger:  e.Logger,
+			Level:   logrus.WarnLevel,
+			Time:    e.Time,
+			Message: "log lines were left out",
+			Data:    logrus.Fields{"kind": kind, "lines": n},
+		})
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, line...)
+	}
+	return out, nil
+}
+
 // admit counts a line and reports whether it is written. With the first line of
 // a window it returns how many lines of each kind were left out in the one
 // before.
--- a/internal/logsink/limiter_test.go
+++ b/internal/logsink/limiter_test.go
@@ -51,7 +51,7 @@
 	f.now = f.now.Add(window)
 	f.log.WithField(RequestField, "r").Info("route")
 	assert.Equal(t, f.lines("route"), requestLines+1)
-	assert.Assert(t, strings.Contains(f.out.String(), `{"kind":"route","level":"warning","lines":`+strconv.Itoa(9*requestLines)))
+	assert.Assert(t, strings.Contains(f.out.String(), `{"kind":"route","level":"warning","lines":`+strconv.Itoa(9*requestLines)+`,`))
 }
 
 // A reader that is slow gets what the system believes before what it routes.
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 )
 
 // maxLineBytes bounds one log line.
@@ -30,6 +31,7 @@
 // fields are those that Read looks at.
 type fields struct {
 	Request  string `json:"request"`
+	CallerID string `json:"caller_id"`
 	Message  string `json:"msg"`
 	Instance string `json:"instance"`
 	Attempt  int    `json:"attempt"`
@@ -39,29 +41,53 @@
 // of other programs between them are passed over.
 func Read(in io.Reader, file, request string) ([]Line, error) {
 	var lines []Line
+	err := scan(in, file, request, func(prefix, text []byte, f *fields) {
+		if f.Request != request {
+			return
+		}
+		lines = append(lines, Line{
+			Source:   source(prefix, file),
+			Text:     string(text),
+			Message:  f.Message,
+			Instance: f.Instance,
+			Attempt:  f.Attempt,
+		})
+	})
+	return lines, err
+}
+
+// Requests returns the names, in the logs, of the requests that a caller named
+// id; a file of the entry host tells them.
+func Requests(in io.Reader, file, id string) ([]string, error) {
+	var names []string
+	err := scan(in, file, id, func(_, _ []byte, f *fields) {
+		if f.CallerID == id && !slices.Contains(names, f.Request) {
+			names = append(names, f.Request)
+		}
+	})
+	return names, err
+}
+
+// scan calls each with the log lines that contain a word, and with what stands
+// before them.
+func scan(in io.Reader, file, word string, each func(prefix, text []byte, f *fields)) error {
 	scanner := bufio.NewScanner(in)
 	scanner.Buffer(nil, maxLineBytes)
 	for scanner.Scan() {
 		begin := bytes.IndexByte(scanner.Bytes(), '{')
-		if begin < 0 || !bytes.Contains(scanner.Bytes(), []byte(request)) {
+		if begin < 0 || !bytes.Contains(scanner.Bytes(), []byte(word)) {
 			continue
 		}
 		var f fields
-		if json.Unmarshal(scanner.Bytes()[begin:], &f) != nil || f.Request != request {
-			continue // not a line of a host, or about another request
+		if json.Unmarshal(scanner.Bytes()[begin:], &f) != nil {
+			continue // not a line of a host
 		}
-		lines = append(lines, Line{
-			Source:   source(scanner.Bytes()[:begin], file),
-			Text:     string(scanner.Bytes()[begin:]),
-			Message:  f.Message,
-			Instance: f.Instance,
-			Attempt:  f.Attempt,
-		})
+		each(scanner.Bytes()[:begin], scanner.Bytes()[begin:], &f)
 	}
 	if err := scanner.Err(); err != nil {
-		return nil, fmt.Errorf("%s: %w", file, err)
+		return fmt.Errorf("%s: %w", file, err)
 	}
-	return lines, nil
+	return nil
 }
 
 // source is the last word of what stands before a line.
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -50,6 +50,17 @@
 	})
 }
 
+// A caller complains with its own name of the request.
+func TestRequestsOfACaller(t *testing.T) {
+	log := `{"caller_id":"5c0e7a21","msg":"route","request":"10.0.0.1-a-1"}
+{"caller_id":"5c0e7a21","msg":"request failed","request":"10.0.0.1-a-1"}
+{"caller_id":"5c0e7a21-2","msg":"route","request":"10.0.0.1-a-2"}
+`
+	names, err := Requests(strings.NewReader(log), "entry.log", "5c0e7a21")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, names, []string{"10.0.0.1-a-1"})
+}
+
 func TestLinesWithoutTheirEntryHost(t *testing.T) {
 	lines, err := Read(strings.NewReader(ownerFile), "owner.log", "10.0.0.1-a-1")
 	assert.NilError(t, err)
--- a/standin/typed/group.go
+++ b/standin/typed/group.go
@@ -189,6 +189,13 @@
 	return nil
 }
 
+// SetPromoteTime changes how long promotions take.
+func (g *Group) SetPromoteTime(d time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.PromoteTime = d
+}
+
 // lead begins the next term under an instance: with what it received, and
 // nothing more.
 func (g *Group) lead(in *Instance) {
