--- a/cmd/amaranthweir/explain_test.go
+++ b/cmd/amaranthweir/explain_test.go
@@ -85,7 +85,8 @@
 	r, err := c.ask("busy-1", "READ apron")
 	assert.NilError(t, err)
 	assert.Equal(t, r.code, "BUSY")
-	d.trace(t, "busy-1",
+	d.trace(
+		t, "busy-1",
 		`"msg":"route"`,
 		`"kind":"upstream_busy"`, `"msg":"attempt refused"`,
 		`"effect":"not run"`, `"kind":"upstream_busy"`, `"msg":"request failed"`,
--- a/internal/front/statements.go
+++ b/internal/front/statements.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"strings"
 
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/gateway"
@@ -29,17 +30,8 @@
 		return s.deallocate(st)
 	case stmt.Begin, stmt.BeginRead:
 		return s.begin(st)
-	case stmt.Rollback:
-		if s.tx == nil {
-			return failed(stmt.CodeMalformed, "no transaction is open")
-		}
-		s.rollBack()
-		return stmt.Answer{}
-	case stmt.Commit:
-		if s.tx == nil {
-			return failed(stmt.CodeMalformed, "no transaction is open")
-		}
-		return s.commit(ctx, st)
+	case stmt.Commit, stmt.Rollback:
+		return s.finishTransaction(ctx, st)
 	case stmt.Read, stmt.Write, stmt.Execute:
 		return s.execute(ctx, st)
 	}
@@ -77,7 +69,7 @@
 	line := st.Name + " " + st.Value
 	next := make([]string, 0, len(s.settings)+1)
 	for _, old := range s.settings {
-		if len(old) <= len(st.Name) || old[:len(st.Name)+1] != st.Name+" " {
+		if !strings.HasPrefix(old, st.Name+" ") {
 			next = append(next, old)
 		}
 	}
@@ -164,6 +156,18 @@
 	return a
 }
 
+// finishTransaction carries out a commit or a rollback.
+func (s *session) finishTransaction(ctx context.Context, st *stmt.Statement) stmt.Answer {
+	if s.tx == nil {
+		return failed(stmt.CodeMalformed, "no transaction is open")
+	}
+	if st.Kind == stmt.Commit {
+		return s.commit(ctx, st)
+	}
+	s.rollBack()
+	return stmt.Answer{}
+}
+
 func (s *session) commit(ctx context.Context, st *stmt.Statement) stmt.Answer {
 	u := stmt.Unit{Statement: *st, Writes: s.tx.wrote}
 	kinds := []statement.Kind{statement.Commit}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -59,7 +59,8 @@
 }
 
 func (f *fakeUpstream) AwaitReplica(context.Context, table.InstanceID, table.Mark) error { return nil }
-func (f *fakeUpstream) EndSession(s request.SessionID)                                   { f.ended = append(f.ended, s) }
+
+func (f *fakeUpstream) EndSession(s request.SessionID) { f.ended = append(f.ended, s) }
 
 // fakeDirectory has one document and the same two instances in each group.
 type fakeDirectory struct {
--- a/internal/gateway/samples.go
+++ b/internal/gateway/samples.go
@@ -176,7 +176,7 @@
 	ctx, stop := context.WithTimeout(context.Background(), sampleTimeout)
 	defer stop()
 	askedAt := g.cfg.Clock()
-	answer, err := g.askGently(ctx, group)
+	answer, err := g.askOwner(ctx, group)
 	g.samples.mu.Lock()
 	defer g.samples.mu.Unlock()
 	p.err = err
@@ -187,8 +187,8 @@
 	p.flight = nil
 }
 
-// askGently asks for the position unless the owner refused it lately.
-func (g *Gateway) askGently(ctx context.Context, group table.GroupName) (request.PositionSample, error) {
+// askOwner asks for the position, unless the owner refused it a moment ago.
+func (g *Gateway) askOwner(ctx context.Context, group table.GroupName) (request.PositionSample, error) {
 	key, ok := g.primaryKey(group)
 	if !ok {
 		return request.PositionSample{}, errkind.New(errkind.NoPrimary, "group %s", group)
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -52,17 +52,17 @@
 
 // link is an open Exchange stream to one host.
 type link struct {
-	conn   *drpcconn.Conn
-	heard  *heardConn
-	stream peerpb.DRPCPeer_ExchangeClient
-	cancel context.CancelFunc
-	out    chan outgoing
-	turn   chan struct{} // holds one element while a frame is sent
-	done   chan struct{}
-	names  nameSender   // belongs to who has the turn
-	shorts atomic.Bool  // the other end understands names
-	sentAt atomic.Int64 // nanoseconds since opened
-	opened time.Time
+	conn       *drpcconn.Conn
+	heard      *heardConn
+	stream     peerpb.DRPCPeer_ExchangeClient
+	cancel     context.CancelFunc
+	out        chan outgoing
+	turn       chan struct{} // holds one element while a frame is sent
+	done       chan struct{}
+	names      nameSender   // belongs to who has the turn
+	takesNames atomic.Bool  // the other end understands names
+	sentAt     atomic.Int64 // nanoseconds since opened
+	opened     time.Time
 
 	mu     sync.Mutex
 	nextID uint64
@@ -148,7 +148,7 @@
 	if o.call != nil && !o.call.leave() {
 		return
 	}
-	if l.shorts.Load() {
+	if l.takesNames.Load() {
 		l.names.shorten(o.frame)
 	}
 	if err := l.stream.Send(o.frame); err != nil {
@@ -174,7 +174,7 @@
 			l.close()
 			return
 		}
-		if l.shorts.Load() && !pingDue(l.sentAgo(), heardAgo, t.Ping) {
+		if l.takesNames.Load() && !pingDue(l.sentAgo(), heardAgo, t.Ping) {
 			continue
 		}
 		select { // never waits, as a turn of its own could
@@ -205,7 +205,7 @@
 			return
 		}
 		if f.GetTakesNames() {
-			l.shorts.Store(true)
+			l.takesNames.Store(true)
 		}
 		a := f.GetAnswer()
 		if a == nil {
--- a/internal/peer/names_test.go
+++ b/internal/peer/names_test.go
@@ -82,7 +82,7 @@
 	}
 	run()
 	assert.Equal(t, len(r.link.names.numbers), 0)
-	waitFor(t, "a pong", func() bool { return r.link.shorts.Load() })
+	waitFor(t, "a pong", func() bool { return r.link.takesNames.Load() })
 	run()
 	run()
 	assert.Assert(t, len(r.link.names.numbers) > 0)
--- a/internal/system/breaker/breaker.go
+++ b/internal/system/breaker/breaker.go
@@ -43,7 +43,7 @@
 // use by many goroutines.
 type Breaker struct {
 	mu    sync.Mutex
-	swept time.Duration
+	swept time.Duration // moment of the latest sweep
 	by    map[Key]*state
 }
 
--- a/internal/system/throttle/throttle.go
+++ b/internal/system/throttle/throttle.go
@@ -40,9 +40,9 @@
 // Throttle decides which requests a host sends on. The zero value is ready for
 // use by many goroutines.
 type Throttle struct {
-	mu  sync.Mutex
-	now time.Duration // of the latest sweep
-	by  map[Key]*counts
+	mu    sync.Mutex
+	swept time.Duration // moment of the latest sweep
+	by    map[Key]*counts
 }
 
 // Allow reports whether to send a request; draw is uniform in [0, 1). Where the
@@ -99,10 +99,10 @@
 	if t.by == nil {
 		t.by = map[Key]*counts{}
 	}
-	if now-t.now < period {
+	if now-t.swept < period {
 		return
 	}
-	t.now = now
+	t.swept = now
 	for k, c := range t.by {
 		if now-c.began >= 2*period {
 			delete(t.by, k)
