One reader for the parts of binary encodings

The codec of typed units had written again what the codec of the consensus had: a reader that yields zeros after the first bad value, and the flags and byte strings that it reads.

--- a/internal/consensus/codec.go
+++ b/internal/consensus/codec.go
@@ -6,6 +6,7 @@
 	"fmt"
 
 	"github.com/amaranthweir/amaranthweir/internal/table"
+	"github.com/amaranthweir/amaranthweir/internal/wire"
 )
 
 // The limits of encoded messages.
@@ -32,7 +33,7 @@
 	for _, v := range [...]uint64{m.Term, m.Index, m.LogTerm, m.Commit, m.Hint, m.Stamp} {
 		b = binary.AppendUvarint(b, v)
 	}
-	b = append(b, flag(m.Reject), flag(m.Handover), flag(m.Snapshot != nil))
+	b = append(b, wire.Flag(m.Reject), wire.Flag(m.Handover), wire.Flag(m.Snapshot != nil))
 	b = binary.AppendUvarint(b, uint64(len(m.Entries)))
 	for _, e := range m.Entries {
 		b = appendEntry(b, e)
@@ -49,30 +50,30 @@
 	if len(b) > MaxMessageBytes {
 		return fmt.Errorf("%w: %d bytes", ErrMalformed, len(b))
 	}
-	r := reader{b: b}
-	version := r.byte()
-	*m = Message{Type: MessageType(r.byte()), From: r.node(), To: r.node()}
+	r := newReader(b)
+	version := r.Byte()
+	*m = Message{Type: MessageType(r.Byte()), From: r.node(), To: r.node()}
 	for _, v := range [...]*uint64{&m.Term, &m.Index, &m.LogTerm, &m.Commit, &m.Hint, &m.Stamp} {
-		*v = r.uvarint()
-		r.bad = r.bad || *v > maxCounter
+		*v = r.Uvarint()
+		r.Bad = r.Bad || *v > maxCounter
 	}
-	m.Reject = r.flag()
-	m.Handover = r.flag()
-	hasSnapshot := r.flag()
+	m.Reject = r.Flag()
+	m.Handover = r.Flag()
+	hasSnapshot := r.Flag()
 	m.Entries = r.entries()
 	if hasSnapshot {
 		s := r.snapshot()
 		m.Snapshot = &s
 	}
 	if version != codecVersion || m.Type >= messageTypeCount {
-		r.bad = true
+		r.Bad = true
 	}
 	if m.Type == MsgSnapshot && m.Snapshot == nil {
-		r.bad = true
+		r.Bad = true
 	}
 	for i, e := range m.Entries {
 		if e.Index != m.Index+1+uint64(i) || e.Term > m.Term {
-			r.bad = true
+			r.Bad = true
 		}
 	}
 	return r.finish()
@@ -83,7 +84,7 @@
 
 // UnmarshalBinary reads an entry written by AppendBinary.
 func (e *Entry) UnmarshalBinary(b []byte) error {
-	r := reader{b: b}
+	r := newReader(b)
 	*e = r.entry()
 	return r.finish()
 }
@@ -97,8 +98,8 @@
 
 // UnmarshalBinary reads a state written by AppendBinary.
 func (h *HardState) UnmarshalBinary(b []byte) error {
-	r := reader{b: b}
-	*h = HardState{Term: r.uvarint(), Vote: r.node(), Commit: r.uvarint()}
+	r := newReader(b)
+	*h = HardState{Term: r.Uvarint(), Vote: r.node(), Commit: r.Uvarint()}
 	return r.finish()
 }
 
@@ -107,7 +108,7 @@
 
 // UnmarshalBinary reads a snapshot written by AppendBinary.
 func (s *Snapshot) UnmarshalBinary(b []byte) error {
-	r := reader{b: b}
+	r := newReader(b)
 	*s = r.snapshot()
 	return r.finish()
 }
@@ -117,25 +118,13 @@
 
 // UnmarshalBinary reads a membership written by AppendBinary.
 func (m *Members) UnmarshalBinary(b []byte) error {
-	r := reader{b: b}
+	r := newReader(b)
 	*m = r.members()
 	return r.finish()
 }
 
-func flag(v bool) byte {
-	if v {
-		return 1
-	}
-	return 0
-}
-
-func appendBytes(b, v []byte) []byte {
-	b = binary.AppendUvarint(b, uint64(len(v)))
-	return append(b, v...)
-}
-
 func appendNode(b []byte, id NodeID) []byte {
-	b = appendBytes(b, []byte(id.Host))
+	b = wire.AppendBytes(b, id.Host)
 	return binary.AppendUvarint(b, id.Incarnation)
 }
 
@@ -143,7 +132,7 @@
 	b = binary.AppendUvarint(b, e.Index)
 	b = binary.AppendUvarint(b, e.Term)
 	b = append(b, byte(e.Type))
-	return appendBytes(b, e.Data)
+	return wire.AppendBytes(b, e.Data)
 }
 
 func appendNodes(b []byte, ids []NodeID) []byte {
@@ -162,92 +151,51 @@
 	b = binary.AppendUvarint(b, s.Index)
 	b = binary.AppendUvarint(b, s.Term)
 	b = appendMembers(b, s.Members)
-	return appendBytes(b, s.Data)
+	return wire.AppendBytes(b, s.Data)
 }
 
-// reader takes values off b; after the first malformed one it yields zeros.
-type reader struct {
-	b   []byte
-	bad bool
-}
+// reader takes the parts of messages off their encoding.
+type reader struct{ wire.Reader }
+
+func newReader(b []byte) reader { return reader{wire.Reader{Rest: b}} }
 
 func (r *reader) finish() error {
-	if r.bad || len(r.b) != 0 {
+	if !r.Done() {
 		return ErrMalformed
 	}
 	return nil
 }
 
-func (r *reader) byte() byte {
-	if r.bad || len(r.b) == 0 {
-		r.bad = true
-		return 0
-	}
-	v := r.b[0]
-	r.b = r.b[1:]
-	return v
-}
-
-func (r *reader) flag() bool {
-	v := r.byte()
-	r.bad = r.bad || v > 1
-	return v == 1
-}
-
-func (r *reader) uvarint() uint64 {
-	v, n := binary.Uvarint(r.b)
-	if r.bad || n <= 0 {
-		r.bad = true
-		return 0
-	}
-	r.b = r.b[n:]
-	return v
-}
-
-func (r *reader) bytes(limit int) []byte {
-	size := r.uvarint()
-	if r.bad || size > uint64(len(r.b)) || size > uint64(limit) {
-		r.bad = true
-		return nil
-	}
-	v := r.b[:size:size]
-	r.b = r.b[size:]
-	if size == 0 {
-		return nil
-	}
-	return v
-}
-
 func (r *reader) node() NodeID {
-	return NodeID{Host: table.HostID(r.bytes(maxHostBytes)), Incarnation: r.uvarint()}
+	return NodeID{Host: table.HostID(r.Bytes(maxHostBytes)), Incarnation: r.Uvarint()}
 }
 
 func (r *reader) entry() Entry {
-	e := Entry{Index: r.uvarint(), Term: r.uvarint(), Type: EntryType(r.byte())}
-	e.Data = r.bytes(MaxMessageBytes)
-	r.bad = r.bad || e.Type >= entryTypeCount || e.Index > maxCounter || e.Term > maxCounter
+	e := Entry{Index: r.Uvarint(), Term: r.Uvarint(), Type: EntryType(r.Byte())}
+	e.Data = r.Bytes(MaxMessageBytes)
+	r.Bad = r.Bad || e.Type >= entryTypeCount || e.Index > maxCounter || e.Term > maxCounter
 	return e
 }
 
 func (r *reader) entries() []Entry {
-	count := r.uvarint()
-	if count > uint64(len(r.b)) {
-		r.bad = true
+	count := r.Uvarint()
+	if count > uint64(len(r.Rest)) {
+		r.Bad = true
 	}
 	var entries []Entry
-	for ; count > 0 && !r.bad; count-- {
+	for ; count > 0 && !r.Bad; count-- {
 		entries = append(entries, r.entry())
 	}
 	return entries
 }
 
 func (r *reader) nodes() []NodeID {
-	count := r.uvarint()
+	count := r.Uvarint()
 	if count > MaxMembers {
-		r.bad = true
+		r.Bad = true
 	}
 	var ids []NodeID
-	for ; count > 0 && !r.bad; count-- {
+	for ; count > 0 && !r.Bad; count-- {
 		ids = append(ids, r.node())
 	}
 	return ids
@@ -258,8 +206,8 @@
 }
 
 func (r *reader) snapshot() Snapshot {
-	s := Snapshot{Index: r.uvarint(), Term: r.uvarint(), Members: r.members()}
-	s.Data = r.bytes(MaxMessageBytes)
-	r.bad = r.bad || s.Index > maxCounter || s.Term > maxCounter
+	s := Snapshot{Index: r.Uvarint(), Term: r.Uvarint(), Members: r.members()}
+	s.Data = r.Bytes(MaxMessageBytes)
+	r.Bad = r.Bad || s.Index > maxCounter || s.Term > maxCounter
 	return s
 }
