Say once what stood twice: calls to instances, the primary of a group, ends of connections

Found in a reading of the whole change; behaviour stays as it is.

- stmtedge asked an instance in two branches, over a kept and a new connection.
- The sampling of positions looked the primary of a group up by itself and then again through PrimaryPosition.
- front and pg each had the deadline that ends a blocked read; drain has it now.
- Five control calls each refused on a host that is no control host.
- A connection built a map of the wanted settings for each statement.
- A tick of the slots dispatched twice; a host that is cut off retired its callers twice in a row.
- The names of a request were gathered in a slice for each request.

--- a/internal/dbedge/stmtedge/stmtedge.go
+++ b/internal/dbedge/stmtedge/stmtedge.go
@@ -121,18 +121,19 @@
 	}
 }
 
+// command is one question or order to an instance.
+type command func(*pool.StatementConn, context.Context) (stmt.State, error)
+
 // call does one call, over the kept connection if that answers in time. Every
 // call of this package is idempotent, so that a repeat does no harm.
-func (e *Edge) call(ctx context.Context, t dbedge.Target, do func(*pool.StatementConn, context.Context) (stmt.State, error)) (dbedge.Status, error) {
+func (e *Edge) call(ctx context.Context, t dbedge.Target, do command) (dbedge.Status, error) {
 	if c := e.take(t); c != nil {
 		keptCtx, stop := context.WithTimeout(ctx, keptTimeout)
-		state, err := do(c, keptCtx)
+		status, err := e.ask(keptCtx, t, c, do)
 		stop()
 		if err == nil || errors.Is(err, dbedge.ErrBusy) {
-			e.give(t, c)
-			return statusOf(state), err
+			return status, err
 		}
-		c.Close()
 		if ctx.Err() != nil {
 			return dbedge.Status{}, ctx.Err()
 		}
@@ -141,21 +142,19 @@
 	if err != nil {
 		return dbedge.Status{}, fmt.Errorf("connect to %s: %w", t.Instance, err)
 	}
-	state, err := do(c, ctx)
-	if errors.Is(err, dbedge.ErrBusy) {
-		e.give(t, c)
-		return dbedge.Status{}, err
-	}
-	if err != nil {
+	return e.ask(ctx, t, c, do)
+}
+
+// ask does one call over c, which is kept where the instance answered, also
+// that it is busy, and closed otherwise.
+func (e *Edge) ask(ctx context.Context, t dbedge.Target, c *pool.StatementConn, do command) (dbedge.Status, error) {
+	s, err := do(c, ctx)
+	if err != nil && !errors.Is(err, dbedge.ErrBusy) {
 		c.Close()
 		return dbedge.Status{}, fmt.Errorf("ask %s: %w", t.Instance, err)
 	}
 	e.give(t, c)
-	return statusOf(state), nil
-}
-
-func statusOf(s stmt.State) dbedge.Status {
-	return dbedge.Status{Role: s.Role, Mark: s.Mark, Held: s.Held}
+	return dbedge.Status{Role: s.Role, Mark: s.Mark, Held: s.Held}, err
 }
 
 func (e *Edge) take(t dbedge.Target) *pool.StatementConn {
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"net"
+	"os"
 	"sync"
 	"testing"
 
@@ -18,3 +21,16 @@
 	close(release)
 	assert.Assert(t, Wait(t.Context(), &work))
 }
+
+func TestInterrupt(t *testing.T) {
+	mine, other := net.Pipe()
+	defer other.Close()
+	defer mine.Close()
+	read := make(chan error, 1)
+	go func() {
+		_, err := mine.Read(make([]byte, 1))
+		read <- err
+	}()
+	Interrupt(mine)
+	assert.Assert(t, errors.Is(<-read, os.ErrDeadlineExceeded))
+}
--- a/internal/front/listener.go
+++ b/internal/front/listener.go
@@ -31,9 +31,6 @@
 	readBufferBytes = 1 << 10
 )
 
-// pastDeadline makes a blocked read end at once.
-var pastDeadline = time.Unix(1, 0)
-
 // Config describes a Listener.
 type Config struct {
 	Gateway *gateway.Gateway
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/amaranthweir/amaranthweir/internal/config"
+	"github.com/amaranthweir/amaranthweir/internal/drain"
 	"github.com/amaranthweir/amaranthweir/internal/gateway"
 	"github.com/amaranthweir/amaranthweir/internal/request"
 	"github.com/amaranthweir/amaranthweir/internal/stmt"
@@ -163,7 +164,7 @@
 	s.retiring = on
 	if on && !s.busy && now.Sub(s.idleSince) >= retireIdle {
 		s.ending = true
-		_ = s.net.SetReadDeadline(pastDeadline)
+		drain.Interrupt(s.net)
 	}
 }
 
@@ -174,6 +175,6 @@
 	defer s.mu.Unlock()
 	s.ending = true
 	if !s.busy {
-		_ = s.net.SetReadDeadline(pastDeadline)
+		drain.Interrupt(s.net)
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -160,16 +160,33 @@
 
 // PrimaryPosition samples the position of the primary of a group at its owner.
 func (g *Gateway) PrimaryPosition(ctx context.Context, group table.GroupName) (request.PositionSample, error) {
+	primary, err := g.primaryOf(group)
+	if err != nil {
+		return request.PositionSample{}, err
+	}
+	return g.positionOf(ctx, primary)
+}
+
+// primaryOf returns the primary of a group with its owner.
+func (g *Gateway) primaryOf(group table.GroupName) (breaker.Key, error) {
 	v := g.cfg.Directory.Groups().Lookup(group)
 	if v == nil || v.Primary == "" {
-		return request.PositionSample{}, errkind.New(errkind.NoPrimary, "group %s", group)
+		return breaker.Key{}, errkind.New(errkind.NoPrimary, "group %s", group)
 	}
-	if c := v.Find(v.Primary); c != nil {
-		if owner, ok := g.cfg.Directory.Executor(c.Owner); ok {
-			return owner.Position(ctx, c.Instance)
-		}
+	c := v.Find(v.Primary)
+	if c == nil {
+		return breaker.Key{}, errkind.New(errkind.NoOwner, "primary of %s", group)
+	}
+	return breaker.Key{Instance: c.Instance, Owner: c.Owner}, nil
+}
+
+// positionOf asks the owner of a primary for its position.
+func (g *Gateway) positionOf(ctx context.Context, primary breaker.Key) (request.PositionSample, error) {
+	owner, ok := g.cfg.Directory.Executor(primary.Owner)
+	if !ok {
+		return request.PositionSample{}, errkind.New(errkind.NoOwner, "host %s is not known", primary.Owner)
 	}
-	return request.PositionSample{}, errkind.New(errkind.NoOwner, "primary of %s", group)
+	return owner.Position(ctx, primary.Instance)
 }
 
 // AwaitAnyReplica returns once one replica of the group holds m.
--- a/internal/gateway/samples.go
+++ b/internal/gateway/samples.go
@@ -9,7 +9,6 @@
 	"github.com/amaranthweir/amaranthweir/internal/config"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/request"
-	"github.com/amaranthweir/amaranthweir/internal/system/breaker"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
@@ -189,32 +188,18 @@
 
 // askOwner asks for the position, unless the owner refused it a moment ago.
 func (g *Gateway) askOwner(ctx context.Context, group table.GroupName) (request.PositionSample, error) {
-	key, ok := g.primaryKey(group)
-	if !ok {
-		return request.PositionSample{}, errkind.New(errkind.NoPrimary, "group %s", group)
+	primary, err := g.primaryOf(group)
+	if err != nil {
+		return request.PositionSample{}, err
 	}
-	if !g.positions.Allow(g.cfg.Clock(), key, rand.Float64()) {
-		return request.PositionSample{}, errkind.New(errkind.NoOwner, "%s refused the position of %s", key.Owner, key.Instance)
+	if !g.positions.Allow(g.cfg.Clock(), primary, rand.Float64()) {
+		return request.PositionSample{}, errkind.New(errkind.NoOwner, "%s refused the position of %s", primary.Owner, primary.Instance)
 	}
-	answer, err := g.PrimaryPosition(ctx, group)
+	answer, err := g.positionOf(ctx, primary)
 	if err != nil {
-		g.positions.Refused(g.cfg.Clock(), key)
+		g.positions.Refused(g.cfg.Clock(), primary)
 		return answer, err
 	}
-	g.positions.Served(key)
+	g.positions.Served(primary)
 	return answer, nil
 }
-
-// primaryKey returns the primary of a group with its owner, or false while
-// there is none.
-func (g *Gateway) primaryKey(group table.GroupName) (breaker.Key, bool) {
-	v := g.cfg.Directory.Groups().Lookup(group)
-	if v == nil {
-		return breaker.Key{}, false
-	}
-	c := v.Find(v.Primary)
-	if c == nil {
-		return breaker.Key{}, false
-	}
-	return breaker.Key{Instance: c.Instance, Owner: c.Owner}, true
-}
--- a/internal/host/adapter.go
+++ b/internal/host/adapter.go
@@ -240,10 +240,11 @@
 	if err := json.Unmarshal(body, &in); err != nil {
 		return nil, badMessage(err)
 	}
-	if h.leader == nil {
-		return nil, errkind.New(errkind.NotLeader, "not a control host")
+	l, err := h.controlLeader()
+	if err != nil {
+		return nil, err
 	}
-	res, err := h.leader.server.Propose(ctx, control.Command{ReplaceDeployment: &in})
+	res, err := l.server.Propose(ctx, control.Command{ReplaceDeployment: &in})
 	if err != nil {
 		return nil, err
 	}
@@ -253,11 +254,12 @@
 // takeDeployment answers methodDeployment. Only a leader with a valid lease
 // knows that no later deployment is agreed.
 func (h *Host) takeDeployment(context.Context, []byte) (any, error) {
-	if h.leader == nil {
-		return nil, errkind.New(errkind.NotLeader, "not a control host")
+	l, err := h.controlLeader()
+	if err != nil {
+		return nil, err
 	}
-	d := h.leader.server.View().Deployment
-	if _, self, valid := h.leader.server.Leader(); !self || !valid || !h.leader.server.CaughtUp() {
+	d := l.server.View().Deployment
+	if _, self, valid := l.server.Leader(); !self || !valid || !l.server.CaughtUp() {
 		return nil, errkind.New(errkind.NotLeader, "")
 	}
 	if d.Version == 0 {
--- a/internal/host/backend.go
+++ b/internal/host/backend.go
@@ -136,16 +136,26 @@
 // leaderPause is the pause before the leader is asked again.
 const leaderPause = 50 * time.Millisecond
 
+// controlLeader returns the leader's part of a control host, whether or not it
+// leads now; other hosts have none.
+func (h *Host) controlLeader() (*leader, error) {
+	if h.leader == nil {
+		return nil, errkind.New(errkind.NotLeader, "not a control host")
+	}
+	return h.leader, nil
+}
+
 // takeApply answers methodApply.
 func (h *Host) takeApply(ctx context.Context, body []byte) (any, error) {
 	var in applyRequest
 	if err := json.Unmarshal(body, &in); err != nil {
 		return nil, badMessage(err)
 	}
-	if h.leader == nil {
-		return nil, errkind.New(errkind.NotLeader, "not a control host")
+	l, err := h.controlLeader()
+	if err != nil {
+		return nil, err
 	}
-	return h.leader.apply(ctx, &in)
+	return l.apply(ctx, &in)
 }
 
 // takeNudge answers methodNudge.
@@ -218,10 +228,11 @@
 	if err := json.Unmarshal(body, &in); err != nil {
 		return nil, badMessage(err)
 	}
-	if h.leader == nil {
-		return nil, errkind.New(errkind.NotLeader, "not a control host")
+	l, err := h.controlLeader()
+	if err != nil {
+		return nil, err
 	}
-	return struct{}{}, h.leader.switchOver(in.Group, in.To)
+	return struct{}{}, l.switchOver(in.Group, in.To)
 }
 
 // Explain implements api.Backend.
--- a/internal/host/deployment.go
+++ b/internal/host/deployment.go
@@ -137,13 +137,12 @@
 		}
 		cut := h.knowsConfiguration() && h.beats.unansweredFor() > cutOffAfter+retireAfter
 		if cut != retired {
-			retired = cut
 			h.log.WithField("cut_off", cut).Warn("callers are sent elsewhere")
-			callers.Retire(cut)
 		}
-		if retired {
-			callers.Retire(true)
+		if cut || retired {
+			callers.Retire(cut)
 		}
+		retired = cut
 	}
 }
 
--- a/internal/host/status.go
+++ b/internal/host/status.go
@@ -31,10 +31,11 @@
 
 // takeStatus answers methodStatus.
 func (h *Host) takeStatus(context.Context, []byte) (any, error) {
-	if h.leader == nil {
-		return nil, errkind.New(errkind.NotLeader, "not a control host")
+	l, err := h.controlLeader()
+	if err != nil {
+		return nil, err
 	}
-	return h.leader.report()
+	return l.report()
 }
 
 func (l *leader) report() (*leaderReport, error) {
--- a/internal/owner/slots.go
+++ b/internal/owner/slots.go
@@ -187,8 +187,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.queue.SetSlots(since(now), s.inFlight(now)) // a pause may be over
-	s.queue.Tick(since(now))
+	s.queue.SetSlots(since(now), s.inFlight(now)) // a pause may be over; it ticks too
 	s.settle()
 }
 
--- a/internal/peer/names.go
+++ b/internal/peer/names.go
@@ -14,17 +14,20 @@
 	maxNameBytes = 128
 )
 
+// recurringTexts is how many texts of a request recur.
+const recurringTexts = 6
+
 // recurring returns the texts of a request that recur on a link: those of its
 // host, its service and the instance that it is for. Of its id only the part up
 // to the number recurs, which prefix takes in place of the text.
-func recurring(r *peerpb.Request, prefix *string) []*string {
+func recurring(r *peerpb.Request, prefix *string) [recurringTexts]*string {
 	var host *string
 	if r.Session != nil {
 		host = &r.Session.Host
 	} else {
 		host = new(string)
 	}
-	return []*string{host, prefix, &r.Service, &r.Class, &r.Instance, &r.Group}
+	return [recurringTexts]*string{host, prefix, &r.Service, &r.Class, &r.Instance, &r.Group}
 }
 
 // nameSender replaces the texts that recur on a link by numbers, which makes
@@ -41,6 +44,7 @@
 	cut := strings.LastIndexByte(r.Id, '-') + 1
 	prefix := r.Id[:cut]
 	r.Id = r.Id[cut:]
+	r.Refs = make([]uint32, 0, recurringTexts)
 	for _, text := range recurring(r, &prefix) {
 		number, isNew := n.number(*text)
 		if isNew {
@@ -87,7 +91,7 @@
 	}
 	var prefix string
 	texts := recurring(r, &prefix)
-	if len(r.GetRefs()) != len(texts) {
+	if len(r.GetRefs()) != recurringTexts {
 		return errkind.New(errkind.BadRequest, "%d numbers of names", len(r.GetRefs()))
 	}
 	for i, number := range r.GetRefs() {
--- a/internal/pg/listener.go
+++ b/internal/pg/listener.go
@@ -21,9 +21,6 @@
 	"github.com/amaranthweir/amaranthweir/internal/request"
 )
 
-// pastDeadline makes a blocked read end at once.
-var pastDeadline = time.Unix(1, 0)
-
 // DefaultIdleTransaction is how long a transaction may wait for its next
 // message. It holds a connection and locks, and holds up changes of owner.
 const DefaultIdleTransaction = 5 * time.Minute
--- a/internal/pg/reader.go
+++ b/internal/pg/reader.go
@@ -6,6 +6,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/amaranthweir/amaranthweir/internal/drain"
 )
 
 const (
@@ -66,7 +68,7 @@
 		if timer.Stop() {
 			return
 		}
-		_ = r.net.SetReadDeadline(pastDeadline)
+		drain.Interrupt(r.net)
 		<-done
 		_ = r.net.SetReadDeadline(time.Time{})
 	}
--- a/internal/pg/session.go
+++ b/internal/pg/session.go
@@ -12,6 +12,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/sirupsen/logrus"
 
+	"github.com/amaranthweir/amaranthweir/internal/drain"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/gateway"
 	"github.com/amaranthweir/amaranthweir/internal/pg/synthetic"
@@ -342,6 +343,6 @@
 	defer s.mu.Unlock()
 	s.ending = true
 	if !s.busy {
-		_ = s.net.SetReadDeadline(pastDeadline)
+		drain.Interrupt(s.net)
 	}
 }
--- a/internal/pool/statementconn.go
+++ b/internal/pool/statementconn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"strings"
 	"time"
 
@@ -209,8 +210,7 @@
 // counts the messages.
 func (c *StatementConn) preparation(x *Exchange, buf []byte) ([]byte, int, error) {
 	count := 0
-	want := settingsOf(x.Settings)
-	if c.surplus(want) {
+	if c.surplus(x.Settings) {
 		buf = c.codec.AppendStatement(buf, &stmt.Statement{Kind: stmt.Discard}, nil)
 		count++
 		clear(c.settings)
@@ -240,29 +240,22 @@
 	return buf, count, nil
 }
 
-// settingsOf reads settings written as a name, a blank and the value.
-func settingsOf(list []string) map[string]string {
-	if len(list) == 0 {
-		return nil
-	}
-	out := make(map[string]string, len(list))
-	for _, s := range list {
-		name, value, _ := strings.Cut(s, " ")
-		out[name] = value
-	}
-	return out
-}
-
 // surplus reports whether the connection has a setting that is not wanted.
-func (c *StatementConn) surplus(want map[string]string) bool {
+func (c *StatementConn) surplus(want []string) bool {
 	for name := range c.settings {
-		if _, ok := want[name]; !ok {
+		if !slices.ContainsFunc(want, func(s string) bool { return settingName(s) == name }) {
 			return true
 		}
 	}
 	return false
 }
 
+// settingName is the name in a setting written as a name, a blank and the value.
+func settingName(setting string) string {
+	name, _, _ := strings.Cut(setting, " ")
+	return name
+}
+
 // receive reads one answer and notes the state that it tells.
 func (c *StatementConn) receive() (stmt.Answer, error) {
 	a, err := c.codec.ReadAnswer(c.in)
