--- a/cmd/amaranthweir/deployment_test.go
+++ b/cmd/amaranthweir/deployment_test.go
@@ -18,6 +18,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/amaranthweir/amaranthweir/internal/logtest"
 	"github.com/amaranthweir/amaranthweir/internal/porttest"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 	"github.com/amaranthweir/amaranthweir/platform"
@@ -55,7 +56,7 @@
 	name, ip string
 	control  bool
 	cmd      *exec.Cmd
-	log      *lockedBuffer
+	log      *logtest.Buffer
 	settings string
 }
 
@@ -150,7 +151,7 @@
 	}
 	m.settings = filepath.Join(dir, "settings")
 	assert.NilError(d.t, os.WriteFile(m.settings, []byte(s.String()), 0o600))
-	m.log = &lockedBuffer{}
+	m.log = &logtest.Buffer{}
 	d.hosts[m.name] = m
 	d.run(m)
 }
--- a/cmd/amaranthweir/explain_test.go
+++ b/cmd/amaranthweir/explain_test.go
@@ -7,7 +7,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -16,26 +15,6 @@
 	"github.com/amaranthweir/amaranthweir/internal/config"
 )
 
-// lockedBuffer takes the log of a process while a test reads it.
-type lockedBuffer struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-}
-
-// Write implements io.Writer.
-func (b *lockedBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.Write(p)
-}
-
-// String returns what was written so far.
-func (b *lockedBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.String()
-}
-
 // trace runs the command of that name over the logs of all hosts until its
 // output holds all parts, in their order.
 func (d *deployment) trace(t *testing.T, id string, parts ...string) {
--- a/internal/host/security_test.go
+++ b/internal/host/security_test.go
@@ -1,7 +1,6 @@
 package host
 
 import (
-	"bytes"
 	"context"
 	"encoding/hex"
 	"encoding/json"
@@ -11,7 +10,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -29,6 +27,7 @@
 	"github.com/amaranthweir/amaranthweir/internal/consensus"
 	"github.com/amaranthweir/amaranthweir/internal/dbedge"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/logtest"
 	"github.com/amaranthweir/amaranthweir/internal/peer"
 	"github.com/amaranthweir/amaranthweir/internal/porttest"
 	"github.com/amaranthweir/amaranthweir/internal/request"
@@ -46,30 +45,12 @@
 	announceToken    = "announce-pencil"
 )
 
-// lockedBuffer takes the log of hosts.
-type lockedBuffer struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-}
-
-func (b *lockedBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.Write(p)
-}
-
-func (b *lockedBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.String()
-}
-
 // deployment is a control host h1 and a host h2 with everything protected.
 type deployment struct {
 	t     *testing.T
 	ca    *certtest.CA
 	hosts []*config.Settings
-	log   lockedBuffer
+	log   logtest.Buffer
 }
 
 func startProtected(t *testing.T) *deployment {
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -12,7 +12,6 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
 
 	"github.com/amaranthweir/amaranthweir/internal/config"
 	"github.com/amaranthweir/amaranthweir/internal/dbedge/pgedge"
@@ -22,6 +21,7 @@
 	"github.com/amaranthweir/amaranthweir/internal/system/failover"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 	"github.com/amaranthweir/amaranthweir/internal/upstream"
+	"github.com/amaranthweir/amaranthweir/internal/waittest"
 	"github.com/amaranthweir/amaranthweir/standin"
 )
 
@@ -72,19 +72,6 @@
 	return ctx.Err()
 }
 
-func waitFor(t *testing.T, what string, holds func() bool) {
-	t.Helper()
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if holds() {
-			return poll.Success()
-		}
-		return poll.Continue("%s: not yet", what)
-	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(patience))
-}
-
-// patience bounds waits; nothing is measured by it.
-const patience = 20 * time.Second
-
 // answers collects the types of the messages of an answer.
 type answers struct{ kinds string }
 
@@ -279,8 +266,8 @@
 	_, err := o.Execute(t.Context(), begin, &answers{})
 	assert.NilError(t, err)
 	o.HandOver("g-1", 1)
-	waitFor(t, "the hand-over", func() bool { return len(o.Released()) == 1 })
-	waitFor(t, "all connections closed", func() bool { return in.Stats().Open == 0 })
+	waittest.Until(t, "the hand-over", func() bool { return len(o.Released()) == 1 })
+	waittest.Until(t, "all connections closed", func() bool { return in.Stats().Open == 0 })
 }
 
 // The caller gave up while its transaction was being opened: the end of its
--- a/internal/peer/names_test.go
+++ b/internal/peer/names_test.go
@@ -12,6 +12,7 @@
 	"github.com/amaranthweir/amaranthweir/internal/peer/peerpb"
 	"github.com/amaranthweir/amaranthweir/internal/request"
 	"github.com/amaranthweir/amaranthweir/internal/table"
+	"github.com/amaranthweir/amaranthweir/internal/waittest"
 )
 
 func requestFrame(r *request.Request) *peerpb.Frame {
@@ -82,7 +83,7 @@
 	}
 	run()
 	assert.Equal(t, len(r.link.names.numbers), 0)
-	waitFor(t, "a pong", func() bool { return r.link.takesNames.Load() })
+	waittest.Until(t, "a pong", func() bool { return r.link.takesNames.Load() })
 	run()
 	run()
 	assert.Assert(t, len(r.link.names.numbers) > 0)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -15,7 +15,6 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -23,14 +22,12 @@
 	"github.com/amaranthweir/amaranthweir/internal/peer/peerpb"
 	"github.com/amaranthweir/amaranthweir/internal/request"
 	"github.com/amaranthweir/amaranthweir/internal/table"
+	"github.com/amaranthweir/amaranthweir/internal/waittest"
 )
 
-// patience bounds waits; nothing is measured by it.
-const patience = 20 * time.Second
-
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-var timing = Timing{Dial: patience, Ping: 20 * time.Millisecond, Silence: 400 * time.Millisecond}
+var timing = Timing{Dial: waittest.Patience, Ping: 20 * time.Millisecond, Silence: 400 * time.Millisecond}
 
 // fakeOwner is an Executor; ended takes the sessions that were ended.
 type fakeOwner struct {
@@ -129,16 +126,6 @@
 	assert.Equal(t, string(c.got), text)
 }
 
-func waitFor(t *testing.T, what string, holds func() bool) {
-	t.Helper()
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if holds() {
-			return poll.Success()
-		}
-		return poll.Continue("%s: not yet", what)
-	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(patience))
-}
-
 // silencer passes bytes to a target, until it makes the open connections
 // swallow them in one direction or both.
 type silencer struct {
@@ -409,7 +396,7 @@
 		done <- err
 	}()
 	<-slow.entered
-	waitFor(t, "the window is full", func() bool { return sent.Load() >= answerWindow })
+	waittest.Until(t, "the window is full", func() bool { return sent.Load() >= answerWindow })
 	for range 50 {
 		echoes(t, r, "other")
 	}
@@ -455,7 +442,7 @@
 		_, err = nc.Write([]byte(junk))
 		assert.NilError(t, err)
 		assert.NilError(t, nc.(*net.TCPConn).CloseWrite())
-		_ = nc.SetReadDeadline(time.Now().Add(patience))
+		_ = nc.SetReadDeadline(time.Now().Add(waittest.Patience))
 		_, err = io.Copy(io.Discard, nc)
 		assert.Assert(t, !errors.Is(err, context.DeadlineExceeded), "the connection stays open")
 		_ = nc.Close()
@@ -473,7 +460,7 @@
 		sender.Send("a", []byte("first"))
 		assert.Equal(t, <-got, "first")
 		s.silence(dir.up, dir.down)
-		waitFor(t, "a new connection carries a message", func() bool {
+		waittest.Until(t, "a new connection carries a message", func() bool {
 			sender.Send("a", []byte("again"))
 			return s.accepted.Load() > 1 && len(got) > 0
 		})
@@ -495,7 +482,7 @@
 	long, giveUp := context.WithCancel(t.Context())
 	first := make(chan error, 1)
 	go func() { first <- c.Call(long, address, "count", nil, new(int)) }()
-	waitFor(t, "the call runs", func() bool { return len(c.turn) == 1 })
+	waittest.Until(t, "the call runs", func() bool { return len(c.turn) == 1 })
 	short, stop := context.WithTimeout(t.Context(), 10*time.Millisecond)
 	defer stop()
 	err := c.Call(short, address, "count", nil, &n)
@@ -530,7 +517,7 @@
 	select {
 	case err := <-done:
 		assert.Assert(t, err != nil)
-	case <-time.After(patience):
+	case <-time.After(waittest.Patience):
 		t.Fatal("the call goes on")
 	}
 	assert.NilError(t, c.Call(t.Context(), address, "heartbeat", struct{}{}, &struct{}{}))
--- a/internal/pg/login_test.go
+++ b/internal/pg/login_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/amaranthweir/amaranthweir/internal/auth"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/pg/pgtest"
 )
 
 // refusals counts what a Listener refused.
@@ -22,17 +23,6 @@
 func (*refusals) Callers(int)                 {}
 func (r *refusals) Refused(kind errkind.Kind) { r.kinds <- kind }
 
-func encode(t *testing.T, messages ...pgproto3.FrontendMessage) []byte {
-	t.Helper()
-	var buf []byte
-	for _, m := range messages {
-		var err error
-		buf, err = m.Encode(buf)
-		assert.NilError(t, err)
-	}
-	return buf
-}
-
 // TestBadLogins sends what no driver sends. Each is refused before the
 // gateway, which is nil here, hears of it.
 func TestBadLogins(t *testing.T) {
@@ -58,7 +48,7 @@
 			_ = near.SetDeadline(time.Now().Add(DefaultStartupTimeout))
 			go l.serve(t.Context(), far)
 			start := &pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersionNumber, Parameters: map[string]string{"user": "ann"}}
-			go func() { _, _ = near.Write(append(encode(t, start), encode(t, sent...)...)) }()
+			go func() { _, _ = near.Write(append(pgtest.Encode(t, start), pgtest.Encode(t, sent...)...)) }()
 			answer, err := io.ReadAll(near)
 			assert.NilError(t, err)
 			assert.Assert(t, strings.Contains(string(answer), "28P01"), "%q", answer)
--- a/internal/pg/path_test.go
+++ b/internal/pg/path_test.go
@@ -10,7 +10,6 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
 
 	"github.com/amaranthweir/amaranthweir/internal/config"
 	"github.com/amaranthweir/amaranthweir/internal/dbedge/pgedge"
@@ -24,12 +23,10 @@
 	"github.com/amaranthweir/amaranthweir/internal/system/routing"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 	"github.com/amaranthweir/amaranthweir/internal/upstream"
+	"github.com/amaranthweir/amaranthweir/internal/waittest"
 	"github.com/amaranthweir/amaranthweir/standin"
 )
 
-// patience bounds waits; nothing is measured by it.
-const patience = 20 * time.Second
-
 const document = `{
   "service": "ledger", "version": 1,
   "groups": [{"name": "g1", "instances": 1}],
@@ -161,7 +158,7 @@
 	nc, err := net.Dial("tcp", p.address)
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = nc.Close() })
-	_ = nc.SetDeadline(time.Now().Add(patience))
+	_ = nc.SetDeadline(time.Now().Add(waittest.Patience))
 	c := &caller{t: t, net: nc, fe: pgproto3.NewFrontend(nc, nc)}
 	c.send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "u", "database": "ledger"}})
 	c.answers()
@@ -212,13 +209,3 @@
 		}
 	}
 }
-
-func waitFor(t testing.TB, what string, holds func() bool) {
-	t.Helper()
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if holds() {
-			return poll.Success()
-		}
-		return poll.Continue("%s: not yet", what)
-	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(patience))
-}
--- a/internal/pg/pg_test.go
+++ b/internal/pg/pg_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"gotest.tools/v3/assert"
+
+	"github.com/amaranthweir/amaranthweir/internal/waittest"
 )
 
 type messages = []pgproto3.FrontendMessage
@@ -162,7 +164,7 @@
 			_, err := nc.Write(tc.send)
 			assert.NilError(t, err)
 			_ = nc.(*net.TCPConn).CloseWrite()
-			_ = nc.SetReadDeadline(time.Now().Add(patience))
+			_ = nc.SetReadDeadline(time.Now().Add(waittest.Patience))
 			got, _ := io.ReadAll(nc) // a reset is as good as an end
 			if tc.want != "" && len(got) > 0 {
 				assert.Assert(t, bytes.Contains(got, []byte("C"+tc.want+"\x00")), "%q", got)
@@ -188,7 +190,7 @@
 		_, _ = io.ReadAll(nc)
 	}
 	victim.send(query("SELECT pg_sleep(3600)"))
-	waitFor(t, "it runs", func() bool { return p.up.Stats().Running == 1 })
+	waittest.Until(t, "it runs", func() bool { return p.up.Stats().Running == 1 })
 	cancel(victim.pid, c.key)
 	cancel(victim.pid, nil)
 	cancel(victim.pid+1000, victim.key)
@@ -206,9 +208,9 @@
 			c.send(query(begin))
 			c.answers()
 			c.send(query("SELECT pg_sleep(3600)"))
-			waitFor(t, "it runs", func() bool { return p.up.Stats().Running == 1 })
+			waittest.Until(t, "it runs", func() bool { return p.up.Stats().Running == 1 })
 			assert.NilError(t, c.net.Close())
-			waitFor(t, "the slot is free", func() bool { return p.up.Stats().Running == 0 })
+			waittest.Until(t, "the slot is free", func() bool { return p.up.Stats().Running == 0 })
 		}
 	}
 }
@@ -218,7 +220,7 @@
 	p := startPath(t, false)
 	c := p.connect(t)
 	c.send(query("SELECT pg_sleep(0.2)"))
-	waitFor(t, "it runs", func() bool { return p.up.Stats().Running == 1 })
+	waittest.Until(t, "it runs", func() bool { return p.up.Stats().Running == 1 })
 	c.send(query("SELECT 7"))
 	assert.Equal(t, len(c.answers()), 4)
 	assert.DeepEqual(t, c.answers(), []string{"columns", "row 7", "SELECT 1", "I"})
@@ -260,7 +262,7 @@
 	defer nc.Close()
 	_, err = nc.Write([]byte("\x00\x00\x00\x20\x00\x03\x00\x00us"))
 	assert.NilError(t, err)
-	_ = nc.SetReadDeadline(time.Now().Add(patience))
+	_ = nc.SetReadDeadline(time.Now().Add(waittest.Patience))
 	got, err := io.ReadAll(nc)
 	assert.NilError(t, err, "the connection must end")
 	assert.Assert(t, bytes.Contains(got, []byte("C42601\x00")), "%q", got)
@@ -286,7 +288,7 @@
 	f.Add([]byte("\x00\x00\x00\x0f\x00\x03\x00\x00user\x00u\x00\x00"))
 	f.Add([]byte("\x40\x00\x00\x00"))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		_, s, err := readStartup(&memoryConn{r: bytes.NewReader(data)}, nil, patience)
+		_, s, err := readStartup(&memoryConn{r: bytes.NewReader(data)}, nil, waittest.Patience)
 		assert.Assert(t, err != nil || s.cancel != nil || s.user != "")
 	})
 }
--- a/internal/pool/contract_test.go
+++ b/internal/pool/contract_test.go
@@ -9,10 +9,12 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/pg/pgtest"
 	"github.com/amaranthweir/amaranthweir/internal/request"
 	"github.com/amaranthweir/amaranthweir/internal/stmt"
 	"github.com/amaranthweir/amaranthweir/internal/stmt/stmttest"
 	"github.com/amaranthweir/amaranthweir/internal/upstream"
+	"github.com/amaranthweir/amaranthweir/internal/waittest"
 )
 
 // protocol is an instance behind one implementation of Conn.
@@ -38,15 +40,15 @@
 
 func postgresql(t *testing.T) *protocol {
 	up := startUpstream(t, nil)
-	dial, err := DialSQL(up.Address(), upstream.Login{User: "u", Database: "ledger"}, 0, patience)
+	dial, err := DialSQL(up.Address(), upstream.Login{User: "u", Database: "ledger"}, 0, waittest.Patience)
 	assert.NilError(t, err)
 	const insert = "INSERT INTO k (key, value) VALUES ('w1', 'v')"
 	return &protocol{
 		dial:       dial,
-		read:       encode(t, &pgproto3.Query{String: "SELECT 1"}),
-		write:      encode(t, &pgproto3.Query{String: insert}),
-		open:       encode(t, &pgproto3.Query{String: "BEGIN; " + insert}),
-		commit:     encode(t, &pgproto3.Query{String: "COMMIT"}),
+		read:       pgtest.Encode(t, &pgproto3.Query{String: "SELECT 1"}),
+		write:      pgtest.Encode(t, &pgproto3.Query{String: insert}),
+		open:       pgtest.Encode(t, &pgproto3.Query{String: "BEGIN; " + insert}),
+		commit:     pgtest.Encode(t, &pgproto3.Query{String: "COMMIT"}),
 		settings:   []string{"SET my.a = '1'"},
 		kept:       func() bool { return up.Rows("k")["w1"] == "v" },
 		loseAnswer: func() { up.LoseAnswers(1) },
@@ -78,14 +80,14 @@
 	t.Helper()
 	c, err := p.dial(t.Context())
 	assert.NilError(t, err)
-	c.shared().reader.progress = patience
+	c.shared().reader.progress = waittest.Patience
 	t.Cleanup(c.close)
 	return c
 }
 
 // do runs one unit and returns its answer.
 func (p *protocol) do(ctx context.Context, c Conn, unit []byte, settings ...string) (answer []byte, out Outcome, err error) {
-	out, err = c.Run(ctx, time.Now().Add(patience), &Exchange{
+	out, err = c.Run(ctx, time.Now().Add(waittest.Patience), &Exchange{
 		Settings:     settings,
 		KeepSettings: c.shared().txStatus != request.TxIdle,
 		Messages:     unit,
@@ -158,7 +160,7 @@
 		c := p.connect(t)
 		assert.Assert(t, c.fit())
 		p.kill()
-		waitFor(t, "the end", func() bool { return !c.fit() })
+		waittest.Until(t, "the end", func() bool { return !c.fit() })
 	},
 	"an instance that has ended is not reached": func(t *testing.T, p *protocol) {
 		p.kill()
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -10,19 +10,17 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
 	"pgregory.net/rapid"
 
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/pg/pgtest"
 	"github.com/amaranthweir/amaranthweir/internal/pg/synthetic"
 	"github.com/amaranthweir/amaranthweir/internal/request"
 	"github.com/amaranthweir/amaranthweir/internal/upstream"
+	"github.com/amaranthweir/amaranthweir/internal/waittest"
 	"github.com/amaranthweir/amaranthweir/standin"
 )
 
-// patience bounds waits; nothing is measured by it.
-const patience = 20 * time.Second
-
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 func startUpstream(t *testing.T, change func(*standin.Config)) *standin.Instance {
@@ -39,13 +37,13 @@
 }
 
 func config(address string, change func(*Config)) Config {
-	dial, err := DialSQL(address, upstream.Login{User: "u", Database: "ledger"}, 0, patience)
+	dial, err := DialSQL(address, upstream.Login{User: "u", Database: "ledger"}, 0, waittest.Patience)
 	if err != nil {
 		panic(err)
 	}
 	cfg := Config{
 		Dial: dial, Max: 4,
-		IdleTimeout: time.Minute, DialTimeout: patience, Progress: patience, ProbeTimeout: patience,
+		IdleTimeout: time.Minute, DialTimeout: waittest.Patience, Progress: waittest.Patience, ProbeTimeout: waittest.Patience,
 	}
 	if change != nil {
 		change(&cfg)
@@ -59,20 +57,11 @@
 	assert.NilError(t, err)
 	t.Cleanup(func() {
 		p.Close()
-		waitFor(t, "all connections closed", func() bool { open, _ := p.Stats(); return open == 0 })
+		waittest.Until(t, "all connections closed", func() bool { open, _ := p.Stats(); return open == 0 })
 	})
 	return p
 }
 
-func waitFor(t poll.TestingT, what string, holds func() bool) {
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if holds() {
-			return poll.Success()
-		}
-		return poll.Continue("%s: not yet", what)
-	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(patience))
-}
-
 func lend(t *testing.T, p *Pool) Conn {
 	t.Helper()
 	c, err := p.Get(t.Context())
@@ -80,22 +69,11 @@
 	return c
 }
 
-func encode(t *testing.T, messages ...pgproto3.FrontendMessage) []byte {
-	t.Helper()
-	var buf []byte
-	for _, m := range messages {
-		var err error
-		buf, err = m.Encode(buf)
-		assert.NilError(t, err)
-	}
-	return buf
-}
-
 // ask is an exchange of one simple query; its answer goes to answer.
 func ask(t *testing.T, answer *strings.Builder, sql string, settings ...string) *Exchange {
 	return &Exchange{
 		Settings: settings,
-		Messages: encode(t, &pgproto3.Query{String: sql}),
+		Messages: pgtest.Encode(t, &pgproto3.Query{String: sql}),
 		Pass: func(p []byte) error {
 			answer.Write(p)
 			return nil
@@ -107,7 +85,7 @@
 func run(t *testing.T, c Conn, sql string, settings ...string) (string, error) {
 	t.Helper()
 	var answer strings.Builder
-	_, err := c.Run(t.Context(), time.Now().Add(patience), ask(t, &answer, sql, settings...))
+	_, err := c.Run(t.Context(), time.Now().Add(waittest.Patience), ask(t, &answer, sql, settings...))
 	return answer.String(), err
 }
 
@@ -168,7 +146,7 @@
 			for c := range lent {
 				p.Put(c)
 			}
-			waitFor(rt, "all closed", func() bool { open, _ := p.Stats(); return open == 0 && up.Stats().Open == 0 })
+			waittest.Until(rt, "all closed", func() bool { open, _ := p.Stats(); return open == 0 && up.Stats().Open == 0 })
 		})
 		some := func() Conn {
 			for c := range lent {
@@ -181,7 +159,7 @@
 		now := time.Now()
 		rt.Repeat(map[string]func(*rapid.T){
 			"get": func(rt *rapid.T) {
-				ctx, stop := context.WithTimeout(context.Background(), patience)
+				ctx, stop := context.WithTimeout(context.Background(), waittest.Patience)
 				defer stop()
 				if len(lent) == limit {
 					stop()
@@ -197,7 +175,7 @@
 				assert.NilError(rt, err)
 				assert.Assert(rt, !lent[c], "lent twice")
 				lent[c] = true
-				assert.NilError(rt, c.ping(ctx, patience))
+				assert.NilError(rt, c.ping(ctx, waittest.Patience))
 			},
 			"put":     func(*rapid.T) { p.Put(some()) },
 			"discard": func(*rapid.T) { p.Discard(some()) },
@@ -255,7 +233,7 @@
 		_, err := c.Run(ctx, time.Now().Add(time.Hour), x)
 		done <- err
 	}()
-	waitFor(t, "statement runs", func() bool { return up.Stats().Running == 1 })
+	waittest.Until(t, "statement runs", func() bool { return up.Stats().Running == 1 })
 	stop()
 	assert.Assert(t, errkind.Is(<-done, errkind.Cancelled))
 	up.Freeze() // the upstream hears of nothing
@@ -274,7 +252,7 @@
 	r := startRelay(t, up.Address())
 	p := newPool(t, r.listener.Addr().String(), nil)
 	write := func(n int) string { return fmt.Sprintf("INSERT INTO k (key, value) VALUES ('%05d', 'v')", n) }
-	request := len(encode(t, &pgproto3.Query{String: write(0)}, &pgproto3.Query{String: upstream.StatusQuery}))
+	request := len(pgtest.Encode(t, &pgproto3.Query{String: write(0)}, &pgproto3.Query{String: upstream.StatusQuery}))
 	for _, side := range []struct {
 		name     string
 		up, down int
@@ -290,7 +268,7 @@
 				var answer strings.Builder
 				x := ask(t, &answer, write(key))
 				x.AskMark, x.Hold, x.HoldLimit = true, true, 1<<20
-				out, err := c.Run(t.Context(), time.Now().Add(patience), x)
+				out, err := c.Run(t.Context(), time.Now().Add(waittest.Patience), x)
 				r.limit(-1, -1)
 				_, stands := up.Rows("k")[fmt.Sprintf("%05d", key)]
 				if err == nil {
@@ -332,7 +310,7 @@
 		{"pool closed while it dials", errkind.UpstreamLost, func(p *Pool) error {
 			up.Freeze()
 			err := getting(p)
-			waitFor(t, "dials", func() bool { open, _ := p.Stats(); return open == 1 })
+			waittest.Until(t, "dials", func() bool { open, _ := p.Stats(); return open == 1 })
 			p.Close()
 			up.Thaw()
 			return <-err
@@ -352,7 +330,7 @@
 			var answer strings.Builder
 			x := ask(t, &answer, "INSERT INTO k (key, value) VALUES ('tx', 'v')")
 			x.KeepSettings = true
-			_, err := c.Run(t.Context(), time.Now().Add(patience), x)
+			_, err := c.Run(t.Context(), time.Now().Add(waittest.Patience), x)
 			return err
 		}},
 		{"no connection became free", errkind.DeadlineUnreachable, func(p *Pool) error {
@@ -364,7 +342,7 @@
 		{"pool closed while waiting", errkind.UpstreamLost, func(p *Pool) error {
 			c := lend(t, p)
 			err := getting(p)
-			waitFor(t, "waits", func() bool { p.mu.Lock(); defer p.mu.Unlock(); return len(p.waiting) == 1 })
+			waittest.Until(t, "waits", func() bool { p.mu.Lock(); defer p.mu.Unlock(); return len(p.waiting) == 1 })
 			p.Close()
 			p.Put(c)
 			return <-err
@@ -420,8 +398,8 @@
 	for range 300 {
 		ctx, stop := context.WithCancel(t.Context())
 		c := lend(t, p)
-		_, err := c.Run(ctx, time.Now().Add(patience), &Exchange{
-			Messages: encode(t, &pgproto3.Query{String: "SELECT 1"}),
+		_, err := c.Run(ctx, time.Now().Add(waittest.Patience), &Exchange{
+			Messages: pgtest.Encode(t, &pgproto3.Query{String: "SELECT 1"}),
 			Pass:     func([]byte) error { stop(); return nil },
 		})
 		assert.NilError(t, err)
@@ -455,7 +433,7 @@
 	var answer strings.Builder
 	x := ask(t, &answer, "SET my.a = 'leak'")
 	x.ChangesSettings = true
-	_, err := c.Run(t.Context(), time.Now().Add(patience), x)
+	_, err := c.Run(t.Context(), time.Now().Add(waittest.Patience), x)
 	assert.NilError(t, err)
 	p.Put(c)
 	assert.Assert(t, strings.Contains(answers(t, p, "SHOW my.a"), "42704"))
@@ -477,8 +455,8 @@
 // prepared is an exchange that runs a statement by name.
 func prepared(t *testing.T, answer *strings.Builder, name, sql string) *Exchange {
 	x := ask(t, answer, "")
-	x.Prepares = []request.Prepare{{Name: name, Parse: encode(t, &pgproto3.Parse{Name: name, Query: sql})}}
-	x.Messages = encode(t, &pgproto3.Bind{PreparedStatement: name}, &pgproto3.Execute{}, &pgproto3.Sync{})
+	x.Prepares = []request.Prepare{{Name: name, Parse: pgtest.Encode(t, &pgproto3.Parse{Name: name, Query: sql})}}
+	x.Messages = pgtest.Encode(t, &pgproto3.Bind{PreparedStatement: name}, &pgproto3.Execute{}, &pgproto3.Sync{})
 	return x
 }
 
@@ -488,7 +466,7 @@
 	runPrepared := func(name, sql string) string {
 		c := lend(t, p)
 		var answer strings.Builder
-		_, err := c.Run(t.Context(), time.Now().Add(patience), prepared(t, &answer, name, sql))
+		_, err := c.Run(t.Context(), time.Now().Add(waittest.Patience), prepared(t, &answer, name, sql))
 		assert.NilError(t, err)
 		p.Put(c)
 		return answer.String()
--- a/internal/pool/silence_test.go
+++ b/internal/pool/silence_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/waittest"
 	"github.com/amaranthweir/amaranthweir/standin"
 )
 
@@ -26,7 +27,7 @@
 	}
 	up.SilenceOpen()
 	p.Maintain(t.Context(), time.Now().Add(2*DefaultProbeIdle))
-	waitFor(t, "no old connection rests", func() bool {
+	waittest.Until(t, "no old connection rests", func() bool {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		for _, c := range p.idle {
@@ -100,7 +101,7 @@
 	for _, step := range steps {
 		now = now.Add(step.later)
 		fill(t, p, step.lend)
-		waitFor(t, step.name, func() bool {
+		waittest.Until(t, step.name, func() bool {
 			now = now.Add(time.Millisecond)
 			if step.later > time.Minute {
 				now = now.Add(time.Second)
--- a/internal/pool/statementconn_test.go
+++ b/internal/pool/statementconn_test.go
@@ -13,6 +13,7 @@
 	"github.com/amaranthweir/amaranthweir/internal/stmt"
 	"github.com/amaranthweir/amaranthweir/internal/stmt/stmttest"
 	"github.com/amaranthweir/amaranthweir/internal/table"
+	"github.com/amaranthweir/amaranthweir/internal/waittest"
 	"github.com/amaranthweir/amaranthweir/standin/typed"
 )
 
@@ -35,12 +36,12 @@
 
 func openStatements(t *testing.T, in *typed.Instance) *StatementConn {
 	t.Helper()
-	ctx, stop := context.WithTimeout(t.Context(), patience)
+	ctx, stop := context.WithTimeout(t.Context(), waittest.Patience)
 	defer stop()
 	c, err := OpenStatements(ctx, target(in), stmttest.Codec{})
 	assert.NilError(t, err)
 	t.Cleanup(c.Close)
-	c.reader.progress = patience
+	c.reader.progress = waittest.Patience
 	return c
 }
 
@@ -54,7 +55,7 @@
 		change(x, &u)
 	}
 	x.Messages = stmt.AppendUnit(nil, &u)
-	out, err := c.Run(t.Context(), time.Now().Add(patience), x)
+	out, err := c.Run(t.Context(), time.Now().Add(waittest.Patience), x)
 	if err != nil || got == nil {
 		return stmt.Answer{}, out, err
 	}
--- a/internal/system/admission/policybench/hosts_test.go
+++ b/internal/system/admission/policybench/hosts_test.go
@@ -48,13 +48,13 @@
 	return float64(inTime) / float64(offered), least
 }
 
-// A group that lost one of its two replicas, under its usual work: the primary
-// has room for the reads that the other replica cannot take, so that none of
-// them has to wait for long or be refused.
-func TestGroupWithOneReplicaLeft(t *testing.T) {
+// checkSoon holds the share of answers within their objectives against what
+// callers are to see, for every class.
+func checkSoon(t *testing.T, instances int) {
+	t.Helper()
 	t.Logf("seed %d", seed)
 	for _, share := range []float64{0.5, 0.65, 0.8} {
-		r, err := Run(manyHosts(2, share), Chosen, routedLength, seed)
+		r, err := Run(manyHosts(instances, share), Chosen, routedLength, seed)
 		assert.NilError(t, err)
 		all, least := r.soon()
 		t.Logf("load %v: %v within the objective, the least of a class %v", share, all, least)
@@ -66,14 +66,10 @@
 	}
 }
 
+// A group that lost one of its two replicas, under its usual work: the primary
+// has room for the reads that the other replica cannot take, so that none of
+// them has to wait for long or be refused.
+func TestGroupWithOneReplicaLeft(t *testing.T) { checkSoon(t, 2) }
+
 // The same with all replicas, whose slots are enough for the reads.
-func TestGroupWithAllReplicas(t *testing.T) {
-	t.Logf("seed %d", seed)
-	for _, share := range []float64{0.5, 0.65, 0.8} {
-		r, err := Run(manyHosts(3, share), Chosen, routedLength, seed)
-		assert.NilError(t, err)
-		all, least := r.soon()
-		t.Logf("load %v: %v within the objective, the least of a class %v", share, all, least)
-		assert.Check(t, least >= 0.95, "load %v", share)
-	}
-}
+func TestGroupWithAllReplicas(t *testing.T) { checkSoon(t, 3) }
