gateway: a request refused until its deadline keeps its cause

Cause: when the deadline ended in the pause between two attempts, or while the next route was decided, the log line and the counter of the failure said deadline_unreachable, and the refusal that kept the request from running was only in the line of its first attempt.

Now the last refusal that the deadline did not cause explains the failure in the log and in the metrics, and the line has the kind of the caller's answer where that differs. A read that waits for a floor names the last error of a position query also while a further query is in flight. Answers to callers stay as they were.

TestCauseOf... in virtual time: during the pause, during an attempt, while the link is opened, during routing, while waiting for a floor. On the code before, three of them fail: deadline_unreachable for upstream_busy, no_owner for upstream_busy, and a floor without its reason.

--- a/internal/gateway/do.go
+++ b/internal/gateway/do.go
@@ -118,7 +118,7 @@
 		Attempts: r.attempts,
 	}
 	if err != nil {
-		o.Err = errkind.Of(err)
+		o.Err = r.failureCause(err)
 	}
 	s.gateway.cfg.Observer.Request(o)
 }
@@ -236,15 +236,19 @@
 	return c.sink.Answer(p)
 }
 
-// logFailure logs a request that ended with an error, and what is known about
-// its effect.
+// logFailure logs why a request ended with an error, what is known about its
+// effect, and the kind of the caller's answer if that is another one.
 func (r *run) logFailure(err error) {
-	e := errkind.Of(err)
-	r.session.gateway.cfg.Log.WithFields(logrus.Fields{
+	answer, cause := errkind.Of(err), r.failureCause(err)
+	fields := logrus.Fields{
 		"request": r.id, "caller_id": r.work.CallerID, "service": r.session.service, "class": r.plan.class.Name,
 		"group": r.plan.group, "instance": r.instance, "owner": r.owner, "attempt": r.attempts,
-		"kind": e.Kind.String(), "effect": e.Effect.String(), "took_ms": time.Since(r.started).Milliseconds(),
-	}).WithError(err).Info("request failed")
+		"kind": cause.Kind.String(), "effect": answer.Effect.String(), "took_ms": time.Since(r.started).Milliseconds(),
+	}
+	if answer.Kind != cause.Kind {
+		fields["answer"] = answer.Kind.String()
+	}
+	r.session.gateway.cfg.Log.WithFields(fields).WithError(cause).Info("request failed")
 }
 
 // logRefusal logs why an attempt was refused. Consecutive refusals with the
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -30,6 +31,7 @@
 	id           string // names the request in the logs of all hosts
 	attempts     int
 	lastDecision routing.Decision
+	refusal      error // the latest refusal that the deadline did not cause
 
 	// The target of the latest attempt.
 	instance table.InstanceID
@@ -74,6 +76,9 @@
 		if errkind.Of(err).Effect == errkind.NotRun {
 			r.logRefusal(q, err, refused)
 			refused = err
+			if !r.isDeadlinePassed(err) {
+				r.refusal = err
+			}
 		}
 		if !r.pause(ctx, changed) {
 			return res, r.deadlineError(refused, err)
@@ -91,6 +96,25 @@
 	return err
 }
 
+// failureCause returns the error that explains in the log and in the metrics
+// why the request failed with err. If err only says that the deadline passed
+// before the request ran, that is the last refusal.
+func (r *run) failureCause(err error) *errkind.Error {
+	e := errkind.Of(err)
+	if r.refusal == nil || e.Effect != errkind.NotRun || !r.isDeadlinePassed(err) {
+		return e
+	}
+	return errkind.Of(r.refusal)
+}
+
+// isDeadlinePassed reports whether err only says that the deadline passed.
+func (r *run) isDeadlinePassed(err error) bool {
+	if time.Now().Before(r.deadline) {
+		return false
+	}
+	return errkind.Is(err, errkind.DeadlineUnreachable) || errors.Is(err, context.DeadlineExceeded)
+}
+
 // request returns the request that is sent to the owner.
 func (r *run) request() *request.Request {
 	s, c := r.session, r.plan.class
--- a/internal/gateway/samples.go
+++ b/internal/gateway/samples.go
@@ -48,7 +48,7 @@
 type groupSamples struct {
 	samples  []positionSample
 	inFlight chan struct{} // closed when the query in flight ends
-	err      error         // of the latest query
+	err      error         // of the latest query that has ended
 }
 
 // add keeps a sample. A sample in a newer term covers all writes of older terms
@@ -139,16 +139,17 @@
 	select {
 	case <-inFlight:
 	case <-ctx.Done():
-		return errkind.Wrap(ctx.Err(), errkind.StalenessUnprovable, "the position of the primary of %s is not known", group)
+		if err := g.samples.lastError(p); err != nil {
+			return unknownPosition(group, err)
+		}
+		return unknownPosition(group, ctx.Err())
 	}
-	g.samples.mu.Lock()
-	err := p.err
-	g.samples.mu.Unlock()
+	err := g.samples.lastError(p)
 	if err == nil {
 		return nil
 	}
 	if g.isolated() {
-		return errkind.Wrap(err, errkind.StalenessUnprovable, "%v", err)
+		return unknownPosition(group, err)
 	}
 	timer := time.NewTimer(maxBackoff)
 	defer timer.Stop()
@@ -156,11 +157,25 @@
 	case <-timer.C:
 	case <-changed:
 	case <-ctx.Done():
-		return errkind.Wrap(err, errkind.StalenessUnprovable, "%v", err)
+		return unknownPosition(group, err)
 	}
 	return nil
 }
 
+// unknownPosition returns the error of a read whose floor cannot be set because
+// of cause.
+func unknownPosition(group table.GroupName, cause error) error {
+	return errkind.Wrap(cause, errkind.StalenessUnprovable, "the position of the primary of %s is not known: %v", group, cause)
+}
+
+// lastError returns the error of the latest query that has ended, or nil if it
+// succeeded.
+func (s *sampleStore) lastError(p *groupSamples) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return p.err
+}
+
 // isolated reports whether this host has no contact with a control leader.
 func (g *Gateway) isolated() bool { return g.cfg.Isolated != nil && g.cfg.Isolated() }
 
