host, platform: metrics on an address of their own

The platform's deploy file names a constant port for the metrics of a role, while the ports of the settings file change. metrics_address is a further, optional address that serves only /metrics. A host that cannot bind it runs on without it.

--- a/internal/config/parse_settings.go
+++ b/internal/config/parse_settings.go
@@ -90,6 +90,7 @@
 		field{"caller_address", true, func(n node) { p.callerAddress = n; s.CallerAddress = p.readListenAddress(n) }},
 		field{"peer_address", true, func(n node) { p.peerAddress = n; s.PeerAddress = p.readPeerListenAddress(n) }},
 		field{"http_address", true, func(n node) { p.httpAddress = n; s.HTTPAddress = p.readListenAddress(n) }},
+		field{"metrics_address", false, func(n node) { s.MetricsAddress = p.readListenAddress(n) }},
 		field{"join", false, p.readJoin},
 		field{"control", false, p.readControl},
 		field{"session_keys", false, p.readKeys},
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -38,6 +38,9 @@
 	// HTTPAddress is the ip:port of the HTTP interface for announcements,
 	// operators, metrics and health checks.
 	HTTPAddress string
+	// MetricsAddress is the ip:port of a further HTTP interface that serves only
+	// the metrics. If it is empty, HTTPAddress alone serves them.
+	MetricsAddress string
 	// Join lists the peer addresses of a few hosts, including control hosts, that
 	// this host asks for the control leader.
 	Join []string
--- a/internal/host/adapter.go
+++ b/internal/host/adapter.go
@@ -10,7 +10,6 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
-	"github.com/amaranthweir/amaranthweir/internal/api"
 	"github.com/amaranthweir/amaranthweir/internal/config"
 	"github.com/amaranthweir/amaranthweir/internal/control"
 	"github.com/amaranthweir/amaranthweir/internal/dbedge"
@@ -200,13 +199,7 @@
 
 // serveCalls serves the platform's HTTP calls until ctx ends.
 func (h *Host) serveCalls(ctx context.Context) error {
-	srv := api.NewServer(h.adapter.Calls(&Backend{host: h}))
-	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
-	defer stop()
-	if err := srv.Serve(h.callsSocket); err != nil && ctx.Err() == nil {
-		return eris.Wrap(err, "serve platform calls")
-	}
-	return nil
+	return eris.Wrap(serveUntil(ctx, h.adapter.Calls(&Backend{host: h}), h.callsSocket), "serve platform calls")
 }
 
 // methodDeployment and methodReplace are control calls between hosts.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -57,6 +57,8 @@
 	peerSocket   net.Listener
 	httpSocket   net.Listener
 	callsSocket  net.Listener // nil without an adapter
+	// metricsSocket is nil without a metrics address, or if it is in use.
+	metricsSocket net.Listener
 }
 
 // New creates a host and binds its addresses. Run serves them.
@@ -158,9 +160,22 @@
 			return eris.Wrap(err, "listen on the caller address")
 		}
 	}
+	h.bindMetrics()
 	return h.bindCalls()
 }
 
+// bindMetrics opens the socket of the metrics address. A host without it can
+// still serve callers, so a failure is only logged.
+func (h *Host) bindMetrics() {
+	if h.settings.MetricsAddress == "" {
+		return
+	}
+	var err error
+	if h.metricsSocket, err = net.Listen("tcp", h.settings.MetricsAddress); err != nil {
+		h.log.WithError(err).Warn("cannot listen on the metrics address")
+	}
+}
+
 // Run serves until ctx ends, then shuts down gracefully.
 func (h *Host) Run(ctx context.Context) error {
 	h.log.WithFields(logrus.Fields{
@@ -174,6 +189,9 @@
 	group, inner := errgroup.WithContext(inner)
 	group.Go(func() error { return h.servePeers(inner) })
 	group.Go(func() error { return h.serveHTTP(inner) })
+	if h.metricsSocket != nil {
+		group.Go(func() error { return h.serveMetrics(inner) })
+	}
 	if h.callerSocket != nil {
 		group.Go(func() error { return h.callers.Serve(inner, h.callerSocket) })
 	}
@@ -225,13 +243,35 @@
 }
 
 func (h *Host) serveHTTP(ctx context.Context) error {
-	handler := api.NewHandler(&Backend{host: h}, promhttp.HandlerFor(h.metrics.Registry(), promhttp.HandlerOpts{}),
+	handler := api.NewHandler(&Backend{host: h}, h.metricsHandler(),
 		api.AccessControl{Operators: h.settings.Operators, AnnounceToken: h.settings.AnnounceToken, Log: h.log})
+	if err := serveUntil(ctx, handler, h.security.listenHTTP(h.httpSocket)); err != nil {
+		return fmt.Errorf("serve HTTP: %w", err)
+	}
+	return nil
+}
+
+// serveMetrics serves the metrics address until ctx ends.
+func (h *Host) serveMetrics(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+api.PathMetrics, h.metricsHandler())
+	if err := serveUntil(ctx, mux, h.metricsSocket); err != nil {
+		return fmt.Errorf("serve metrics: %w", err)
+	}
+	return nil
+}
+
+func (h *Host) metricsHandler() http.Handler {
+	return promhttp.HandlerFor(h.metrics.Registry(), promhttp.HandlerOpts{})
+}
+
+// serveUntil serves HTTP on a socket until ctx ends.
+func serveUntil(ctx context.Context, handler http.Handler, socket net.Listener) error {
 	srv := api.NewServer(handler)
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 	defer stop()
-	if err := srv.Serve(h.security.listenHTTP(h.httpSocket)); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("serve HTTP: %w", err)
+	if err := srv.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
+		return err
 	}
 	return nil
 }
