control: a control host whose disk refuses writes stays up

Cause: any failed write ended the process.

The last segment is then written anew, since after a failed sync the operating system may return data that never reached the disk.

Ruled out: going on with the open log, since what a failed write left in the file is unknown; room set aside, since a full disk may refuse every write.

--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/amaranthweir/amaranthweir/internal/consensus"
@@ -51,11 +52,21 @@
 	done func(Result, error)
 }
 
-func newReplica(cfg ServerConfig, fs wal.FS) (*replica, error) {
-	log, contents, err := wal.Open(fs, wal.Options{SegmentBytes: cfg.SegmentBytes})
+// openReplica opens the log in fs and restores the state from it.
+func openReplica(cfg ServerConfig, fs wal.FS, o wal.Options) (*replica, error) {
+	o.SegmentBytes = cfg.SegmentBytes
+	log, contents, err := wal.Open(fs, o)
 	if err != nil {
 		return nil, err
 	}
+	r, err := newReplica(cfg, log, contents)
+	if err != nil {
+		return nil, errors.Join(err, log.CloseFile())
+	}
+	return r, nil
+}
+
+func newReplica(cfg ServerConfig, log *wal.Log, contents wal.Contents) (*replica, error) {
 	id, err := log.Identity(cfg.Host, cfg.Random())
 	if err != nil {
 		return nil, err
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -155,7 +155,9 @@
 // replicated state in memory. All methods but Run are safe for concurrent use.
 type Server struct {
 	cfg       ServerConfig
-	replica   *replica
+	fs        wal.FS
+	log       logrus.FieldLogger
+	replica   *replica // used only by the goroutine of Run
 	inbox     chan inbound
 	proposals chan proposal
 	stopped   chan struct{}
@@ -179,6 +181,7 @@
 	isLeader   bool
 	leaseUntil time.Duration
 	caughtUp   bool
+	suspended  bool
 	term       uint64
 	members    consensus.Members
 	changed    chan struct{}
@@ -193,12 +196,18 @@
 	}
 	cfg = cfg.withDefaults()
 	cfg.Voters = slices.Compact(slices.Sorted(slices.Values(cfg.Voters)))
-	r, err := openReplica(cfg)
+	fs, err := openFolder(cfg)
 	if err != nil {
 		return nil, err
 	}
+	r, err := openReplica(cfg, fs, wal.Options{})
+	if err != nil {
+		return nil, errors.Join(err, closeFolder(fs))
+	}
 	s := &Server{
 		cfg:        cfg,
+		fs:         fs,
+		log:        r.log,
 		replica:    r,
 		inbox:      make(chan inbound, inboxCapacity),
 		proposals:  make(chan proposal, proposalQueueCapacity),
@@ -209,29 +218,46 @@
 	return s, nil
 }
 
-func openReplica(cfg ServerConfig) (*replica, error) {
-	fs := cfg.FS
-	if fs == nil {
-		folder, err := wal.OpenFolder(cfg.DataFolder)
-		if err != nil {
-			return nil, err
-		}
-		fs = folder
+func openFolder(cfg ServerConfig) (wal.FS, error) {
+	if cfg.FS != nil {
+		return cfg.FS, nil
 	}
-	r, err := newReplica(cfg, fs)
-	if closer, ok := fs.(io.Closer); ok && err != nil {
-		err = errors.Join(err, closer.Close())
+	return wal.OpenFolder(cfg.DataFolder)
+}
+
+func closeFolder(fs wal.FS) error {
+	if closer, ok := fs.(io.Closer); ok {
+		return closer.Close()
 	}
-	return r, err
+	return nil
 }
 
-// Run takes part in the consensus until ctx is done, and then returns nil. It
-// returns an error if the log can no longer be written. It must be called
-// exactly once.
+// Run takes part in the consensus until ctx is done, and then returns nil. While
+// the disk refuses writes, it takes no part and tries again. It returns an error
+// if the log is damaged. It must be called exactly once.
 func (s *Server) Run(ctx context.Context) error {
+	defer s.stop()
+	for {
+		err := s.serve(ctx)
+		if isStorageError(err) {
+			s.suspend(err)
+			err = s.resume(ctx)
+		}
+		if err != nil {
+			s.log.WithError(err).Error("the control host stops after an error")
+			return err
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+	}
+}
+
+// serve processes ticks, messages and proposals until ctx is done or an error
+// occurs.
+func (s *Server) serve(ctx context.Context) error {
 	ticker := time.NewTicker(s.cfg.TickInterval)
 	defer ticker.Stop()
-	defer s.stop()
 	for {
 		var first func() error
 		select {
@@ -244,7 +270,6 @@
 			first = func() error { s.replica.propose(p); return nil }
 		}
 		if err := s.processBatch(first); err != nil {
-			s.replica.log.WithError(err).Error("the control host stops after an error")
 			return err
 		}
 	}
@@ -341,10 +366,12 @@
 	if until, ok := r.node.Lease(); ok {
 		next.leaseUntil = s.tickOrigin + time.Duration(until)*s.cfg.TickInterval
 	}
-	if r.state.Revision() != old.view.Revision {
+	// After the log was opened again, the state may at first be older than the
+	// view that readers have.
+	if r.state.Revision() > old.view.Revision {
 		next.view = r.state.View()
 	}
-	changed := next.view != old.view || next.leader != old.leader || next.caughtUp != old.caughtUp ||
+	changed := next.suspended != old.suspended || next.view != old.view || next.leader != old.leader || next.caughtUp != old.caughtUp ||
 		(next.leaseUntil > 0) != (old.leaseUntil > 0)
 	if changed {
 		next.changed = make(chan struct{})
@@ -361,14 +388,31 @@
 	close(s.stopped)
 	s.replica.failPending()
 	s.replica.deliverAnswers()
-	last := *s.status.Load()
-	last.isLeader, last.leaseUntil, last.leader = false, 0, ""
-	s.status.Store(&last)
-	if err := s.replica.wal.Close(); err != nil {
-		s.replica.log.WithError(err).Warn("cannot close the log")
+	err := s.closeStorage()
+	s.publishInactive(false)
+	if err != nil {
+		s.log.WithError(err).Warn("cannot close the log")
 	}
 }
 
+// closeStorage closes the log, unless suspend has closed it, and the data folder.
+func (s *Server) closeStorage() error {
+	if s.Suspended() {
+		return closeFolder(s.fs)
+	}
+	return s.replica.wal.Close()
+}
+
+// publishInactive replaces the status by one without a leader.
+func (s *Server) publishInactive(suspended bool) {
+	old := s.status.Load()
+	next := *old
+	next.isLeader, next.leaseUntil, next.leader, next.suspended = false, 0, "", suspended
+	next.changed = make(chan struct{})
+	s.status.Store(&next)
+	close(old.changed)
+}
+
 // Receive queues a message that the Transport of another control host sent. It
 // returns an error if msg is malformed. It drops the message if the inbox is
 // full.
@@ -390,7 +434,7 @@
 	select {
 	case s.inbox <- in:
 	default:
-		s.replica.log.Warn("dropped a message from a control host: the inbox is full")
+		s.log.Warn("dropped a message from a control host: the inbox is full")
 	}
 	return nil
 }
@@ -472,6 +516,10 @@
 // restart.
 func (s *Server) CaughtUp() bool { return s.status.Load().caughtUp }
 
+// Suspended reports whether this host takes no part in the consensus because its
+// disk refuses writes.
+func (s *Server) Suspended() bool { return s.status.Load().suspended }
+
 // Members returns the membership of the control hosts.
 func (s *Server) Members() consensus.Members { return s.status.Load().members }
 
@@ -482,6 +530,6 @@
 func (s *Server) View() *View { return s.status.Load().view }
 
 // Changed returns a channel that is closed at the next change of the view, the
-// leader, CaughtUp, or whether this host holds a lease. To miss no change, call
+// leader, CaughtUp, Suspended, or whether this host holds a lease. To miss no change, call
 // Changed before reading these values.
 func (s *Server) Changed() <-chan struct{} { return s.status.Load().changed }
--- a/internal/host/heartbeat.go
+++ b/internal/host/heartbeat.go
@@ -332,6 +332,7 @@
 func (h *Host) followControl(ctx context.Context, s *control.Server) error {
 	for {
 		changed := s.Changed()
+		h.metrics.SetControlLogWritable(!s.Suspended())
 		if s.CaughtUp() {
 			h.dir.setView(s.View())
 			h.reconcile(ctx)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -24,6 +24,7 @@
 	callersRefused *prometheus.CounterVec
 	announcements  *prometheus.CounterVec
 	leaseValid     prometheus.Gauge
+	logWritable    prometheus.Gauge
 	droppedLines   *prometheus.CounterVec
 }
 
@@ -62,12 +63,16 @@
 		leaseValid: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "lease_valid", Help: "1 while this host holds its lease.",
 		}),
+		logWritable: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "control_log_writable",
+			Help: "1 while this control host can write its log; 0 on other hosts.",
+		}),
 		droppedLines: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "log_lines_left_out_total",
 			Help: "Log lines over the limit of their kind, or for which there was no room.",
 		}, []string{"kind"}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.reads, m.retries, m.callers, m.callersRefused, m.announcements, m.leaseValid, m.droppedLines)
+	m.registry.MustRegister(m.requests, m.latency, m.reads, m.retries, m.callers, m.callersRefused, m.announcements, m.leaseValid, m.logWritable, m.droppedLines)
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -118,12 +123,18 @@
 }
 
 // SetLeaseValid records whether this host holds its lease.
-func (m *Metrics) SetLeaseValid(valid bool) {
-	if valid {
-		m.leaseValid.Set(1)
+func (m *Metrics) SetLeaseValid(valid bool) { setBool(m.leaseValid, valid) }
+
+// SetControlLogWritable records whether this control host can write its log.
+func (m *Metrics) SetControlLogWritable(writable bool) { setBool(m.logWritable, writable) }
+
+// setBool sets a gauge to 1 for true and to 0 for false.
+func setBool(g prometheus.Gauge, value bool) {
+	if value {
+		g.Set(1)
 		return
 	}
-	m.leaseValid.Set(0)
+	g.Set(0)
 }
 
 // CountDroppedLine counts a dropped log line. Its kind is its message.
--- a/internal/wal/replay.go
+++ b/internal/wal/replay.go
@@ -36,7 +36,11 @@
 // a torn write of torn bytes.
 func (l *Log) openLastSegment(torn int) error {
 	name := segmentName(l.segments[len(l.segments)-1].number)
-	if torn > 0 {
+	if l.opts.RewriteLast {
+		if err := l.rewriteSegment(name); err != nil {
+			return err
+		}
+	} else if torn > 0 {
 		if err := l.fs.Truncate(name, int64(l.size)); err != nil {
 			return err
 		}
@@ -51,6 +55,15 @@
 	return file.Sync()
 }
 
+// rewriteSegment replaces the last segment by a new file with its valid records.
+func (l *Log) rewriteSegment(name string) error {
+	b, err := l.fs.ReadFile(name)
+	if err != nil {
+		return err
+	}
+	return writeFile(l.fs, name, b[:l.size])
+}
+
 // replaySegment applies the records of a segment to p. It returns the size of
 // the valid records and the length of the file.
 func (l *Log) replaySegment(p *replayer, number uint64) (size, length int, err error) {
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -35,6 +35,11 @@
 	// SegmentBytes is the size at which a new segment begins; zero means
 	// DefaultSegmentBytes.
 	SegmentBytes int
+	// RewriteLast writes the last segment anew. It must be set if this process
+	// had the log open and got a StorageError: after a failed sync, the operating
+	// system may return data that never reached the disk, and report later syncs
+	// of that data as successful.
+	RewriteLast bool
 }
 
 // Contents is the content of a log when it was opened.
@@ -76,12 +81,12 @@
 }
 
 // Open opens the log in fs and returns its contents. It creates an empty log if
-// there is none.
+// there is none. Errors of fs are of type *StorageError.
 func Open(fs FS, opts Options) (*Log, Contents, error) {
 	if opts.SegmentBytes == 0 {
 		opts.SegmentBytes = DefaultSegmentBytes
 	}
-	l := &Log{fs: fs, opts: opts}
+	l := &Log{fs: reportingFS{fs}, opts: opts}
 	names, err := l.removeTempFiles()
 	if err != nil {
 		return nil, Contents{}, err
@@ -350,10 +355,14 @@
 	return l.fs.SyncFolder()
 }
 
+// CloseFile closes the log but not the data folder, so that the log can be opened
+// again. It does not write buffered records.
+func (l *Log) CloseFile() error { return l.file.Close() }
+
 // Close closes the log and, if fs is an io.Closer, the data folder. It does not
 // write buffered records.
 func (l *Log) Close() error {
-	err := l.file.Close()
+	err := l.CloseFile()
 	if c, ok := l.fs.(io.Closer); ok {
 		err = errors.Join(err, c.Close())
 	}
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -360,3 +360,55 @@
 	assert.Equal(t, c.HardState.Commit, uint64(4), "the hard state is written with the next synced write")
 	assert.Equal(t, len(c.Entries), 2)
 }
+
+// After a failed sync the operating system still returns the data, but later
+// syncs do not write it. A log that is opened again without a restart of the
+// process must write what it read, so that a power loss cannot take it away.
+func TestReopenAfterFailedSync(t *testing.T) {
+	fs := newFilledFolder(t, 3)
+	l, _ := openLog(t, fs)
+	fs.FailNextSync()
+	err := l.Save(hardState(4), []consensus.Entry{entry(4, 4)}, true)
+	var storage *wal.StorageError
+	assert.Assert(t, errors.As(err, &storage), "%v", err)
+	assert.NilError(t, l.CloseFile())
+	l, c, err := wal.Open(fs, wal.Options{RewriteLast: true})
+	assert.NilError(t, err)
+	checkPrefix(t, c, 4, 4)
+	assert.NilError(t, l.Save(hardState(5), []consensus.Entry{entry(5, 5)}, true))
+	_, c = openLog(t, fs.Crash(func(int) int { return 0 }))
+	checkPrefix(t, c, 5, 5)
+}
+
+// A log on a disk that fills up at any single write can be opened again with
+// everything that was saved before, once the disk has room.
+func TestReopenAfterFullDisk(t *testing.T) {
+	for write := range 30 {
+		fs := newFilledFolder(t, 3)
+		l, _ := openLog(t, fs)
+		remaining := write
+		fs.SetFull(func() bool { remaining--; return remaining < 0 })
+		saved := uint64(3)
+		var err error
+		for i := saved + 1; err == nil && i < 20; i++ {
+			if err = l.Save(hardState(i), []consensus.Entry{entry(i, i)}, true); err == nil {
+				saved = i
+			}
+			if err == nil && i%5 == 0 {
+				err = l.SaveSnapshot(snapshot(i, i))
+			}
+		}
+		assert.NilError(t, l.CloseFile())
+		if err != nil {
+			_, _, full := wal.Open(fs, wal.Options{RewriteLast: true})
+			var storage *wal.StorageError
+			assert.Assert(t, errors.As(full, &storage), "a full disk is found when the log is opened: %v", full)
+		}
+		fs.SetFull(nil)
+		l, c, err := wal.Open(fs, wal.Options{RewriteLast: true})
+		assert.NilError(t, err)
+		last := c.Snapshot.Index + uint64(len(c.Entries))
+		assert.Assert(t, last >= saved, "write %d: %d of %d entries", write, last, saved)
+		assert.NilError(t, l.Save(hardState(last+1), []consensus.Entry{entry(last+1, last+1)}, true))
+	}
+}
--- a/internal/wal/waltest/folder.go
+++ b/internal/wal/waltest/folder.go
@@ -10,6 +10,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/amaranthweir/amaranthweir/internal/wal"
@@ -28,6 +29,33 @@
 	allowOperation func() bool
 	// FailWrites makes every write to a file fail after half of its bytes.
 	FailWrites bool
+	isFull     func() bool
+	failSync   bool
+}
+
+// SetFull makes the folder call isFull before each creation of a file and each
+// write. If isFull returns true, the operation fails with syscall.ENOSPC, a write
+// after half of its bytes. A nil function means that the disk has room.
+func (f *Folder) SetFull(isFull func() bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.isFull = isFull
+}
+
+// full reports whether the next creation or write fails.
+func (f *Folder) full() bool {
+	f.mu.Lock()
+	isFull := f.isFull
+	f.mu.Unlock()
+	return isFull != nil && isFull()
+}
+
+// FailNextSync makes the next sync of a file fail. As on Linux, what the file
+// holds then stays readable but is not written to the disk by later syncs.
+func (f *Folder) FailNextSync() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failSync = true
 }
 
 // SetSyncTime sets the duration of each file sync.
@@ -65,6 +93,8 @@
 	folder *Folder
 	data   []byte
 	synced int
+	// lost is set once a sync failed. Later syncs then make nothing durable.
+	lost bool
 }
 
 // NewFolder returns an empty folder.
@@ -121,6 +151,9 @@
 	if err := f.checkAllowed(); err != nil {
 		return nil, err
 	}
+	if f.full() {
+		return nil, syscall.ENOSPC
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c := &file{folder: f}
@@ -188,8 +221,13 @@
 	if err := c.folder.checkAllowed(); err != nil {
 		return 0, err
 	}
+	full := c.folder.full()
 	c.folder.mu.Lock()
 	defer c.folder.mu.Unlock()
+	if full {
+		c.data = append(c.data, b[:len(b)/2]...)
+		return len(b) / 2, syscall.ENOSPC
+	}
 	if c.folder.FailWrites {
 		c.data = append(c.data, b[:len(b)/2]...)
 		return len(b) / 2, fs.ErrInvalid
@@ -210,7 +248,11 @@
 	c.folder.mu.Lock()
 	defer c.folder.mu.Unlock()
 	c.folder.SyncCount++
-	if !c.folder.IgnoreSync {
+	if c.folder.failSync {
+		c.folder.failSync, c.lost = false, true
+		return syscall.EIO
+	}
+	if !c.folder.IgnoreSync && !c.lost {
 		c.synced = len(c.data)
 	}
 	return nil
