A panic ends its session or call, not the process

VerifyHost took the first of no certificates, which panics. No goroutine that serves a caller or a host recovered from a panic, so one malformed message could have ended the process with all its sessions. The PostgreSQL listener also ended the process when accept failed, for example out of descriptors.

Package panics logs a panic with its stack and ends the session or call; a call of another host is answered with an unknown outcome. Package accept is the accept loop of both listeners.

--- a/internal/peer/identity.go
+++ b/internal/peer/identity.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"crypto/x509"
 	"net"
 	"slices"
 	"sync"
@@ -102,10 +103,14 @@
 	if !ok {
 		return errkind.New(errkind.Unauthenticated, "nothing is known of the connection of the host %.64q", string(host))
 	}
-	for _, c := range secured.ConnectionState().PeerCertificates[:1] {
-		if c.Subject.CommonName == string(host) || slices.Contains(c.DNSNames, string(host)) {
-			return nil
-		}
+	certificates := secured.ConnectionState().PeerCertificates
+	if len(certificates) > 0 && certifies(certificates[0], host) {
+		return nil
 	}
 	return errkind.New(errkind.Unauthenticated, "the certificate does not name the host %.64q", string(host))
 }
+
+// certifies reports whether a certificate names host.
+func certifies(c *x509.Certificate, host table.HostID) bool {
+	return c.Subject.CommonName == string(host) || slices.Contains(c.DNSNames, string(host))
+}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -539,3 +539,25 @@
 	}
 	assert.NilError(t, c.Call(t.Context(), address, "heartbeat", struct{}{}, &struct{}{}))
 }
+
+// A panic in one call must be answered with an unknown outcome. It must end
+// neither the process nor the other calls of the link.
+func TestPanicEndsOnlyItsCall(t *testing.T) {
+	owner := newOwner(func(ctx context.Context, r *request.Request, s request.Sink) (request.Result, error) {
+		if string(r.Messages) == "panic" {
+			panic("malformed statement")
+		}
+		return echo(ctx, r, s)
+	})
+	broken := func(context.Context, []byte) (any, error) { panic("malformed body") }
+	address := startServer(t, &Server{Owner: owner, Log: quietLog(), Methods: map[string]Method{"broken": broken}})
+	r := startRemote(t, address)
+	_, err := r.Execute(t.Context(), newRequest("panic"), &collectSink{})
+	assert.Assert(t, errkind.Is(err, errkind.Internal), "%v", err)
+	assert.Equal(t, errkind.Of(err).Effect, errkind.Unknown)
+	assertEcho(t, r, "after the panic")
+	var out any
+	err = Call(t.Context(), nil, address, "broken", struct{}{}, &out)
+	assert.Assert(t, errkind.Is(err, errkind.Internal), "%v", err)
+	assertEcho(t, r, "after the second panic")
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -15,6 +15,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/panics"
 	"github.com/amaranthweir/amaranthweir/internal/peer/peerpb"
 	"github.com/amaranthweir/amaranthweir/internal/request"
 	"github.com/amaranthweir/amaranthweir/internal/table"
@@ -73,7 +74,7 @@
 		err := errkind.New(errkind.NotSupported, "method %q", in.GetMethod())
 		return &peerpb.CallReply{Failure: encodeFailure(err)}, nil
 	}
-	out, err := method(ctx, in.GetBody())
+	out, err := s.callMethod(ctx, method, in.GetBody())
 	if err != nil {
 		return &peerpb.CallReply{Failure: encodeFailure(err)}, nil
 	}
@@ -84,9 +85,16 @@
 	return &peerpb.CallReply{Body: body}, nil
 }
 
+// callMethod calls a method. A panic of the method becomes an error.
+func (s *Server) callMethod(ctx context.Context, method Method, body []byte) (out any, err error) {
+	defer panics.Recover(s.Log, "control call", func() { err = errkind.New(errkind.Internal, "the call panicked") })
+	return method(ctx, body)
+}
+
 // Consensus implements the generated service interface. It acknowledges each
 // message after Deliver has returned.
 func (s *Server) Consensus(stream peerpb.DRPCPeer_ConsensusStream) error {
+	defer panics.Recover(s.Log, "link of a control host", nil)
 	for {
 		m, err := stream.Recv()
 		if err != nil {
@@ -108,6 +116,7 @@
 // its running calls are cancelled and the sessions of the other host that may
 // hold a transaction here are ended.
 func (s *Server) Exchange(stream peerpb.DRPCPeer_ExchangeStream) error {
+	defer panics.Recover(s.Log, "link of a host", nil)
 	if t, ok := drpcctx.Transport(stream.Context()); ok {
 		if conn, ok := t.(*activityConn); ok {
 			conn.setIdleTimeout(s.linkTimeout())
@@ -199,6 +208,7 @@
 		defer e.server.running.Add(-1)
 		defer e.wg.Done()
 		defer e.cancelCall(id)
+		defer panics.Recover(e.server.Log, "call of a host", func() { e.refuse(id, errkind.New(errkind.Internal, "the call panicked")) })
 		run(ctx, c)
 	}()
 }
--- a/internal/pg/listener.go
+++ b/internal/pg/listener.go
@@ -14,6 +14,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/sirupsen/logrus"
 
+	"github.com/amaranthweir/amaranthweir/internal/accept"
 	"github.com/amaranthweir/amaranthweir/internal/auth"
 	"github.com/amaranthweir/amaranthweir/internal/drain"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
@@ -88,22 +89,8 @@
 
 // Serve accepts callers until ctx ends or ln is closed.
 func (l *Listener) Serve(ctx context.Context, ln net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
-	defer stop()
-	for {
-		nc, err := ln.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			return err
-		}
-		untrack := l.trackConn()
-		go func() {
-			defer untrack()
-			l.serve(ctx, nc)
-		}()
-	}
+	accept.Loop(ctx, ln, l.cfg.Log, l.trackConn, func(nc net.Conn) { l.serve(ctx, nc) })
+	return nil
 }
 
 // trackConn makes Drain wait for a new connection until untrack is called. After
--- a/internal/typedserver/listener.go
+++ b/internal/typedserver/listener.go
@@ -15,6 +15,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/amaranthweir/amaranthweir/internal/accept"
 	"github.com/amaranthweir/amaranthweir/internal/drain"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/gateway"
@@ -71,29 +72,15 @@
 
 // Serve accepts callers until ctx ends or ln is closed.
 func (l *Listener) Serve(ctx context.Context, ln net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
-	defer stop()
-	for {
-		nc, err := ln.Accept()
-		switch {
-		case errors.Is(err, net.ErrClosed):
-			return nil
-		case err != nil:
-			l.cfg.Log.WithError(err).Warn("failed to accept a caller connection")
-			time.Sleep(acceptRetryDelay)
-			continue
-		}
-		l.wg.Add(1)
-		go func() {
-			defer l.wg.Done()
-			l.serve(ctx, nc)
-		}()
-	}
+	accept.Loop(ctx, ln, l.cfg.Log, l.trackConn, func(nc net.Conn) { l.serve(ctx, nc) })
+	return nil
 }
 
-// acceptRetryDelay is the delay after a failed accept, for example when the
-// process is out of file descriptors.
-const acceptRetryDelay = 20 * time.Millisecond
+// trackConn makes Drain wait for a new connection until untrack is called.
+func (l *Listener) trackConn() (untrack func()) {
+	l.wg.Add(1)
+	return l.wg.Done
+}
 
 // serve handles one connection from its first message to close.
 func (l *Listener) serve(ctx context.Context, nc net.Conn) {
