consensus: the last leader returns at once after a restart

Cause: a restarted node waits an election timeout before it votes, since it may have confirmed a lease just before.

The first entry of each term now names the leader. Only that leader can hold a lease that a node whose term is that one has confirmed, so while it campaigns itself no wait is needed, neither there nor at those who vote for it. It asks again each heartbeat interval while the others are down. Without that entry (older log, compacted, a later term) the node waits as before.

Ruled out: the time since the boot of the machine (says nothing when only the process was restarted).

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -7,6 +7,30 @@
 	return n.role == RoleLeader || n.tick-n.leaderContactTick < uint64(n.cfg.ElectionTicks)
 }
 
+// lastLeader returns the leader of the current term according to the log. It
+// returns false if the log does not tell: it has no entry of that term, or the
+// first one was compacted.
+//
+// Only this leader can hold a lease that this node has confirmed, even before a
+// restart: in the current term there was no other, and the leases of earlier terms
+// had ended when it was elected. While it campaigns itself it holds no lease, so
+// it needs no wait, and neither do the nodes that vote for it.
+func (n *Node) lastLeader() (NodeID, bool) {
+	first, ok := n.log.firstOfLastTerm()
+	if !ok || first.Term != n.term || first.Type != EntryEmpty {
+		return NodeID{}, false
+	}
+	r := newReader(first.Data)
+	id := r.node()
+	return id, r.finish() == nil
+}
+
+// wasLeader reports whether id was the last leader.
+func (n *Node) wasLeader(id NodeID) bool {
+	last, known := n.lastLeader()
+	return known && last == id
+}
+
 // campaign requests votes from the other voters: pre-votes if role is
 // RolePreCandidate, votes in a new term if it is RoleCandidate. handover is set if
 // the previous leader asked for the campaign with MsgHandover.
@@ -123,6 +147,6 @@
 	n.termStartIndex = n.log.lastIndex() + 1
 	n.progress = make(map[NodeID]*progress)
 	n.syncProgress()
-	n.appendAsLeader(EntryEmpty, nil)
+	n.appendAsLeader(EntryEmpty, appendNode(nil, n.cfg.ID))
 	n.broadcastHeartbeat()
 }
--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -56,6 +56,19 @@
 	return term
 }
 
+// firstOfLastTerm returns the first entry of the last term, or false if the log
+// does not hold it.
+func (l *entryLog) firstOfLastTerm() (Entry, bool) {
+	at := len(l.entries)
+	for at > 0 && l.entries[at-1].Term == l.lastTerm() {
+		at--
+	}
+	if at == len(l.entries) || at == 0 && l.baseTerm == l.lastTerm() {
+		return Entry{}, false
+	}
+	return l.entries[at], true
+}
+
 // term returns the term of the entry at index, and false if that entry was
 // compacted or does not exist.
 func (l *entryLog) term(index uint64) (uint64, bool) {
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -125,9 +125,18 @@
 		n.vote = NodeID{}
 	}
 	n.resetElectionDeadline()
+	if n.isReturningLeader() {
+		n.electionDeadline = n.tick + 1
+	}
 	return n, nil
 }
 
+// isReturningLeader reports whether the node was the last leader and has just been
+// restarted. Nobody else can have been elected yet, so it campaigns at once.
+func (n *Node) isReturningLeader() bool {
+	return n.tick < uint64(n.cfg.ElectionTicks) && n.wasLeader(n.cfg.ID)
+}
+
 // ID returns the identity of the node.
 func (n *Node) ID() NodeID { return n.cfg.ID }
 
@@ -222,7 +231,10 @@
 // one heartbeat interval instead of an election timeout, because there is no
 // leader whose heartbeats could still arrive.
 func (n *Node) scheduleElectionRetry() {
-	n.electionDeadline = n.tick + uint64(n.cfg.HeartbeatTicks) + n.rng.Uint64N(uint64(n.cfg.ElectionTicks))
+	n.electionDeadline = n.tick + uint64(n.cfg.HeartbeatTicks)
+	if !n.isReturningLeader() {
+		n.electionDeadline += n.rng.Uint64N(uint64(n.cfg.ElectionTicks))
+	}
 }
 
 func (n *Node) becomeFollower(term uint64, leader NodeID) {
@@ -297,11 +309,11 @@
 // stepHigherTerm processes a message of a higher term: it adopts that term,
 // except for pre-vote requests and granted pre-votes, and reports whether Step
 // should handle m. While a leader may hold a lease, it ignores vote and pre-vote
-// requests that are not marked with Handover.
+// requests, unless they are marked with Handover or come from that leader.
 func (n *Node) stepHigherTerm(m Message) bool {
 	switch m.Type {
 	case MsgPreVote, MsgVote:
-		if n.inLeaderLease() && !m.Handover {
+		if n.inLeaderLease() && !m.Handover && !n.wasLeader(m.From) {
 			return false
 		}
 		if m.Type == MsgPreVote {
--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -376,3 +376,89 @@
 		_ = n.Step(m)
 	})
 }
+
+// newRestarted returns the node host of the voters a, b and c right after a
+// restart. Its last term is 2, which leader began; without a leader the log does
+// not tell who did.
+func newRestarted(t *testing.T, host, leader string, term uint64) *Node {
+	t.Helper()
+	first := Entry{Index: 2, Term: 2, Type: EntryEmpty}
+	if leader != "" {
+		first.Data = appendNode(nil, id(leader))
+	}
+	n, err := New(Config{
+		ID: id(host), ElectionTicks: 10, HeartbeatTicks: 2, LeaseTicks: 7, MaxAppendBytes: 1 << 10, MaxInflight: 4,
+		Snapshot:  Snapshot{Index: 1, Term: 1, Members: NewMembers(id("a"), id("b"), id("c"))},
+		Entries:   []Entry{first, {Index: 3, Term: 2}},
+		HardState: HardState{Term: term},
+	})
+	assert.NilError(t, err)
+	return n
+}
+
+// After a restart a node may have confirmed a lease shortly before. It has to wait
+// before it votes, except for the leader whose lease that was. Without the
+// exception, the deployment has no leader for an election timeout after all
+// control hosts were killed at once.
+func TestVoteForReturningLeader(t *testing.T) {
+	for name, c := range map[string]struct {
+		leader  string // as the log tells
+		term    uint64
+		from    string
+		granted bool
+	}{
+		"the last leader":              {"b", 2, "b", true},
+		"another node":                 {"b", 2, "c", false},
+		"the log does not tell":        {"", 2, "b", false},
+		"a later term had no entry":    {"b", 3, "b", false},
+		"this node was itself leader":  {"a", 2, "b", false},
+		"another incarnation of leads": {"b/2", 2, "b", false},
+	} {
+		for _, kind := range []MessageType{MsgPreVote, MsgVote} {
+			n := newRestarted(t, "a", c.leader, c.term)
+			if c.leader == "b/2" {
+				n.log.entries[0].Data = appendNode(nil, NodeID{Host: "b", Incarnation: 2})
+			}
+			step(t, n, Message{Type: kind, From: id(c.from), Term: c.term + 1, Index: 3, LogTerm: 2})
+			sent := drainReady(n)
+			granted := len(sent) == 1 && !sent[0].Reject
+			assert.Equal(t, granted, c.granted, "%s: %v", name, kind)
+		}
+	}
+}
+
+// The last leader campaigns as soon as it runs again, and repeats that at the pace
+// of heartbeats while the other nodes are still down. Every other node waits.
+func TestReturningLeaderCampaignsAtOnce(t *testing.T) {
+	leader := newRestarted(t, "a", "a", 2)
+	preVotes := 0
+	for range 10 {
+		leader.Tick()
+		for _, m := range drainReady(leader) {
+			if m.Type == MsgPreVote && m.To == id("b") {
+				preVotes++
+			}
+		}
+	}
+	assert.Assert(t, preVotes >= 4, "%d campaigns", preVotes)
+	step(t, leader, Message{Type: MsgPreVoteReply, From: id("b"), Term: 3})
+	step(t, leader, Message{Type: MsgVoteReply, From: id("b"), Term: 3})
+	assert.Equal(t, leader.Role(), RoleLeader)
+
+	follower := newRestarted(t, "a", "b", 2)
+	for range 9 {
+		follower.Tick()
+		assert.Equal(t, len(drainReady(follower)), 0, "tick %d", follower.Now())
+	}
+}
+
+// Once the first entry of the term is compacted, the log no longer tells who began
+// the term.
+func TestLastLeaderIsUnknownAfterCompaction(t *testing.T) {
+	n := newRestarted(t, "a", "b", 2)
+	_, known := n.lastLeader()
+	assert.Assert(t, known)
+	n.log.compact(Snapshot{Index: 3, Term: 2, Members: n.Members()}, 1)
+	_, known = n.lastLeader()
+	assert.Assert(t, !known)
+}
--- a/internal/consensus/schedule_test.go
+++ b/internal/consensus/schedule_test.go
@@ -200,6 +200,8 @@
 		m.node.Handover()
 	case p < 62 && m.downSteps == 0:
 		m.frozenSteps = 1 + s.rng.IntN(3*electionTicks)
+	case p >= 990:
+		s.crashAll()
 	case p < 68 && s.canWipe():
 		s.crash(m)
 		m.folder = waltest.NewFolder()
@@ -217,6 +219,17 @@
 	m.node = nil
 }
 
+// crashAll stops all hosts. Each is back after a few steps, within the lease that
+// the last leader held.
+func (s *schedule) crashAll() {
+	for _, m := range s.members {
+		if m.downSteps == 0 {
+			s.crash(m)
+		}
+		m.downSteps = 1 + s.rng.IntN(leaseTicks/2)
+	}
+}
+
 // canWipe reports whether a leader with a lease exists and every host is a voter
 // of its committed membership. A disk lost at any other time could exceed the
 // failures that a quorum tolerates.
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -130,7 +130,8 @@
 const (
 	// EntryCommand carries data that the caller proposed.
 	EntryCommand EntryType = iota
-	// EntryEmpty is the first entry of each leader's term. It has no data.
+	// EntryEmpty is the first entry of each leader's term. Its data is the encoded
+	// NodeID of the leader; entries of earlier versions have none.
 	EntryEmpty
 	// EntryMembers carries the membership that applies from this entry on.
 	EntryMembers
