gateway: a floor at the start of a term names the entry of the old term

Cause: right after a promotion the new primary reports the position at which its term begins under the new term.

The floor is now the mark of the entry itself, from the terms' start positions. The stand-in compares as the users' instances do. A position is not asked for from a host that does not respond.

TestEntryMark, TestFloorAtStartOfTerm (fails on the code before).

--- a/internal/gateway/samples.go
+++ b/internal/gateway/samples.go
@@ -96,14 +96,18 @@
 	if q.Access != config.AccessRead || q.Staleness == 0 {
 		return nil
 	}
-	mark, err := r.session.gateway.recentPosition(ctx, q.Group, max(0, q.Staleness-stalenessMargin))
+	g := r.session.gateway
+	mark, err := g.recentPosition(ctx, q.Group, max(0, q.Staleness-stalenessMargin))
 	if err != nil {
 		return err
 	}
-	q.Floor, q.HasFloor = mark, true
-	if sessionFloor, ok := r.session.token.Floor(q.Group); ok && q.Floor.Less(sessionFloor) {
-		q.Floor = sessionFloor
+	if sessionFloor, ok := r.session.token.Floor(q.Group); ok && mark.Less(sessionFloor) {
+		mark = sessionFloor
 	}
+	// The primary of a new term reports the position at which the term begins
+	// under that term, but the entry there is one of an older term.
+	agreed, _ := g.cfg.Directory.Agreed(q.Group)
+	q.Floor, q.HasFloor = agreed.History.EntryMark(mark), true
 	return nil
 }
 
@@ -215,6 +219,9 @@
 	if err != nil {
 		return request.PositionSample{}, err
 	}
+	if !g.cfg.Directory.Responsive(primary.Owner) {
+		return request.PositionSample{}, errkind.New(errkind.NoOwner, "%s does not respond", primary.Owner)
+	}
 	if !g.positionBreaker.Allow(g.cfg.Clock(), primary, rand.Float64()) {
 		return request.PositionSample{}, errkind.New(errkind.NoOwner, "%s refused the position of %s", primary.Owner, primary.Instance)
 	}
--- a/internal/gateway/samples_test.go
+++ b/internal/gateway/samples_test.go
@@ -56,3 +56,39 @@
 	assert.Assert(t, span >= 2*time.Second, "the samples span only %v", span)
 	assert.Equal(t, p.samples[len(p.samples)-1].mark.Position, table.Position(999))
 }
+
+// Right after a change of primary nothing has been written in the new term, and
+// the primary reports the last entry of the old term under the new one. No
+// instance holds such an entry. A floor of that mark was refused by all of them
+// until the sample was too old, and each read waited for its deadline.
+func TestFloorAtStartOfTerm(t *testing.T) {
+	s, d := newSession(t)
+	s.gateway.cfg.UpstreamFloors = true
+	d.agreed = table.Group{Name: "g1", Term: 2}
+	d.agreed.History.Add(1, 0)
+	d.agreed.History.Add(2, 521)
+	for _, c := range []struct {
+		name    string
+		sample  table.Mark
+		session table.Mark
+		want    table.Mark
+	}{
+		{"no entry of the new term", table.Mark{Term: 2, Position: 521}, table.Mark{}, table.Mark{Term: 1, Position: 521}},
+		{"an entry of the new term", table.Mark{Term: 2, Position: 522}, table.Mark{}, table.Mark{Term: 2, Position: 522}},
+		{"the session saw more of the old term", table.Mark{Term: 2, Position: 521}, table.Mark{Term: 1, Position: 530}, table.Mark{Term: 1, Position: 521}},
+		{"the session saw more of the new term", table.Mark{Term: 2, Position: 521}, table.Mark{Term: 2, Position: 530}, table.Mark{Term: 2, Position: 530}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s.gateway.samples = sampleStore{}
+			s.token.DropFloor("g1")
+			if c.session.Term > 0 {
+				s.token.Raise("g1", c.session)
+			}
+			d.upstream.mark = c.sample
+			d.upstream.received = nil
+			_, err := execSQL(t, s, "/* class=report */ select")
+			assert.NilError(t, err)
+			assert.Equal(t, d.upstream.received[0].Floor, c.want)
+		})
+	}
+}
--- a/internal/table/history.go
+++ b/internal/table/history.go
@@ -53,6 +53,28 @@
 	return SurvivedUnknown
 }
 
+// EntryMark returns the mark of the log entry at m.Position: in the term that wrote
+// the entry. It differs from m for an instance that has followed a newer term but
+// holds no entry of it yet. Terms above the newest one of h are returned as they
+// are, and entries from before the oldest one count as written in that one.
+func (h *TermHistory) EntryMark(m Mark) Mark {
+	if m.Term > h[0].Term {
+		return m
+	}
+	for _, b := range h {
+		if b.Term == 0 {
+			break
+		}
+		if b.Term <= m.Term {
+			m.Term = b.Term
+		}
+		if b.Term <= m.Term && b.Start < m.Position {
+			break
+		}
+	}
+	return m
+}
+
 // MarshalJSON encodes the used entries only.
 func (h TermHistory) MarshalJSON() ([]byte, error) {
 	used := []TermBegin{}
--- a/internal/table/history_test.go
+++ b/internal/table/history_test.go
@@ -38,6 +38,29 @@
 	assert.Assert(t, json.Unmarshal([]byte("{}"), &decoded) != nil)
 }
 
+// A position at which a term begins was written in an older term. An instance that
+// is asked for it under the new term says that it lacks it.
+func TestEntryMark(t *testing.T) {
+	var h TermHistory
+	h.Add(2, 100)
+	h.Add(5, 100) // no entry was written in term 2
+	h.Add(6, 200)
+	for _, c := range []struct{ mark, want Mark }{
+		{Mark{7, 201}, Mark{7, 201}}, // not known to this host yet
+		{Mark{6, 201}, Mark{6, 201}},
+		{Mark{6, 200}, Mark{5, 200}},
+		{Mark{6, 101}, Mark{5, 101}},
+		{Mark{6, 100}, Mark{2, 100}},
+		{Mark{5, 100}, Mark{2, 100}},
+		{Mark{5, 150}, Mark{5, 150}},
+		{Mark{6, 0}, Mark{2, 0}},
+		{Mark{1, 50}, Mark{1, 50}},
+	} {
+		assert.Equal(t, h.EntryMark(c.mark), c.want, "%v", c.mark)
+	}
+	assert.Equal(t, new(TermHistory).EntryMark(Mark{1, 7}), Mark{1, 7})
+}
+
 func TestTermHistoryIsBounded(t *testing.T) {
 	var h TermHistory
 	for term := range Term(MaxTermBegins + 4) {
--- a/standin/typed/session.go
+++ b/standin/typed/session.go
@@ -300,12 +300,14 @@
 	})
 }
 
-// isBehind reports whether reads might not see the entries up to floor.
+// isBehind reports whether reads might not see the entries up to floor, or whether
+// the entry at floor is one of another term. A term has no entry at the position
+// at which it begins.
 func (in *Instance) isBehind(floor table.Mark) bool {
-	if in.role == table.RolePrimary {
-		return in.term < floor.Term
+	if floor.Position == 0 {
+		return false
 	}
-	return int(floor.Position) > in.applied || in.term < floor.Term
+	return int(floor.Position) > in.applied || in.log[floor.Position-1].term != floor.Term
 }
 
 // value returns the value of an item as reads see it, with a suffix.
