Nothing is sent to a host that does not respond

- A link with waiting calls is checked each 100 ms; after a ping that is not answered for 200 ms its host does not count as responsive, and reads that another instance can serve are routed again.
Time in which this process did not run is not counted, here and where a silent link is closed.
- After a failed connection attempt a call waits 50 ms at most, and routing starts further attempts.
- Routing avoids hosts that do not respond.
A write is then refused as not run and tried again, instead of being sent into silence.
- The owner of a primary without a lease serves reads with a floor, which was sampled under a lease.
- An isolated host tries a read on up to four instances that still answer.

Ruled out: a shorter silence before a link is closed, which would make the outcome of writes on slow hosts unknown.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,8 @@
 	// Executor returns the executor of a host, or false when the host is
 	// unknown.
 	Executor(host table.HostID) (request.Executor, bool)
+	// Responsive reports whether a host is expected to answer a request.
+	Responsive(host table.HostID) bool
 	// Changed returns a channel that is closed at the next change of a group's
 	// state or routing view.
 	Changed() <-chan struct{}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -69,6 +69,8 @@
 	groups   routing.Table
 	upstream *fakeUpstream
 	agreed   table.Group
+	// unresponsive holds the hosts that do not respond.
+	unresponsive map[table.HostID]bool
 }
 
 func (f *fakeDirectory) Document(service string) *config.Document {
@@ -81,8 +83,10 @@
 func (f *fakeDirectory) Agreed(table.GroupName) (table.Group, bool) { return f.agreed, true }
 
 func (f *fakeDirectory) Executor(table.HostID) (request.Executor, bool) { return f.upstream, true }
-func (f *fakeDirectory) Changed() <-chan struct{}                       { return nil }
-func (f *fakeDirectory) Request(Observation)                            {}
+func (f *fakeDirectory) Responsive(host table.HostID) bool              { return !f.unresponsive[host] }
+
+func (f *fakeDirectory) Changed() <-chan struct{} { return nil }
+func (f *fakeDirectory) Request(Observation)      {}
 
 // newSession returns a session of the service in the test document, and the
 // directory that its gateway uses.
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/amaranthweir/amaranthweir/internal/config"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/request"
 	"github.com/amaranthweir/amaranthweir/internal/system/breaker"
@@ -26,6 +27,8 @@
 		Rank:      q.Rank,
 		Home:      g.cfg.Domain,
 		Seed:      rand.Uint64(),
+
+		Responsive: g.cfg.Directory.Responsive,
 	}, view)
 	if d.Refused() {
 		return d
@@ -33,7 +36,7 @@
 	if !g.throttle.Allow(now, throttle.Key{Instance: d.Instance, Rank: q.Rank}, rand.Float64()) {
 		return routing.Decision{Reason: routing.ReasonThrottled, Refuse: errkind.DeadlineUnreachable}
 	}
-	if d.Instance != view.Primary {
+	if d.Instance != view.Primary || isBoundedRead(q) {
 		return d
 	}
 	if !g.requestBreaker.Allow(now, breaker.Key{Instance: d.Instance, Owner: d.Owner}, rand.Float64()) {
@@ -42,11 +45,17 @@
 	return d
 }
 
+// isBoundedRead reports whether q is a read that any instance may serve that holds
+// its floor. The owner of a primary serves it without a lease.
+func isBoundedRead(q *request.Request) bool {
+	return q.Access == config.AccessRead && q.Staleness > 0
+}
+
 // recordOwnerResult tells the breaker whether the owner of a primary could
 // serve the latest attempt. It records nothing if the owner did not answer or
-// the request was cancelled.
-func (r *run) recordOwnerResult(err error) {
-	if r.replica {
+// the request was cancelled, or for a request that needs no lease.
+func (r *run) recordOwnerResult(q *request.Request, err error) {
+	if r.replica || isBoundedRead(q) {
 		return
 	}
 	g := r.session.gateway
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -70,7 +70,7 @@
 		if err != nil && r.maySettle(q, err) {
 			return r.settle(ctx, q, err)
 		}
-		if err == nil || !r.mayRetry(err) || r.session.gateway.isolated() {
+		if err == nil || !r.mayRetry(err) || r.shouldLeaveToOthers(q) {
 			return res, err
 		}
 		if errkind.Of(err).Effect == errkind.NotRun {
@@ -86,6 +86,21 @@
 	}
 }
 
+// maxIsolatedAttempts bounds the attempts of a read on an isolated host, so that
+// the caller still has time for another host.
+const maxIsolatedAttempts = 4
+
+// shouldLeaveToOthers reports whether the request is given up after a failed
+// attempt because this host is isolated and another host may be able to serve it.
+// A read that any instance may serve is first tried on the instances that still
+// answer.
+func (r *run) shouldLeaveToOthers(q *request.Request) bool {
+	if !r.session.gateway.isolated() {
+		return false
+	}
+	return !isBoundedRead(q) || r.lastDecision.Refused() || r.attempts >= maxIsolatedAttempts
+}
+
 // deadlineError returns the error of a request whose deadline passed. A read
 // has no effect, so its outcome is never in doubt: if an attempt was refused,
 // the error is the reason of that refusal.
@@ -138,10 +153,19 @@
 		Prepares:        r.work.Prepares,
 		Messages:        r.work.Messages,
 		ChangesSettings: r.plan.changesSettings,
+		Reroutable:      r.isReroutable(),
 		MayCommit:       !r.work.OnlyPrepares && (r.plan.commits || !open && !r.plan.opensTransaction),
 	}
 }
 
+// isReroutable reports whether the request is a read outside a transaction that any
+// instance with its floor may serve, and that may run again.
+func (r *run) isReroutable() bool {
+	c := r.plan.class
+	return c.Access == config.AccessRead && c.Staleness > 0 && c.Repeatable &&
+		r.session.tx == nil && !r.plan.opensTransaction
+}
+
 // digest returns the digest of a request with an id. It is empty for a request
 // in an open transaction, whose statements ran one by one.
 func (r *run) digest() string {
@@ -230,7 +254,7 @@
 	if err != nil && r.plan.opensTransaction && errkind.Of(err).Effect != errkind.NotRun {
 		executor.EndSession(r.session.id) // the transaction may have been opened despite the error
 	}
-	r.recordOwnerResult(err)
+	r.recordOwnerResult(q, err)
 	r.recordOverload(q, err)
 	r.updateView(q, &res, err)
 	return res, err
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -110,6 +110,17 @@
 	return r.executor, true
 }
 
+// Responsive implements gateway.Directory.
+func (d *directory) Responsive(host table.HostID) bool {
+	if host == d.self {
+		return true
+	}
+	d.mu.Lock()
+	r, ok := d.remotes[host]
+	d.mu.Unlock()
+	return ok && r.executor.Responsive()
+}
+
 // Changed implements gateway.Directory.
 func (d *directory) Changed() <-chan struct{} {
 	d.mu.Lock()
--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -89,17 +89,22 @@
 }
 
 // checkRead returns nil if the instance may serve a read that states a
-// staleness. The primary may serve the read under its lease. A replica may
-// serve it if the age of its data is proven and it holds the floor.
+// staleness. Where instances check floors, any instance may, whether it is the
+// primary or not: the floor was sampled at a primary under its lease within the
+// staleness. Otherwise the primary may serve the read under its lease, and a
+// replica if the age of its data is proven and it holds the floor.
 func (in *instance) checkRead(r *request.Request) error {
+	if in.cfg.UpstreamFloors && r.HasFloor {
+		return nil
+	}
 	if term, primary := in.cfg.Authority.LogTerm(in.group, in.id); primary {
 		return in.mayAcknowledge(term, errkind.NotRun)
 	}
-	in.mu.Lock()
-	defer in.mu.Unlock()
 	if in.cfg.UpstreamFloors {
 		return nil
 	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
 	in.age.lastReadAt = time.Now()
 	return in.age.check(in.age.lastReadAt, r)
 }
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -335,3 +335,19 @@
 		}
 	}
 }
+
+// Where instances check floors, the owner of a primary without a lease still
+// serves a read with a floor: the floor was sampled under a lease within the
+// staleness of the read, and the primary holds it. A host in a failure domain
+// that is cut off can serve its callers so until the sample is too old.
+func TestPrimaryWithoutLeaseServesReadsWithFloor(t *testing.T) {
+	in := &instance{cfg: Config{Authority: &fakeAuthority{primary: true}, UpstreamFloors: true}}
+	in.serving.Store(true)
+	read := request.Request{Access: config.AccessRead, Staleness: time.Second, Floor: table.Mark{Term: 1, Position: 7}, HasFloor: true}
+	assert.NilError(t, in.checkRunnable(&read))
+	read.HasFloor = false
+	assert.Assert(t, errkind.Is(in.checkRunnable(&read), errkind.NoPrimary))
+	current := request.Request{Access: config.AccessRead}
+	assert.Assert(t, errkind.Is(in.checkRunnable(&current), errkind.NoPrimary))
+	assert.Assert(t, errkind.Is(in.checkRunnable(&request.Request{Access: config.AccessWrite}), errkind.NoPrimary))
+}
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -10,6 +10,8 @@
 
 // call is a request that is waiting for its answer.
 type call struct {
+	reroutable bool // another instance can answer the request
+
 	mu        sync.Mutex
 	sendBegun bool // the first frame may have been sent
 	frames    []*peerpb.Answer
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -65,11 +65,14 @@
 	takesNames atomic.Bool  // a frame from the other end has announced that it can decode names
 	lastSend   atomic.Int64 // nanoseconds since opened
 	opened     time.Time
+	responds   atomic.Bool // false once the other end is found unresponsive
 
-	mu     sync.Mutex
-	nextID uint64
-	calls  map[uint64]*call
-	lost   bool
+	mu      sync.Mutex
+	nextID  uint64
+	calls   map[uint64]*call
+	lost    bool
+	watched bool // whether checkCalls is scheduled
+	silence silenceWatch
 }
 
 // queuedFrame is a frame to be sent. call is set only for the first frame of a
@@ -109,7 +112,7 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	return &link{
+	l := &link{
 		conn:     conn,
 		activity: activity,
 		stream:   stream,
@@ -119,7 +122,9 @@
 		done:     make(chan struct{}),
 		calls:    map[uint64]*call{},
 		opened:   time.Now(),
-	}, nil
+	}
+	l.responds.Store(true)
+	return l, nil
 }
 
 // writeLoop sends queued frames until the link is closed.
@@ -161,20 +166,22 @@
 }
 
 // keepAlive sends pings and closes the link once it has been silent for
-// t.IdleTimeout. It never blocks on the stream, because an unresponsive host may
-// stall writes.
+// t.IdleTimeout. Time in which this process itself was held up does not count.
 func (l *link) keepAlive(t Timing) {
 	tick := time.NewTicker(t.PingInterval)
 	defer tick.Stop()
-	ping := queuedFrame{frame: &peerpb.Frame{Body: &peerpb.Frame_Ping{Ping: &peerpb.Empty{}}}}
+	checkedAt := time.Now()
 	for {
 		select {
 		case <-l.done:
 			return
 		case <-tick.C:
 		}
+		heldUp := time.Since(checkedAt) > 2*t.PingInterval
+		checkedAt = time.Now()
 		sinceRead := l.activity.sinceLastRead()
-		if sinceRead > t.IdleTimeout {
+		if sinceRead > t.IdleTimeout && !heldUp {
+			l.responds.Store(false)
 			l.close()
 			return
 		}
@@ -182,10 +189,7 @@
 		if l.takesNames.Load() && !isPingDue(l.sinceLastSend(), sinceRead, t.PingInterval) {
 			continue
 		}
-		select { // not sendOrQueue, which can block on the stream
-		case l.queue <- ping:
-		default:
-		}
+		l.tryPing()
 	}
 }
 
@@ -229,9 +233,10 @@
 }
 
 // startCall registers a new call, sets the id of its first frame f and sends f.
-// After an error f is never sent.
-func (l *link) startCall(ctx context.Context, f *peerpb.Frame) (*call, error) {
-	c := &call{updated: make(chan struct{}, 1)}
+// After an error f is never sent. A reroutable call fails once the other end is
+// found unresponsive.
+func (l *link) startCall(ctx context.Context, f *peerpb.Frame, reroutable bool) (*call, error) {
+	c := &call{updated: make(chan struct{}, 1), reroutable: reroutable}
 	l.mu.Lock()
 	if l.lost {
 		l.mu.Unlock()
@@ -240,6 +245,7 @@
 	l.nextID++
 	f.Id = l.nextID
 	l.calls[f.Id] = c
+	l.watchCalls()
 	l.mu.Unlock()
 	if err := l.sendOrQueue(ctx, queuedFrame{frame: f, call: c}); err != nil {
 		l.removeCall(f.Id)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -285,7 +285,7 @@
 			assert.NilError(t, err)
 			defer l.close()
 			l.sendSlot <- struct{}{} // another frame is being sent
-			c, err := l.startCall(t.Context(), &peerpb.Frame{})
+			c, err := l.startCall(t.Context(), &peerpb.Frame{}, false)
 			assert.NilError(t, err)
 			if tc.sent {
 				assert.Assert(t, c.beginSend())
--- a/internal/peer/remote.go
+++ b/internal/peer/remote.go
@@ -18,13 +18,23 @@
 	timing  Timing
 	dial    DialFunc
 
-	mu      sync.Mutex
-	link    *link
-	opening chan struct{} // closed when the connection attempt in progress ends
-	lastErr error         // error of the latest connection attempt
-	closed  bool
+	mu       sync.Mutex
+	link     *link
+	opening  chan struct{} // closed when the connection attempt in progress ends
+	lastErr  error         // error of the latest connection attempt
+	failedAt time.Time     // end of the latest connection attempt, if it failed
+	closed   bool
 }
 
+const (
+	// redialInterval is the least time between two connection attempts that
+	// Responsive starts.
+	redialInterval = 100 * time.Millisecond
+	// knownDownWait is how long a call waits for a connection attempt after
+	// another attempt has failed. It is enough for a host that answers again.
+	knownDownWait = 50 * time.Millisecond
+)
+
 var _ request.Executor = (*Remote)(nil)
 
 // NewRemote returns a Remote for the host at a peer address. The Remote connects
@@ -47,15 +57,19 @@
 		r.mu.Unlock()
 		return l, nil
 	}
-	wait := r.opening
-	if wait == nil {
-		wait = make(chan struct{})
-		r.opening = wait
-		go r.open(wait)
-	}
+	wait := r.startOpening()
+	var knownDown <-chan time.Time
+	downErr := r.downError()
 	r.mu.Unlock()
+	if downErr != nil {
+		timer := time.NewTimer(knownDownWait)
+		defer timer.Stop()
+		knownDown = timer.C
+	}
 	select {
 	case <-wait:
+	case <-knownDown:
+		return nil, downErr
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
@@ -67,6 +81,25 @@
 	return r.link, nil
 }
 
+// downError returns why the host is not expected to answer a connection attempt at
+// once, or nil. The caller holds r.mu.
+func (r *Remote) downError() error {
+	if r.link != nil && !r.link.responds.Load() {
+		return errUnresponsive
+	}
+	return r.lastErr
+}
+
+// startOpening starts a connection attempt unless one is in progress, and returns
+// the channel that is closed at its end. The caller holds r.mu.
+func (r *Remote) startOpening() <-chan struct{} {
+	if r.opening == nil {
+		r.opening = make(chan struct{})
+		go r.open(r.opening)
+	}
+	return r.opening
+}
+
 // open dials the host, stores the outcome and closes done.
 func (r *Remote) open(done chan struct{}) {
 	l, err := openLink(context.Background(), r.address, r.timing, r.dial)
@@ -76,18 +109,40 @@
 		l, err = nil, errLinkLost
 	}
 	r.link, r.lastErr, r.opening = l, err, nil
+	if err != nil {
+		r.failedAt = time.Now()
+	}
 	r.mu.Unlock()
 	close(done)
 }
 
+// Responsive reports whether the host is expected to answer a request. It is false
+// after a failed connection attempt until one succeeds, and while the host answers
+// no pings although calls wait. While it is false, it starts connection attempts.
+func (r *Remote) Responsive() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case r.link != nil && !r.link.isLost():
+		return r.link.responds.Load()
+	case r.downError() != nil:
+		if !r.closed && time.Since(r.failedAt) >= redialInterval {
+			r.startOpening()
+		}
+		return false
+	default:
+		return true // not connected yet, or the other end closed the link
+	}
+}
+
 // startCall connects if necessary and sends the first frame of a call. Its
 // errors have the effect errkind.NotRun.
-func (r *Remote) startCall(ctx context.Context, f *peerpb.Frame) (*link, *call, error) {
+func (r *Remote) startCall(ctx context.Context, f *peerpb.Frame, reroutable bool) (*link, *call, error) {
 	l, err := r.connect(ctx)
 	if err != nil {
 		return nil, nil, errkind.Wrap(err, errkind.NoOwner, "%s: %v", r.address, err)
 	}
-	c, err := l.startCall(ctx, f)
+	c, err := l.startCall(ctx, f, reroutable)
 	if err != nil {
 		return nil, nil, errkind.Wrap(err, errkind.NoOwner, "%s: %v", r.address, err)
 	}
@@ -98,7 +153,7 @@
 func (r *Remote) Execute(ctx context.Context, q *request.Request, s request.Sink) (request.Result, error) {
 	idle := request.Result{TxStatus: request.TxIdle}
 	f := &peerpb.Frame{Body: &peerpb.Frame_Request{Request: encodeRequest(q, time.Now())}}
-	l, c, err := r.startCall(ctx, f)
+	l, c, err := r.startCall(ctx, f, q.Reroutable)
 	if err != nil {
 		return idle, err
 	}
@@ -150,6 +205,9 @@
 	if !c.fail(err) {
 		return notSentError(err)
 	}
+	if errors.Is(err, errUnresponsive) { // a cancellation would not arrive either
+		return errkind.Wrap(err, errkind.OutcomeUnknown, "%s: %v", r.address, err)
+	}
 	ctx, stop := context.WithTimeout(context.Background(), r.timing.IdleTimeout)
 	defer stop()
 	_ = l.send(ctx, &peerpb.Frame{Id: id, Body: &peerpb.Frame_Cancel{Cancel: &peerpb.Empty{}}})
@@ -200,7 +258,7 @@
 
 // query performs a call whose answer is a single frame.
 func (r *Remote) query(ctx context.Context, f *peerpb.Frame) (*peerpb.Answer, error) {
-	l, c, err := r.startCall(ctx, f)
+	l, c, err := r.startCall(ctx, f, false)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/peer/watch_test.go
@@ -0,0 +1,118 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthweir/amaranthweir/internal/errkind"
+	"github.com/amaranthweir/amaranthweir/internal/request"
+	"github.com/amaranthweir/amaranthweir/internal/waittest"
+)
+
+// The other end is unresponsive only if it left a ping unanswered. Silence before
+// the ping, and time in which this process did not run, prove nothing.
+func TestSilenceWatch(t *testing.T) {
+	const ms = time.Millisecond
+	type step struct {
+		now, lastRead time.Duration
+		want          verdict
+	}
+	for name, steps := range map[string][]step{
+		"answers arrive": {
+			{100 * ms, 90 * ms, responsive}, {200 * ms, 190 * ms, responsive},
+		},
+		"an idle link whose ping is answered": {
+			{100 * ms, -400 * ms, needsPing}, {200 * ms, 105 * ms, responsive},
+		},
+		"a slow statement on a working link": {
+			{100 * ms, 0, needsPing}, {200 * ms, 102 * ms, responsive}, {300 * ms, 102 * ms, needsPing}, {400 * ms, 302 * ms, responsive},
+		},
+		"nothing arrives": {
+			{100 * ms, 0, needsPing}, {200 * ms, 0, awaitsPong}, {300 * ms, 0, unresponsive}, {400 * ms, 0, unresponsive},
+		},
+		"bytes arrive again": {
+			{100 * ms, 0, needsPing}, {200 * ms, 0, awaitsPong}, {300 * ms, 0, unresponsive}, {400 * ms, 350 * ms, responsive},
+		},
+		"this process was held up": {
+			{100 * ms, 0, needsPing}, {3000 * ms, 0, needsPing}, {3100 * ms, 0, awaitsPong}, {3200 * ms, 3150 * ms, responsive},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var w silenceWatch
+			for _, s := range steps {
+				assert.Equal(t, w.check(s.now, s.lastRead), s.want, "at %v", s.now)
+			}
+		})
+	}
+}
+
+// While packets to a host are dropped, it must soon count as unresponsive, and a
+// read that other instances can serve must not wait for the link to be closed.
+// Once packets pass again, the host must count as responsive without a request
+// that waits for it.
+func TestUnresponsiveHost(t *testing.T) {
+	started := make(chan struct{}, 2)
+	owner := newOwner(func(ctx context.Context, r *request.Request, s request.Sink) (request.Result, error) {
+		if string(r.Messages) != "hang" {
+			return echo(ctx, r, s)
+		}
+		started <- struct{}{}
+		<-ctx.Done()
+		return request.Result{}, ctx.Err()
+	})
+	proxy, address := startBlackholeProxy(t, startServer(t, &Server{Owner: owner}))
+	timing := DefaultTiming()
+	timing.IdleTimeout = 3 * time.Second
+	r := NewRemote(address, timing, nil)
+	t.Cleanup(r.Close)
+	assert.Assert(t, r.Responsive(), "nothing is known yet")
+	write, read := make(chan error, 1), make(chan error, 1)
+	send := func(reroutable bool, done chan error) {
+		q := newRequest("hang")
+		q.Reroutable = reroutable
+		_, err := r.Execute(context.Background(), q, &collectSink{})
+		done <- err
+	}
+	go send(false, write)
+	go send(true, read)
+	<-started
+	<-started
+	assert.Assert(t, r.Responsive())
+	proxy.drop(true, true)
+	dropped := time.Now()
+	err := <-read
+	assert.Assert(t, errkind.Is(err, errkind.OutcomeUnknown), "%v", err)
+	assert.Assert(t, time.Since(dropped) < 2*time.Second, "the read waited for the link")
+	assert.Assert(t, !r.Responsive())
+	select {
+	case err := <-write:
+		t.Fatalf("a write whose answer may still arrive was given up: %v", err)
+	default:
+	}
+	assert.Assert(t, errkind.Is(<-write, errkind.OutcomeUnknown))
+	waittest.Until(t, "the host responds again", r.Responsive)
+	assertEcho(t, r, "over a new link")
+}
+
+// A call to a host whose last connection attempt failed must not wait for the
+// whole dial timeout again.
+func TestCallToHostKnownToBeDown(t *testing.T) {
+	dial := func(ctx context.Context, _ string) (net.Conn, error) {
+		<-ctx.Done() // as if packets were dropped
+		return nil, ctx.Err()
+	}
+	r := NewRemote("", DefaultTiming(), DialFunc(dial))
+	t.Cleanup(r.Close)
+	_, err := r.Execute(t.Context(), newRequest("first"), &collectSink{})
+	assert.Assert(t, errkind.Is(err, errkind.NoOwner), "%v", err)
+	assert.Assert(t, !r.Responsive())
+	began := time.Now()
+	_, err = r.Execute(t.Context(), newRequest("second"), &collectSink{})
+	assert.Assert(t, errkind.Is(err, errkind.NoOwner), "%v", err)
+	assert.Equal(t, errkind.Of(err).Effect, errkind.NotRun)
+	assert.Assert(t, time.Since(began) < DefaultTiming().DialTimeout/2)
+}
--- a/internal/pg/proxy_test.go
+++ b/internal/pg/proxy_test.go
@@ -55,6 +55,8 @@
 func (a *singleHost) Groups() *routing.Table                     { return &a.groups }
 func (a *singleHost) Agreed(table.GroupName) (table.Group, bool) { return table.Group{}, false }
 
+func (a *singleHost) Responsive(table.HostID) bool { return true }
+
 func (a *singleHost) Executor(table.HostID) (request.Executor, bool) { return a.executor, true }
 func (a *singleHost) Changed() <-chan struct{}                       { return a.changed }
 func (a *singleHost) Request(gateway.Observation)                    {}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -79,6 +79,10 @@
 	MayCommit bool
 	// ChangesSettings is set when the messages change session settings.
 	ChangesSettings bool
+	// Reroutable is set for a read that another instance can answer as well. It
+	// then fails once the owner does not respond, instead of waiting for it. It is
+	// not sent to the owner.
+	Reroutable bool
 }
 
 // Transaction states as in ReadyForQuery.
--- a/internal/system/routing/candidates.go
+++ b/internal/system/routing/candidates.go
@@ -9,7 +9,8 @@
 type suitability uint8
 
 const (
-	// avoided: the owner recently rejected a request for the same cause.
+	// avoided: the owner recently rejected a request for the same cause, or does
+	// not respond.
 	avoided suitability = iota
 	// unlikely: the hints suggest that the replica is not fresh enough.
 	unlikely
@@ -85,7 +86,7 @@
 func classify(now time.Duration, q *Query, v *GroupView, c *Candidate) suitability {
 	h := &c.Hint
 	switch {
-	case c.avoid.applies(now, q):
+	case c.avoid.applies(now, q), !q.responds(c):
 		return avoided
 	case !h.isCurrent(now) || c.avoid.isRetryDue(now, h):
 		return suitable // no current hint, or due for a retry
--- a/internal/system/routing/reason.go
+++ b/internal/system/routing/reason.go
@@ -39,6 +39,8 @@
 	ReasonNoOwner
 	// ReasonOwnerSuspect: refused, the owner of the primary may be dead.
 	ReasonOwnerSuspect
+	// ReasonOwnerUnresponsive: refused, the owner of the primary does not answer.
+	ReasonOwnerUnresponsive
 	// ReasonUnprovable: refused, there is no usable primary and every replica
 	// was recently too stale.
 	ReasonUnprovable
@@ -65,6 +67,7 @@
 	ReasonPrimaryLeaving:    "primary_leaving",
 	ReasonNoOwner:           "no_owner",
 	ReasonOwnerSuspect:      "owner_suspect",
+	ReasonOwnerUnresponsive: "owner_unresponsive",
 	ReasonUnprovable:        "unprovable",
 	ReasonOwnerRefuses:      "owner_refuses",
 	ReasonThrottled:         "throttled",
--- a/internal/system/routing/routing.go
+++ b/internal/system/routing/routing.go
@@ -54,6 +54,14 @@
 	Home      table.Domain // failure domain of the entry host
 	// Seed distributes requests among equally suitable replicas.
 	Seed uint64
+	// Responsive reports whether a host is expected to answer. Nil means that
+	// every host is.
+	Responsive func(table.HostID) bool
+}
+
+// responds reports whether the owner of c is expected to answer.
+func (q *Query) responds(c *Candidate) bool {
+	return q.Responsive == nil || q.Responsive(c.Owner)
 }
 
 // Decision is the instance that a request goes to, or its refusal.
@@ -83,10 +91,10 @@
 		return refuse(errkind.NoPrimary, ReasonNoPrimary)
 	}
 	if q.Access == config.AccessWrite {
-		return toPrimary(now, v, ReasonWrite)
+		return toPrimary(now, q, v, ReasonWrite)
 	}
 	if q.Staleness <= 0 {
-		return toPrimary(now, v, ReasonCurrentRead)
+		return toPrimary(now, q, v, ReasonCurrentRead)
 	}
 	var set candidateSet
 	set.collect(now, q, v)
@@ -95,7 +103,7 @@
 	}
 	o := set.pick(q.Seed, suitable)
 	if shouldOverflow(now, q, v, o) {
-		return toPrimary(now, v, ReasonReplicasBusy)
+		return toPrimary(now, q, v, ReasonReplicasBusy)
 	}
 	reason := ReasonReplicaRemote
 	if o.candidate.Domain == q.Home {
@@ -112,7 +120,7 @@
 		return false
 	}
 	c := v.Find(v.Primary)
-	return c != nil && !c.Leaving && hasLiveOwner(c) && 2*cost(now, q, c) < o.cost
+	return c != nil && !c.Leaving && hasLiveOwner(c) && q.responds(c) && 2*cost(now, q, c) < o.cost
 }
 
 // maxReplicaWait is how long a read may queue at a replica before the primary
@@ -126,7 +134,7 @@
 
 // fallBack routes a read for which the hints show no suitable replica.
 func fallBack(now time.Duration, q *Query, v *GroupView, set *candidateSet) Decision {
-	d := toPrimary(now, v, ReasonReplicasStale)
+	d := toPrimary(now, q, v, ReasonReplicasStale)
 	switch {
 	case set.countBy[lagging] > 0:
 		o := set.pick(q.Seed, lagging)
@@ -147,7 +155,7 @@
 
 // toPrimary routes the request to the primary, or refuses it if the primary is
 // not usable.
-func toPrimary(now time.Duration, v *GroupView, reason Reason) Decision {
+func toPrimary(now time.Duration, q *Query, v *GroupView, reason Reason) Decision {
 	c := v.Find(v.Primary)
 	switch {
 	case v.Primary == "" || c == nil:
@@ -158,6 +166,8 @@
 		return refuse(errkind.NoOwner, ReasonNoOwner)
 	case c.OwnerState == table.HostSuspect:
 		return refuse(errkind.NoOwner, ReasonOwnerSuspect)
+	case !q.responds(c):
+		return refuse(errkind.NoOwner, ReasonOwnerUnresponsive)
 	}
 	return Decision{Instance: c.Instance, Owner: c.Owner, Reason: reason}
 }
--- a/internal/system/routing/routing_test.go
+++ b/internal/system/routing/routing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -47,6 +48,29 @@
 
 func setFloor(q *Query) { q.Floor, q.HasFloor = mark(2, 100), true }
 
+func setWrite(q *Query, _ *GroupView) { q.Access = config.AccessWrite }
+
+func setCurrent(q *Query, _ *GroupView) { q.Staleness = 0 }
+
+// moveReplica makes the host of r2 own r1 as well.
+func moveReplica(_ *Query, v *GroupView) { v.Candidates[1].Owner = "hb" }
+
+// silent makes hosts unresponsive.
+func silent(hosts ...table.HostID) change {
+	return func(q *Query, _ *GroupView) {
+		q.Responsive = func(host table.HostID) bool { return !slices.Contains(hosts, host) }
+	}
+}
+
+// with combines changes.
+func with(changes ...change) change {
+	return func(q *Query, v *GroupView) {
+		for _, c := range changes {
+			c(q, v)
+		}
+	}
+}
+
 // chooseCases list the decisions after a change of the default query or group.
 var chooseCases = map[string]struct {
 	change change
@@ -54,6 +78,13 @@
 	reason Reason
 	kind   errkind.Kind
 }{
+	"the local replica's host is silent":      {silent("ha"), "r2", ReasonReplicaRemote, 0},
+	"the hosts of both replicas are silent":   {silent("ha", "hb"), "", ReasonUnprovable, errkind.StalenessUnprovable},
+	"a write whose host is silent":            {with(setWrite, silent("ha")), "", ReasonOwnerUnresponsive, errkind.NoOwner},
+	"a current read whose host is silent":     {with(setCurrent, silent("ha")), "", ReasonOwnerUnresponsive, errkind.NoOwner},
+	"a write while another host is silent":    {with(setWrite, silent("hb")), "p", ReasonWrite, 0},
+	"only the host of the primary is reached": {with(moveReplica, silent("hb")), "p", ReasonReplicasStale, 0},
+
 	"read":                          {func(*Query, *GroupView) {}, "r1", ReasonReplicaLocal, 0},
 	"read from b":                   {func(q *Query, _ *GroupView) { q.Home = "b" }, "r2", ReasonReplicaLocal, 0},
 	"read from c":                   {func(q *Query, _ *GroupView) { q.Home, q.Seed = "c", 1<<32+1 }, "r2", ReasonReplicaRemote, 0},
