owner: a probe that ends late does not make its instance unreachable

Cause: a process that gets no processor time finds all its probes timed out, and called every instance unreachable; primaries then changed although all of them answered. A probe that ends more than 50 ms after its timeout is repeated, twice at most. TestProbeOfProcessThatWasHeldUp fails on the code before.

--- a/internal/owner/instance.go
+++ b/internal/owner/instance.go
@@ -98,9 +98,9 @@
 		transactions: map[request.SessionID]*transaction{},
 	}
 	in.probe = newSampler(func(ctx context.Context) (dbedge.Status, error) {
-		ctx, stop := context.WithTimeout(ctx, cfg.Timing.ProbeTimeout)
-		defer stop()
-		return cfg.Prober.Probe(ctx, in.target())
+		return probeInTime(ctx, cfg.Timing.ProbeTimeout, func(ctx context.Context) (dbedge.Status, error) {
+			return cfg.Prober.Probe(ctx, in.target())
+		})
 	})
 	go in.watch(ctx)
 	if !cfg.UpstreamFloors {
--- a/internal/owner/probe_test.go
+++ b/internal/owner/probe_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -60,3 +61,39 @@
 		assert.Equal(t, in.health.reachable, c.reachable, name)
 	}
 }
+
+// While this process gets no processor time, all its probes time out, although
+// every instance answers. A probe that ends long after its timeout must not make
+// its instance unreachable, but a process that is always late must still find an
+// instance that has failed.
+func TestProbeOfProcessThatWasHeldUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const timeout = 200 * time.Millisecond
+		delay := timeout
+		in := &instance{log: discardLogger(), probeNow: make(chan struct{}, 1), cfg: Config{
+			Timing: Timing{ProbeTimeout: timeout},
+			Stamp:  func() failover.Stamp { return failover.Stamp{} },
+		}}
+		in.probe = newSampler(func(ctx context.Context) (dbedge.Status, error) {
+			return probeInTime(ctx, timeout, func(ctx context.Context) (dbedge.Status, error) {
+				time.Sleep(delay)
+				return dbedge.Status{}, ctx.Err()
+			})
+		})
+		setUp := func(d time.Duration) {
+			time.Sleep(time.Minute)
+			in.health = health{probed: true, reachable: true}
+			in.lastAnswerAt.Store(int64(sinceStart(time.Now()) - time.Minute))
+			delay = d
+		}
+		setUp(timeout + maxTimeoutDelay/2)
+		assert.Assert(t, in.probeOnce(t.Context()), "a timeout on time counts")
+		setUp(3 * timeout)
+		for range maxLateProbes {
+			assert.Assert(t, !in.probeOnce(t.Context()))
+			assert.Assert(t, in.health.reachable)
+		}
+		assert.Assert(t, in.probeOnce(t.Context()))
+		assert.Assert(t, !in.health.reachable)
+	})
+}
--- a/internal/owner/report.go
+++ b/internal/owner/report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"time"
 
@@ -22,6 +23,7 @@
 	quiescedHold     uint64         // the number of the quiesced hold during which status was read, or zero
 	acked            table.Mark     // at or after every acknowledged write
 	ackedKnown       bool
+	lateProbes       int // consecutive probes that ended with errHeldUp and were not counted
 }
 
 // Reports returns a report on each owned instance that has been probed.
@@ -145,12 +147,16 @@
 		return in.recordBusy()
 	case isTimeout(err) && in.answeredWithin(in.cfg.Timing.ProbeTimeout/2):
 		return false // only the probe timed out; the instance still answers statements
+	case errors.Is(err, errHeldUp) && in.health.lateProbes < maxLateProbes:
+		in.health.lateProbes++
+		signal(in.probeNow)
+		return false
 	case err != nil:
 		return in.recordFailedProbe(sentAt, err)
 	}
 	h := &in.health
 	changed = !h.probed || !h.reachable
-	h.probed, h.reachable = true, true
+	h.probed, h.reachable, h.lateProbes = true, true, 0
 	h.status, h.leaderStamp, h.quiescedHold = st, stamp, 0
 	if hold == in.gate.quiescedHold() {
 		h.quiescedHold = hold
@@ -163,6 +169,32 @@
 	return changed
 }
 
+const (
+	// maxTimeoutDelay is how much later than its timeout a probe may end. After a
+	// longer delay this process itself was held up, and the answer may have arrived
+	// in time.
+	maxTimeoutDelay = 50 * time.Millisecond
+	// maxLateProbes is how many such probes in a row are not counted, so that a
+	// process that is always late still finds failed instances.
+	maxLateProbes = 2
+)
+
+// errHeldUp is the error of a probe that ended much later than its timeout.
+var errHeldUp = errors.New("this process was held up")
+
+// probeInTime probes an instance within timeout. It returns errHeldUp, with the
+// error of the probe, if the timeout was noticed late.
+func probeInTime(ctx context.Context, timeout time.Duration, probe func(context.Context) (dbedge.Status, error)) (dbedge.Status, error) {
+	started := time.Now()
+	ctx, stop := context.WithTimeout(ctx, timeout)
+	defer stop()
+	st, err := probe(ctx)
+	if isTimeout(err) && time.Since(started) > timeout+maxTimeoutDelay {
+		err = fmt.Errorf("%w: %w", errHeldUp, err)
+	}
+	return st, err
+}
+
 // maxProbeIntervals is the maximum time between two probes, in probe intervals,
 // of an instance that answers statements.
 const maxProbeIntervals = 5
