failover: a replica that is leaving is the last choice

Cause: when the probe of the only staying replica had just been lost, the next change of primary chose a replica that was leaving, which is gone seconds later. The staying one is now probed again and waited for, 0.5 s at most. TestLeavingReplicaIsLastChoice fails on the code before.

--- a/internal/system/failover/system_test.go
+++ b/internal/system/failover/system_test.go
@@ -295,3 +295,44 @@
 		Kind: failover.OrderTerm, Group: groupName, Instance: "i1", Address: "i1", Term: 3,
 	})
 }
+
+// TestLeavingReplicaIsLastChoice checks which replica follows a primary that no
+// longer leads. A replica that is leaving would be gone within seconds, so a
+// staying one whose latest probe was lost is waited for, but not for long.
+func TestLeavingReplicaIsLastChoice(t *testing.T) {
+	const start = 10 * time.Second
+	for _, r := range []struct {
+		name           string
+		unreachableFor time.Duration // of the staying replica; zero means reachable
+		want           table.InstanceID
+	}{
+		{"the staying replica is reachable", 0, "i1"},
+		{"its latest probe was lost", 100 * ms, ""},
+		{"it has been unreachable for long", 600 * ms, "i2"},
+	} {
+		t.Run(r.name, func(t *testing.T) {
+			s := failover.New(failover.DefaultConfig(), freshLeases{})
+			s.SetGroupSize(groupName, 3)
+			for n, id := range []table.InstanceID{"i0", "i1", "i2"} {
+				s.HandleAnnouncement(table.Instance{ID: id, Group: groupName, Address: string(id), Leaving: id == "i2", SeenAt: start})
+				s.SetOwner(groupName, table.Ownership{Instance: id, Host: table.HostID('0' + rune(n)), Epoch: 1})
+			}
+			s.SetGroup(table.Group{Name: groupName, Term: 1, Phase: table.PhaseStable, Primary: "i0"})
+			s.Lead(start, 5)
+			s.Step(start)
+			for n, id := range []table.InstanceID{"i0", "i1", "i2"} {
+				report := newReport(id, s.Stamp(start), 7, 1)
+				if id == "i1" && r.unreachableFor > 0 {
+					report.Reachable, report.UnreachableFor = false, r.unreachableFor
+				}
+				s.HandleReports(start+ms, table.HostID('0'+rune(n)), []failover.Report{report})
+			}
+			_, proposed, _ := summarizeActions(s.Step(start + 2*ms))
+			if r.want == "" {
+				assert.Assert(t, proposed.BeginTerm == nil, "%v", proposed.BeginTerm)
+				return
+			}
+			assert.Equal(t, proposed.BeginTerm.Candidate, r.want)
+		})
+	}
+}
--- a/internal/system/failover/watch.go
+++ b/internal/system/failover/watch.go
@@ -174,13 +174,36 @@
 	c := g.mostAdvanced(func(m *member) bool {
 		return m != p && m.reachable() && !s.leases.Late(now, m.owner) && g.plausible(m.mark())
 	})
-	if c == nil {
+	if c == nil || c.leaving() && s.awaitStayingReplica(now, g, p) {
 		return WaitSafeReplica
 	}
 	s.proposeTerm(now, g, g.nextTerm(), c.inst.ID)
 	return WaitCommit
 }
 
+// stayingReplicaGrace is how long a replica must have been unreachable before a
+// replica that is leaving becomes primary in its place. A leaving one serves only
+// for seconds, while a single probe may have been lost.
+const stayingReplicaGrace = 500 * time.Millisecond
+
+// awaitStayingReplica orders probes of the replicas that are not leaving and have
+// been unreachable for less than stayingReplicaGrace. It reports whether there are
+// any.
+func (s *System) awaitStayingReplica(now time.Duration, g *group, p *member) bool {
+	found := false
+	for _, id := range g.order {
+		m := g.members[id]
+		if m == p || m.leaving() || !m.hasReport || m.reachable() || s.leases.Late(now, m.owner) {
+			continue
+		}
+		if now < m.unreachableSince+stayingReplicaGrace {
+			found = true
+			s.orderProbe(now, m)
+		}
+	}
+	return found
+}
+
 // orderProbe asks the owner of m for a new report.
 func (s *System) orderProbe(now time.Duration, m *member) {
 	if m.owner == "" || s.leases.Late(now, m.owner) {
