peer: links without calls and open transactions rest

Cause: every link between two hosts was checked and pinged four times a second.

A link is now checked only while calls wait, a transaction is open or its host does not respond, at the pace of 100 ms; the host at the other end closes it after a minute of rest, and as before after 2 s while it is in use. A request whose outcome would be unknown without an answer (a write, a current read) is sent over a link that has rested for 0.5 s only after a ping was answered: one round trip more, and it is not run instead of in doubt when the link was cut meanwhile.

TestIsPingDue goes with the function that it tested; TestSilenceWatch, TestRestingLinkSendsNothing and TestLinkWithOpenTransactionIsKept hold what takes its place. TestWriteIsNotSentIntoSilence.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -12,6 +12,7 @@
 	"storj.io/drpc/drpcwire"
 
 	"github.com/amaranthweir/amaranthweir/internal/peer/peerpb"
+	"github.com/amaranthweir/amaranthweir/internal/request"
 )
 
 const (
@@ -40,9 +41,10 @@
 type Timing struct {
 	// DialTimeout is the timeout for opening a link.
 	DialTimeout time.Duration
-	// PingInterval is the interval between keepalive checks of an open link.
+	// PingInterval is the longest time between two frames that are sent over a link
+	// with waiting calls or open transactions.
 	PingInterval time.Duration
-	// IdleTimeout is how long a link may receive no bytes before it is closed.
+	// IdleTimeout is how long such a link may receive no bytes before it is closed.
 	IdleTimeout time.Duration
 }
 
@@ -66,13 +68,16 @@
 	lastSend   atomic.Int64 // nanoseconds since opened
 	opened     time.Time
 	responds   atomic.Bool // false once the other end is found unresponsive
+	timing     Timing
 
-	mu      sync.Mutex
-	nextID  uint64
-	calls   map[uint64]*call
-	lost    bool
-	watched bool // whether checkCalls is scheduled
-	silence silenceWatch
+	mu           sync.Mutex
+	nextID       uint64
+	calls        map[uint64]*call
+	transactions map[request.SessionID]struct{} // sessions with an open transaction
+	received     chan struct{}                  // closed at the next frame, nil if nobody waits
+	lost         bool
+	watched      bool // whether check is scheduled
+	silence      silenceWatch
 }
 
 // queuedFrame is a frame to be sent. call is set only for the first frame of a
@@ -91,7 +96,6 @@
 	}
 	go l.writeLoop()
 	go l.readLoop()
-	go l.keepAlive(t)
 	return l, nil
 }
 
@@ -122,6 +126,9 @@
 		done:     make(chan struct{}),
 		calls:    map[uint64]*call{},
 		opened:   time.Now(),
+		timing:   t,
+
+		transactions: map[request.SessionID]struct{}{},
 	}
 	l.responds.Store(true)
 	return l, nil
@@ -165,40 +172,6 @@
 	l.lastSend.Store(int64(time.Since(l.opened)))
 }
 
-// keepAlive sends pings and closes the link once it has been silent for
-// t.IdleTimeout. Time in which this process itself was held up does not count.
-func (l *link) keepAlive(t Timing) {
-	tick := time.NewTicker(t.PingInterval)
-	defer tick.Stop()
-	checkedAt := time.Now()
-	for {
-		select {
-		case <-l.done:
-			return
-		case <-tick.C:
-		}
-		heldUp := time.Since(checkedAt) > 2*t.PingInterval
-		checkedAt = time.Now()
-		sinceRead := l.activity.sinceLastRead()
-		if sinceRead > t.IdleTimeout && !heldUp {
-			l.responds.Store(false)
-			l.close()
-			return
-		}
-		// Pings are sent at every tick until a pong has set takesNames.
-		if l.takesNames.Load() && !isPingDue(l.sinceLastSend(), sinceRead, t.PingInterval) {
-			continue
-		}
-		l.tryPing()
-	}
-}
-
-// isPingDue reports whether a link needs a ping. Traffic in both directions
-// within the last interval already proves that the link is alive.
-func isPingDue(sinceSend, sinceRead, interval time.Duration) bool {
-	return sinceSend >= interval || sinceRead >= interval
-}
-
 // sinceLastSend returns the time since the last frame was sent.
 func (l *link) sinceLastSend() time.Duration {
 	return time.Since(l.opened) - time.Duration(l.lastSend.Load())
@@ -216,22 +189,32 @@
 		if f.GetTakesNames() {
 			l.takesNames.Store(true)
 		}
-		a := f.GetAnswer()
-		if a == nil {
-			continue
-		}
-		l.mu.Lock()
-		c := l.calls[f.GetId()]
-		if a.GetLast() {
-			delete(l.calls, f.GetId())
-		}
-		l.mu.Unlock()
-		if c != nil {
-			c.deliver(a)
+		if c := l.receiveFrame(f); c != nil {
+			c.deliver(f.GetAnswer())
 		}
 	}
 }
 
+// receiveFrame wakes who waits for a frame. It returns the call that the frame
+// answers, or nil.
+func (l *link) receiveFrame(f *peerpb.Frame) *call {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.received != nil {
+		close(l.received)
+		l.received = nil
+	}
+	a := f.GetAnswer()
+	if a == nil {
+		return nil
+	}
+	c := l.calls[f.GetId()]
+	if a.GetLast() {
+		delete(l.calls, f.GetId())
+	}
+	return c
+}
+
 // startCall registers a new call, sets the id of its first frame f and sends f.
 // After an error f is never sent. A reroutable call fails once the other end is
 // found unresponsive.
@@ -245,7 +228,7 @@
 	l.nextID++
 	f.Id = l.nextID
 	l.calls[f.Id] = c
-	l.watchCalls()
+	l.startWatch()
 	l.mu.Unlock()
 	if err := l.sendOrQueue(ctx, queuedFrame{frame: f, call: c}); err != nil {
 		l.removeCall(f.Id)
@@ -262,8 +245,8 @@
 
 // sendOrQueue sends a frame directly if no other frame is being sent, which
 // saves a switch to the writer goroutine, and queues it otherwise. An
-// unresponsive host blocks a direct send until keepAlive closes the link, for at
-// most Timing.IdleTimeout plus Timing.PingInterval. Frames of different calls may
+// unresponsive host blocks a direct send until check closes the link, for at most
+// Timing.IdleTimeout plus checkInterval. Frames of different calls may
 // be reordered.
 func (l *link) sendOrQueue(ctx context.Context, q queuedFrame) error {
 	select {
--- a/internal/peer/remote.go
+++ b/internal/peer/remote.go
@@ -153,6 +153,9 @@
 func (r *Remote) Execute(ctx context.Context, q *request.Request, s request.Sink) (request.Result, error) {
 	idle := request.Result{TxStatus: request.TxIdle}
 	f := &peerpb.Frame{Body: &peerpb.Frame_Request{Request: encodeRequest(q, time.Now())}}
+	if err := r.verify(ctx, q); err != nil {
+		return idle, err
+	}
 	l, c, err := r.startCall(ctx, f, q.Reroutable)
 	if err != nil {
 		return idle, err
@@ -180,10 +183,28 @@
 		if a.GetFailure() != nil {
 			return res, decodeFailure(a.GetFailure())
 		}
+		l.setTransaction(q.Session, res.TxStatus != request.TxIdle)
 		return res, nil
 	}
 }
 
+// verify returns nil if q may be sent. A request whose outcome would be unknown
+// without an answer is not sent over a link that has rested until the host has
+// answered a ping. Its errors have the effect errkind.NotRun.
+func (r *Remote) verify(ctx context.Context, q *request.Request) error {
+	if q.Reroutable || q.Continues {
+		return nil
+	}
+	l, err := r.connect(ctx)
+	if err == nil {
+		err = l.verify(ctx)
+	}
+	if err != nil {
+		return errkind.Wrap(err, errkind.NoOwner, "%s: %v", r.address, err)
+	}
+	return nil
+}
+
 // credit sends the owner flow-control credit for consumed bytes of an answer.
 // Amounts below a quarter of the window are not sent yet, but accumulated. credit
 // returns the number of consumed bytes for which no credit has been sent.
@@ -281,6 +302,7 @@
 	if l == nil {
 		return
 	}
+	l.setTransaction(s, false)
 	ctx, stop := context.WithTimeout(context.Background(), r.timing.IdleTimeout)
 	defer stop()
 	if l.send(ctx, &peerpb.Frame{Body: &peerpb.Frame_EndSession{EndSession: encodeSession(s)}}) != nil {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -117,14 +117,10 @@
 // hold a transaction here are ended.
 func (s *Server) Exchange(stream peerpb.DRPCPeer_ExchangeStream) error {
 	defer panics.Recover(s.Log, "link of a host", nil)
-	if t, ok := drpcctx.Transport(stream.Context()); ok {
-		if conn, ok := t.(*activityConn); ok {
-			conn.setIdleTimeout(s.linkTimeout())
-		}
-	}
 	ctx, stop := context.WithCancel(stream.Context())
 	e := &exchange{
 		server:   s,
+		conn:     activityOf(stream.Context()),
 		stream:   stream,
 		ctx:      ctx,
 		calls:    map[uint64]*runningCall{},
@@ -145,12 +141,20 @@
 	}
 }
 
+// activityOf returns the connection behind ctx, or nil if it is of another type.
+func activityOf(ctx context.Context) *activityConn {
+	transport, _ := drpcctx.Transport(ctx)
+	conn, _ := transport.(*activityConn)
+	return conn
+}
+
 // maxLinkCalls bounds the running calls of one link.
 const maxLinkCalls = 8192
 
 // exchange is the server side of one open Exchange stream.
 type exchange struct {
 	server *Server
+	conn   *activityConn // nil if the transport is of another type
 	ctx    context.Context
 	wg     sync.WaitGroup
 
@@ -160,6 +164,26 @@
 	mu       sync.Mutex
 	calls    map[uint64]*runningCall
 	sessions map[request.SessionID]struct{} // sessions that may hold a transaction here
+	busy     bool                           // whether the idle timeout is that of a link in use
+}
+
+// restingLinkTimeout is how long a link without calls and transactions may be
+// silent. Its host may be gone without having closed it.
+const restingLinkTimeout = time.Minute
+
+// updateIdleTimeout sets the idle timeout of the link after its calls or sessions
+// changed. The caller holds e.mu.
+func (e *exchange) updateIdleTimeout() {
+	busy := len(e.calls) > 0 || len(e.sessions) > 0
+	if e.conn == nil || busy == e.busy {
+		return
+	}
+	e.busy = busy
+	if busy {
+		e.conn.setIdleTimeout(e.server.linkTimeout())
+	} else {
+		e.conn.setIdleTimeout(restingLinkTimeout)
+	}
 }
 
 // runningCall is a call whose answer is not complete.
@@ -223,6 +247,7 @@
 		return errkind.New(errkind.CallerLimit, "%d calls run over one link", maxLinkCalls)
 	}
 	e.calls[id] = c
+	e.updateIdleTimeout()
 	return nil
 }
 
@@ -230,6 +255,7 @@
 	e.mu.Lock()
 	c := e.calls[id]
 	delete(e.calls, id)
+	e.updateIdleTimeout()
 	e.mu.Unlock()
 	if c != nil {
 		c.stop()
@@ -361,6 +387,7 @@
 	} else {
 		e.sessions[s] = struct{}{}
 	}
+	e.updateIdleTimeout()
 }
 
 func (e *exchange) position(ctx context.Context, id uint64, q *peerpb.PositionQuery) {
@@ -391,6 +418,7 @@
 	}
 	e.mu.Lock()
 	delete(e.sessions, s)
+	e.updateIdleTimeout()
 	e.mu.Unlock()
 	e.server.Owner.EndSession(s)
 }
--- a/internal/peer/watch_test.go
+++ b/internal/peer/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -116,3 +117,112 @@
 	assert.Equal(t, errkind.Of(err).Effect, errkind.NotRun)
 	assert.Assert(t, time.Since(began) < DefaultTiming().DialTimeout/2)
 }
+
+// countingConn counts the writes to a connection.
+type countingConn struct {
+	net.Conn
+	writes *atomic.Int64
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	c.writes.Add(1)
+	return c.Conn.Write(p)
+}
+
+// Unwrap implements Unwrapper.
+func (c countingConn) Unwrap() net.Conn { return c.Conn }
+
+// startCountingRemote returns a Remote and the number of writes over its links.
+func startCountingRemote(t *testing.T, address string) (*Remote, *atomic.Int64) {
+	writes := &atomic.Int64{}
+	r := NewRemote(address, DefaultTiming(), func(ctx context.Context, address string) (net.Conn, error) {
+		nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		return countingConn{nc, writes}, err
+	})
+	t.Cleanup(r.Close)
+	return r, writes
+}
+
+// A host has links to most others and rarely uses each of them. A link without
+// calls and transactions must cost nothing and stay open.
+func TestRestingLinkSendsNothing(t *testing.T) {
+	server := &Server{Owner: newOwner(echo), Timing: Timing{IdleTimeout: 150 * time.Millisecond}}
+	r, writes := startCountingRemote(t, startServer(t, server))
+	assertEcho(t, r, "first")
+	time.Sleep(2 * checkInterval) // the check that follows the call
+	before, link := writes.Load(), r.link
+	time.Sleep(time.Second)
+	assert.Equal(t, writes.Load(), before)
+	assertEcho(t, r, "second")
+	assert.Assert(t, r.link == link, "the resting link was closed")
+}
+
+// While a transaction is open and its caller pauses, the owner must not take the
+// silence for the loss of the host, which would roll the transaction back.
+func TestLinkWithOpenTransactionIsKept(t *testing.T) {
+	status := request.TxOpen
+	owner := newOwner(func(_ context.Context, _ *request.Request, s request.Sink) (request.Result, error) {
+		return request.Result{TxStatus: status}, s.Answer([]byte("ok"))
+	})
+	server := &Server{Owner: owner, Timing: Timing{IdleTimeout: 300 * time.Millisecond}}
+	r, _ := startCountingRemote(t, startServer(t, server))
+	_, err := r.Execute(t.Context(), newRequest("begin"), &collectSink{})
+	assert.NilError(t, err)
+	link := r.link
+	select {
+	case s := <-owner.ended:
+		t.Fatalf("session %v was ended", s)
+	case <-time.After(1500 * time.Millisecond):
+	}
+	status = request.TxIdle
+	q := newRequest("commit")
+	q.Continues = true
+	_, err = r.Execute(t.Context(), q, &collectSink{})
+	assert.NilError(t, err)
+	assert.Assert(t, r.link == link)
+}
+
+// A link that has rested may have been cut meanwhile. A write must not be sent over
+// it before the host has answered, because its outcome would be unknown.
+func TestWriteIsNotSentIntoSilence(t *testing.T) {
+	proxy, address := startBlackholeProxy(t, startServer(t, &Server{Owner: newOwner(echo)}))
+	r := startRemote(t, address)
+	assertEcho(t, r, "first")
+	time.Sleep(restingAfter + 3*checkInterval)
+	proxy.drop(true, true)
+	_, err := r.Execute(t.Context(), newRequest("write"), &collectSink{})
+	assert.Assert(t, errkind.Is(err, errkind.NoOwner), "%v", err)
+	assert.Equal(t, errkind.Of(err).Effect, errkind.NotRun)
+	waittest.Until(t, "the host responds again", r.Responsive)
+	assertEcho(t, r, "over a new link")
+}
+
+// A host that was found unresponsive while only reads waited, which were then sent
+// elsewhere, must count as responsive again once it answers. No request is sent to
+// it meanwhile that could show it.
+func TestUnresponsiveHostRecoversWithoutCalls(t *testing.T) {
+	started := make(chan struct{}, 1)
+	owner := newOwner(func(ctx context.Context, r *request.Request, s request.Sink) (request.Result, error) {
+		if string(r.Messages) != "hang" {
+			return echo(ctx, r, s)
+		}
+		started <- struct{}{}
+		<-ctx.Done()
+		return request.Result{}, ctx.Err()
+	})
+	proxy, address := startBlackholeProxy(t, startServer(t, &Server{Owner: owner}))
+	r := startRemote(t, address)
+	read := make(chan error, 1)
+	go func() {
+		q := newRequest("hang")
+		q.Reroutable = true
+		_, err := r.Execute(context.Background(), q, &collectSink{})
+		read <- err
+	}()
+	<-started
+	proxy.drop(true, true)
+	assert.Assert(t, errkind.Is(<-read, errkind.OutcomeUnknown))
+	assert.Assert(t, !r.Responsive())
+	waittest.Until(t, "the host responds again", r.Responsive)
+	assertEcho(t, r, "over a new link")
+}
