--- a/internal/control/recovery_test.go
+++ b/internal/control/recovery_test.go
@@ -287,12 +287,18 @@
 // or a message that it sends. The change is resent until it is answered; it must
 // take effect exactly once.
 func TestPowerLossAtEachStep(t *testing.T) {
+	atEachStep(t, (*network).losePower)
+}
+
+// atEachStep calls fault for the leader and for a follower, with the step before
+// which the fault occurs, until fault reports that the host did not reach that step.
+func atEachStep(t *testing.T, fault func(n *network, t *testing.T, leader *Server, victim table.HostID, step int) (reached bool)) {
 	for _, role := range []string{"leader", "follower"} {
 		t.Run(role, func(t *testing.T) {
 			steps := 0
 			for reached := true; reached; steps++ {
 				withLeader(t, func(t *testing.T, n *network, leader *Server) {
-					reached = n.losePower(t, leader, role == "leader", steps)
+					reached = fault(n, t, leader, n.hostInRole(leader, role), steps)
 				})
 			}
 			assert.Assert(t, steps > 3, "%d steps", steps)
@@ -300,15 +306,20 @@
 	}
 }
 
-// losePower simulates a power loss of a host before the given step and reports
-// whether the host reached that step.
-func (n *network) losePower(t *testing.T, leader *Server, ofLeader bool, step int) (reached bool) {
-	victim := leader.cfg.Host
-	for _, host := range n.voters {
-		if !ofLeader && host != leader.cfg.Host {
-			victim = host
+// hostInRole returns the leader, or the last of the other voters.
+func (n *network) hostInRole(leader *Server, role string) table.HostID {
+	host := leader.cfg.Host
+	for _, other := range n.voters {
+		if role != "leader" && other != leader.cfg.Host {
+			host = other
 		}
 	}
+	return host
+}
+
+// losePower simulates a power loss of a host before the given step and reports
+// whether the host reached that step.
+func (n *network) losePower(t *testing.T, leader *Server, victim table.HostID, step int) (reached bool) {
 	n.proposeUntilAnswered(t, put("s", 1, "before"))
 	time.Sleep(time.Second)
 	var remaining atomic.Int64
--- a/internal/control/storage_test.go
+++ b/internal/control/storage_test.go
@@ -23,28 +23,12 @@
 // without it, take part again once there is room, and have lost nothing when the
 // power then fails everywhere.
 func TestFullDiskAtEachWrite(t *testing.T) {
-	for _, role := range []string{"leader", "follower"} {
-		t.Run(role, func(t *testing.T) {
-			writes := 0
-			for reached := true; reached; writes++ {
-				withLeader(t, func(t *testing.T, n *network, leader *Server) {
-					reached = n.fillDisk(t, leader, role == "leader", writes)
-				})
-			}
-			assert.Assert(t, writes > 2, "%d writes", writes)
-		})
-	}
+	atEachStep(t, (*network).fillDisk)
 }
 
 // fillDisk fills the disk of a host before the given write and reports whether
 // the host reached that write.
-func (n *network) fillDisk(t *testing.T, leader *Server, ofLeader bool, write int) (reached bool) {
-	victim := leader.cfg.Host
-	for _, host := range n.voters {
-		if !ofLeader && host != leader.cfg.Host {
-			victim = host
-		}
-	}
+func (n *network) fillDisk(t *testing.T, _ *Server, victim table.HostID, write int) (reached bool) {
 	n.proposeUntilAnswered(t, put("s", 1, "before"))
 	time.Sleep(time.Second)
 	var remaining atomic.Int64
@@ -107,12 +91,7 @@
 			n.proposeUntilAnswered(t, put("s", version, "v"))
 		}
 		time.Sleep(time.Second)
-		var victim table.HostID
-		for _, host := range n.voters {
-			if host != leader.cfg.Host {
-				victim = host
-			}
-		}
+		victim := n.hostInRole(leader, "follower")
 		before := n.server(victim).View()
 		n.folders[victim].SetFull(alwaysFull)
 		n.proposeUntilAnswered(t, put("s", 4, "v"))
--- a/internal/peer/watch_test.go
+++ b/internal/peer/watch_test.go
@@ -51,20 +51,27 @@
 	}
 }
 
-// While packets to a host are dropped, it must soon count as unresponsive, and a
-// read that other instances can serve must not wait for the link to be closed.
-// Once packets pass again, the host must count as responsive without a request
-// that waits for it.
-func TestUnresponsiveHost(t *testing.T) {
-	started := make(chan struct{}, 2)
-	owner := newOwner(func(ctx context.Context, r *request.Request, s request.Sink) (request.Result, error) {
+// newHangingOwner returns an owner that echoes requests, but holds those with the
+// text "hang" until their caller gives up, and the channel that it signals then.
+func newHangingOwner() (owner *fakeOwner, started <-chan struct{}) {
+	begun := make(chan struct{}, 2)
+	owner = newOwner(func(ctx context.Context, r *request.Request, s request.Sink) (request.Result, error) {
 		if string(r.Messages) != "hang" {
 			return echo(ctx, r, s)
 		}
-		started <- struct{}{}
+		begun <- struct{}{}
 		<-ctx.Done()
 		return request.Result{}, ctx.Err()
 	})
+	return owner, begun
+}
+
+// While packets to a host are dropped, it must soon count as unresponsive, and a
+// read that other instances can serve must not wait for the link to be closed.
+// Once packets pass again, the host must count as responsive without a request
+// that waits for it.
+func TestUnresponsiveHost(t *testing.T) {
+	owner, started := newHangingOwner()
 	proxy, address := startBlackholeProxy(t, startServer(t, &Server{Owner: owner}))
 	timing := DefaultTiming()
 	timing.IdleTimeout = 3 * time.Second
@@ -201,15 +208,7 @@
 // elsewhere, must count as responsive again once it answers. No request is sent to
 // it meanwhile that could show it.
 func TestUnresponsiveHostRecoversWithoutCalls(t *testing.T) {
-	started := make(chan struct{}, 1)
-	owner := newOwner(func(ctx context.Context, r *request.Request, s request.Sink) (request.Result, error) {
-		if string(r.Messages) != "hang" {
-			return echo(ctx, r, s)
-		}
-		started <- struct{}{}
-		<-ctx.Done()
-		return request.Result{}, ctx.Err()
-	})
+	owner, started := newHangingOwner()
 	proxy, address := startBlackholeProxy(t, startServer(t, &Server{Owner: owner}))
 	r := startRemote(t, address)
 	read := make(chan error, 1)
