gateway: a read at its deadline keeps its last refusal beyond the retry budget

The deadline ended during an attempt, and the retry budget was empty, so the read was answered with that attempt's unknown outcome instead of its refusals. A read leaves nothing behind, and with a full budget it kept the refusal already. A case of TestCauseOfRequestRefusedUntilDeadline fails before.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -71,6 +71,9 @@
 			return r.settle(ctx, q, err)
 		}
 		if err == nil || !r.mayRetry(err) || r.shouldLeaveToOthers(q) {
+			if ctx.Err() != nil && r.sink.bytes == 0 {
+				err = r.deadlineError(refused, err)
+			}
 			return res, err
 		}
 		if errkind.Of(err).Effect == errkind.NotRun {
@@ -105,7 +108,7 @@
 // has no effect, so its outcome is never in doubt: if an attempt was refused,
 // the error is the reason of that refusal.
 func (r *run) deadlineError(refused, err error) error {
-	if refused != nil && r.plan.class.Access == config.AccessRead {
+	if refused != nil && err != nil && r.plan.class.Access == config.AccessRead {
 		return refused
 	}
 	return err
