--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -71,10 +71,7 @@
 			return r.settle(ctx, q, err)
 		}
 		if err == nil || !r.mayRetry(err) || r.shouldLeaveToOthers(q) {
-			if ctx.Err() != nil && r.sink.bytes == 0 {
-				err = r.deadlineError(refused, err)
-			}
-			return res, err
+			return res, r.finalError(ctx, refused, err)
 		}
 		if errkind.Of(err).Effect == errkind.NotRun {
 			r.logRefusal(q, err, refused)
@@ -108,12 +105,21 @@
 // has no effect, so its outcome is never in doubt: if an attempt was refused,
 // the error is the reason of that refusal.
 func (r *run) deadlineError(refused, err error) error {
-	if refused != nil && err != nil && r.plan.class.Access == config.AccessRead {
+	if refused != nil && r.plan.class.Access == config.AccessRead {
 		return refused
 	}
 	return err
 }
 
+// finalError returns the error of a request that is not tried again after err,
+// which may be nil.
+func (r *run) finalError(ctx context.Context, refused, err error) error {
+	if err == nil || ctx.Err() == nil || r.sink.bytes > 0 {
+		return err
+	}
+	return r.deadlineError(refused, err)
+}
+
 // failureCause returns the error that explains in the log and in the metrics
 // why the request failed with err. If err only says that the deadline passed
 // before the request ran, that is the last refusal.
