--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -31,6 +31,7 @@
 var cases = map[string]caseFunc{
 	"lost-commits": lostCommits,
 	"line-breaks":  lineBreaks,
+	"stopped-tx":   stoppedTransactions,
 }
 
 // The processes are started on the main thread, so that their parent-death signal
