--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -29,9 +29,10 @@
 type caseFunc func(d *deployment, trouble bool) ([]string, error)
 
 var cases = map[string]caseFunc{
-	"lost-commits": lostCommits,
-	"line-breaks":  lineBreaks,
-	"stopped-tx":   stoppedTransactions,
+	"lost-commits":   lostCommits,
+	"line-breaks":    lineBreaks,
+	"stopped-tx":     stoppedTransactions,
+	"invalid-config": invalidConfiguration,
 }
 
 // The processes are started on the main thread, so that their parent-death signal
