--- a/review/harness/main.go
+++ b/review/platform/main.go
@@ -1,4 +1,4 @@
-// Command harness runs the cases of the review. It starts the programs of the project
+// Command platform runs the cases of the review. It starts the programs of the project
 // with the commands of the deploy file, on loopback addresses, and plays the clients,
 // the database instances and the platform.
 //
@@ -42,7 +42,7 @@
 
 func run() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: harness CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: review-harness CASE FOLDER")
 		return exitNotRun
 	}
 	rec, err := newRecord(filepath.Join(os.Args[2], "record.txt"))
