--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -286,12 +286,15 @@
 	if err != nil {
 		return err
 	}
+	entries, before := r.node.AppliedIndex()-r.snapshotIndex, r.wal.Usage()
 	s := r.node.Compact(data)
 	if err := r.wal.SaveSnapshot(s); err != nil {
 		return err
 	}
 	r.snapshotIndex = s.Index
-	r.log.WithFields(logrus.Fields{"index": s.Index, "bytes": len(data)}).Info("snapshot taken")
+	r.logUsage().WithFields(logrus.Fields{
+		"index": s.Index, "bytes": len(data), "entries": entries, "freed_bytes": before.SegmentBytes - r.wal.Usage().SegmentBytes,
+	}).Info("snapshot taken")
 	return nil
 }
 
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -184,6 +184,7 @@
 	suspended  bool
 	term       uint64
 	members    consensus.Members
+	usage      wal.Usage
 	changed    chan struct{}
 }
 
@@ -214,7 +215,7 @@
 		stopped:    make(chan struct{}),
 		tickOrigin: cfg.Now(),
 	}
-	s.status.Store(&status{view: r.state.View(), members: r.node.Members(), changed: make(chan struct{})})
+	s.status.Store(&status{view: r.state.View(), members: r.node.Members(), usage: r.wal.Usage(), changed: make(chan struct{})})
 	return s, nil
 }
 
@@ -361,7 +362,7 @@
 	next := &status{
 		view: old.view, changed: old.changed, members: r.node.Members(),
 		leader: r.node.Leader().Host, isLeader: r.node.Role() == consensus.RoleLeader,
-		caughtUp: r.node.CaughtUp(), term: r.node.Term(),
+		caughtUp: r.node.CaughtUp(), term: r.node.Term(), usage: r.wal.Usage(),
 	}
 	if until, ok := r.node.Lease(); ok {
 		next.leaseUntil = s.tickOrigin + time.Duration(until)*s.cfg.TickInterval
@@ -520,6 +521,9 @@
 // disk refuses writes.
 func (s *Server) Suspended() bool { return s.status.Load().suspended }
 
+// DiskUsage returns the size of the files of the log.
+func (s *Server) DiskUsage() wal.Usage { return s.status.Load().usage }
+
 // Members returns the membership of the control hosts.
 func (s *Server) Members() consensus.Members { return s.status.Load().members }
 
--- a/internal/control/storage.go
+++ b/internal/control/storage.go
@@ -8,6 +8,7 @@
 	"github.com/amaranthweir/amaranthweir/internal/consensus"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/wal"
+	"github.com/sirupsen/logrus"
 )
 
 // reopenInterval is the interval at which a suspended host tries to open its log
@@ -25,8 +26,8 @@
 // failed. It confirms nothing that it could not store, and so counts as a member
 // that is down. A leader hands over, after readers see the end of its lease.
 func (s *Server) suspend(err error) {
-	s.log.WithError(err).Error("the disk refuses writes: this control host takes no part until they succeed")
 	r := s.replica
+	r.logUsage().WithError(err).Error("the disk refuses writes: this control host takes no part until they succeed")
 	r.node.Handover()
 	s.publishInactive(true)
 	r.sendHandover()
@@ -37,6 +38,14 @@
 	}
 }
 
+// logUsage returns a logger with the size of the log's files as fields.
+func (r *replica) logUsage() logrus.FieldLogger {
+	u := r.wal.Usage()
+	return r.log.WithFields(logrus.Fields{
+		"log_bytes": u.SegmentBytes, "log_files": u.Segments, "snapshot_bytes": u.SnapshotBytes, "since_snapshot_bytes": u.BytesSinceSnapshot,
+	})
+}
+
 // sendHandover sends the handover that is pending. It promises nothing, so unlike
 // other messages it may be sent although the log cannot be written.
 func (r *replica) sendHandover() {
@@ -72,7 +81,7 @@
 			}
 			s.replica, s.tickOrigin = r, s.cfg.Now()
 			s.publishStatus()
-			s.log.Info("the disk accepts writes again")
+			r.logUsage().Info("the disk accepts writes again")
 			return nil
 		}
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -153,6 +153,7 @@
 		if h.control, err = newLeader(h); err != nil {
 			return err
 		}
+		h.metrics.RegisterControlLog(h.control.server.DiskUsage)
 		h.granter = newQuotaGranter(h)
 	}
 	return nil
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/amaranthweir/amaranthweir/internal/config"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/gateway"
+	"github.com/amaranthweir/amaranthweir/internal/wal"
 )
 
 // namespace is the prefix of the name of every metric.
@@ -128,6 +129,20 @@
 // SetControlLogWritable records whether this control host can write its log.
 func (m *Metrics) SetControlLogWritable(writable bool) { setBool(m.logWritable, writable) }
 
+// RegisterControlLog adds the gauges of a control host's log: the size of all its
+// files, and of the records after the last snapshot. It must be called at most once.
+func (m *Metrics) RegisterControlLog(usage func() wal.Usage) {
+	gauge := func(name, help string, value func(wal.Usage) int) prometheus.Collector {
+		opts := prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}
+		return prometheus.NewGaugeFunc(opts, func() float64 { return float64(value(usage())) })
+	}
+	m.registry.MustRegister(
+		gauge("control_log_bytes", "Size of the log and the snapshot of this control host.", wal.Usage.TotalBytes),
+		gauge("control_log_since_snapshot_bytes", "Size of the log records after the last snapshot.",
+			func(u wal.Usage) int { return u.BytesSinceSnapshot }),
+	)
+}
+
 // setBool sets a gauge to 1 for true and to 0 for false.
 func setBool(g prometheus.Gauge, value bool) {
 	if value {
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -14,6 +14,7 @@
 	"github.com/amaranthweir/amaranthweir/internal/config"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/gateway"
+	"github.com/amaranthweir/amaranthweir/internal/wal"
 )
 
 func TestRequestsAreCountedByOutcome(t *testing.T) {
@@ -38,6 +39,7 @@
 	m := New()
 	m.Request(gateway.Observation{Attempts: 1})
 	m.Refused(errkind.Internal)
+	m.RegisterControlLog(func() wal.Usage { return wal.Usage{} })
 	m.CountAnnouncement(nil)
 	m.CollectQuotaUse(func() []QuotaUse { return []QuotaUse{{Workspace: "w1"}} })
 	families, err := m.Registry().Gather()
@@ -75,3 +77,19 @@
 	}
 	t.Fatal("no metric")
 }
+
+func TestControlLogGauges(t *testing.T) {
+	m := New()
+	m.RegisterControlLog(func() wal.Usage {
+		return wal.Usage{Segments: 2, SegmentBytes: 700, SnapshotBytes: 50, BytesSinceSnapshot: 300}
+	})
+	const want = `# HELP amaranthweir_control_log_bytes Size of the log and the snapshot of this control host.
+# TYPE amaranthweir_control_log_bytes gauge
+amaranthweir_control_log_bytes 750
+# HELP amaranthweir_control_log_since_snapshot_bytes Size of the log records after the last snapshot.
+# TYPE amaranthweir_control_log_since_snapshot_bytes gauge
+amaranthweir_control_log_since_snapshot_bytes 300
+`
+	assert.NilError(t, testutil.GatherAndCompare(m.Registry(), strings.NewReader(want),
+		"amaranthweir_control_log_bytes", "amaranthweir_control_log_since_snapshot_bytes"))
+}
--- a/internal/wal/replay.go
+++ b/internal/wal/replay.go
@@ -17,15 +17,18 @@
 		}
 		torn = length - size
 		l.size = size
+		l.segments[i].size = size
+		l.bytesSinceSnapshot += size
 		if torn > 0 && i < len(numbers)-1 {
 			return Contents{}, corrupt(segmentName(number), size, "a record is incomplete, but the segment is not the last one")
 		}
 	}
-	c, err := p.contents(l.fs)
+	c, snapshotBytes, err := p.contents(l.fs)
 	if err != nil {
 		return Contents{}, err
 	}
 	c.TornBytes = torn
+	l.snapshotBytes = snapshotBytes
 	l.hardState = p.hardState
 	l.snapshot = p.snapshot
 	l.lastIndex = p.snapshot.Index + uint64(len(c.Entries))
@@ -181,27 +184,28 @@
 	}
 }
 
-// contents returns the log after the last record, with the data of the snapshot.
-func (p *replayer) contents(fs FS) (Contents, error) {
+// contents returns the log after the last record, with the data of the snapshot,
+// and the size of the snapshot file.
+func (p *replayer) contents(fs FS) (c Contents, snapshotBytes int, err error) {
 	if p.missingIndex > p.snapshot.Index {
-		return Contents{}, p.missingErr
+		return Contents{}, 0, p.missingErr
 	}
-	c := Contents{HardState: p.hardState, Entries: p.entries}
+	c = Contents{HardState: p.hardState, Entries: p.entries}
 	if p.snapshot.IsZero() {
-		return c, nil
+		return c, 0, nil
 	}
 	name := snapshotName(p.snapshot.Index, p.snapshot.Term)
 	payload, err := readRecordFile(fs, name)
 	if err != nil {
-		return Contents{}, err
+		return Contents{}, 0, err
 	}
 	if err := c.Snapshot.UnmarshalBinary(payload); err != nil {
-		return Contents{}, corrupt(name, 0, "the snapshot cannot be read")
+		return Contents{}, 0, corrupt(name, 0, "the snapshot cannot be read")
 	}
 	if c.Snapshot.Index != p.snapshot.Index || c.Snapshot.Term != p.snapshot.Term {
-		return Contents{}, corrupt(name, 0, "the snapshot in the file has index %d and term %d", c.Snapshot.Index, c.Snapshot.Term)
+		return Contents{}, 0, corrupt(name, 0, "the snapshot in the file has index %d and term %d", c.Snapshot.Index, c.Snapshot.Term)
 	}
-	return c, nil
+	return c, headerBytes + len(payload) + trailerBytes, nil
 }
 
 // readRecordFile returns the payload of a file that consists of one record. Such
--- /dev/null
+++ b/internal/wal/usage.go
@@ -0,0 +1,24 @@
+package wal
+
+// Usage is the size of the files of a log.
+type Usage struct {
+	Segments      int // number of segment files
+	SegmentBytes  int // total size of the segment files
+	SnapshotBytes int // size of the current snapshot
+	// BytesSinceSnapshot is the size of the records written after the current
+	// snapshot, and after Open that of all segments.
+	BytesSinceSnapshot int
+}
+
+// TotalBytes returns the size of all files.
+func (u Usage) TotalBytes() int { return u.SegmentBytes + u.SnapshotBytes }
+
+// Usage returns the size of the files. After a failed write it includes what may
+// have reached the disk.
+func (l *Log) Usage() Usage {
+	u := Usage{Segments: len(l.segments), SegmentBytes: l.size, SnapshotBytes: l.snapshotBytes, BytesSinceSnapshot: l.bytesSinceSnapshot}
+	for _, s := range l.segments[:len(l.segments)-1] {
+		u.SegmentBytes += s.size
+	}
+	return u
+}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -66,12 +66,17 @@
 	snapshot  consensus.Snapshot // without data
 	lastIndex uint64
 	failed    error
+	// snapshotBytes is the size of the snapshot file, and bytesSinceSnapshot that of
+	// the records written after the snapshot.
+	snapshotBytes      int
+	bytesSinceSnapshot int
 }
 
-// segment is one file of the log.
+// segment is one file of the log. The size of the last one is Log.size.
 type segment struct {
 	number    uint64
 	lastIndex uint64 // highest index of an entry in it
+	size      int    // in bytes
 }
 
 func segmentName(number uint64) string { return fmt.Sprintf("%016x%s", number, segmentSuffix) }
@@ -229,10 +234,12 @@
 		return err
 	}
 	name := snapshotName(s.Index, s.Term)
-	if err := writeFile(l.fs, name, appendRecord(nil, recordData, data)); err != nil {
+	content := appendRecord(nil, recordData, data)
+	if err := writeFile(l.fs, name, content); err != nil {
 		return l.fail(err)
 	}
 	l.snapshot = consensus.Snapshot{Index: s.Index, Term: s.Term}
+	l.snapshotBytes = len(content)
 	l.bufferRecord(kind, l.snapshot)
 	if kind == recordReset {
 		l.lastIndex = s.Index
@@ -243,6 +250,7 @@
 	if err := l.rotateSegment(); err != nil {
 		return l.fail(err)
 	}
+	l.bytesSinceSnapshot = 0
 	return l.fail(l.removeObsoleteFiles())
 }
 
@@ -289,6 +297,7 @@
 	if len(l.buffer) > 0 {
 		n, err := l.file.Write(l.buffer)
 		l.size += n
+		l.bytesSinceSnapshot += n
 		l.buffer = l.buffer[:0]
 		if err != nil {
 			return err
@@ -302,7 +311,9 @@
 	if err := errors.Join(l.flush(true), l.file.Close()); err != nil {
 		return err
 	}
-	return l.addSegment(l.segments[len(l.segments)-1].number + 1)
+	last := &l.segments[len(l.segments)-1]
+	last.size = l.size
+	return l.addSegment(last.number + 1)
 }
 
 // addSegment creates a segment and opens it for appending. The segment starts
