A power loss while obsolete segments are removed leaves no gap

What an operator would see: after a power loss a control host ends at each start with "corrupt file.log at offset 0: the segment is missing", and comes back only without its disk.

Cause: removeObsoleteFiles removed all obsolete segments and synced the folder once. Each removal that is not synced may be kept or lost on its own, so segment 2 could be gone while segment 1 was still there, which Open takes for damage. Fix: sync each removal before the next, so that at most the oldest segment is uncertain.

Before the fix:

--- FAIL: TestPowerLossBetweenRemovals corrupt file.log at offset 0: the segment is missing: after 15 operations, removals kept: 10

--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -343,10 +343,16 @@
 }
 
 // removeObsoleteFiles removes all snapshots but the current one, and the oldest
-// segments that have no entry after it.
+// segments that have no entry after it. It syncs each removal of a segment before
+// the next one: a power loss may keep or lose unsynced removals independently, and
+// the segments that are left must have no gap.
 func (l *Log) removeObsoleteFiles() error {
 	for len(l.segments) > 1 && l.segments[0].lastIndex <= l.snapshot.Index {
-		if err := l.fs.Remove(segmentName(l.segments[0].number)); err != nil {
+		err := l.fs.Remove(segmentName(l.segments[0].number))
+		if err == nil {
+			err = l.fs.SyncFolder()
+		}
+		if err != nil {
 			return err
 		}
 		l.segments = l.segments[1:]
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -412,3 +412,34 @@
 		assert.NilError(t, l.Save(hardState(last+1), []consensus.Entry{entry(last+1, last+1)}, true))
 	}
 }
+
+// Guards against a host that never starts again after a power loss while obsolete
+// segments were removed. Each removal that is not synced may be kept or lost
+// independently, so a later segment could be gone while an earlier one was still
+// there, which counts as damage.
+func TestPowerLossBetweenRemovals(t *testing.T) {
+	for operation := range 60 {
+		for kept := range 1 << 7 {
+			fs := newFilledFolder(t, 60)
+			l, _ := openLog(t, fs)
+			remaining := operation
+			fs.SetAllowOperation(func() bool { remaining--; return remaining >= 0 })
+			err := l.SaveSnapshot(snapshot(55, 55))
+			if err == nil {
+				return
+			}
+			removals := 0
+			crashed := fs.CrashWithRemovals(func(string) bool {
+				removals++
+				return kept>>(removals-1)&1 == 1
+			}, loseUnsynced)
+			_, c, err := wal.Open(crashed, wal.Options{SegmentBytes: 512})
+			assert.NilError(t, err, "after %d operations, removals kept: %b", operation, kept)
+			assert.Equal(t, c.Snapshot.Index+uint64(len(c.Entries)), uint64(60))
+			if removals == 0 {
+				break
+			}
+		}
+	}
+	t.Fatal("the snapshot takes more operations")
+}
--- a/internal/wal/waltest/folder.go
+++ b/internal/wal/waltest/folder.go
@@ -31,6 +31,8 @@
 	FailWrites bool
 	isFull     func() bool
 	failSync   bool
+	quota      int // in bytes; zero means no limit
+	peak       int // in bytes
 }
 
 // SetFull makes the folder call isFull before each creation of a file and each
@@ -42,6 +44,47 @@
 	f.isFull = isFull
 }
 
+// SetQuota sets the size of the disk in bytes; zero means no limit. A write that
+// does not fit writes what fits and fails with syscall.ENOSPC.
+func (f *Folder) SetQuota(bytes int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.quota = bytes
+}
+
+// UsedBytes returns the size of all files.
+func (f *Folder) UsedBytes() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.usedBytes()
+}
+
+// PeakBytes returns the largest size of all files so far.
+func (f *Folder) PeakBytes() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.peak
+}
+
+// usedBytes returns the size of all files. mu must be held.
+func (f *Folder) usedBytes() int {
+	used := 0
+	for _, c := range f.current {
+		used += len(c.data)
+	}
+	return used
+}
+
+// room returns how many of n further bytes fit on the disk. mu must be held.
+func (f *Folder) room(n int) int {
+	used := f.usedBytes()
+	if f.quota > 0 {
+		n = max(0, min(n, f.quota-used))
+	}
+	f.peak = max(f.peak, used+n)
+	return n
+}
+
 // full reports whether the next creation or write fails.
 func (f *Folder) full() bool {
 	f.mu.Lock()
@@ -107,9 +150,29 @@
 func (f *Folder) Crash(keep func(unsynced int) int) *Folder {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	next := NewFolder()
+	return f.crash(f.durable, keep)
+}
+
+// CrashWithRemovals is like Crash, but each removal since the last SyncFolder is
+// kept or lost on its own: it is kept if isKept returns true for the name.
+func (f *Folder) CrashWithRemovals(isKept func(name string) bool, keep func(unsynced int) int) *Folder {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	names := maps.Clone(f.durable)
 	for _, name := range slices.Sorted(maps.Keys(f.durable)) {
-		old := f.durable[name]
+		if f.current[name] == nil && isKept(name) {
+			delete(names, name)
+		}
+	}
+	return f.crash(names, keep)
+}
+
+// crash returns a folder with the given files after a power loss.
+func (f *Folder) crash(files map[string]*file, keep func(unsynced int) int) *Folder {
+	next := NewFolder()
+	next.quota = f.quota
+	for _, name := range slices.Sorted(maps.Keys(files)) {
+		old := files[name]
 		size := old.synced + keep(len(old.data)-old.synced)
 		next.current[name] = &file{folder: next, data: bytes.Clone(old.data[:size]), synced: size}
 	}
@@ -232,8 +295,12 @@
 		c.data = append(c.data, b[:len(b)/2]...)
 		return len(b) / 2, fs.ErrInvalid
 	}
-	c.data = append(c.data, b...)
-	return len(b), nil
+	n := c.folder.room(len(b))
+	c.data = append(c.data, b[:n]...)
+	if n < len(b) {
+		return n, syscall.ENOSPC
+	}
+	return n, nil
 }
 
 // Sync makes the content of the file durable.
