--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -15,6 +15,10 @@
 	baseIndex uint64
 	baseTerm  uint64
 	entries   []Entry
+	// ends[i] is the total size of the data up to entries[i], counted from an
+	// arbitrary start, and baseEnd that up to baseIndex.
+	ends    []uint64
+	baseEnd uint64
 	// memberships holds the membership at baseIndex, followed by that of each
 	// later EntryMembers.
 	memberships []membershipRecord
@@ -44,6 +48,7 @@
 	l.snapshot = s
 	l.baseIndex, l.baseTerm = s.Index, s.Term
 	l.entries = nil
+	l.ends = nil
 	l.memberships = []membershipRecord{{index: s.Index, members: s.Members}}
 	l.stable, l.commit, l.applied = s.Index, s.Index, s.Index
 	l.restoredIndex = min(l.restoredIndex, s.Index)
@@ -125,14 +130,45 @@
 			}
 			l.memberships = append(l.memberships, membershipRecord{index: e.Index, members: m})
 		}
+		l.ends = append(l.ends, l.end(l.lastIndex())+uint64(len(e.Data)))
 		l.entries = append(l.entries, e)
 	}
 	return nil
 }
 
+// end returns the total size of the data up to index, which must be in the log or
+// baseIndex.
+func (l *entryLog) end(index uint64) uint64 {
+	if index == l.baseIndex {
+		return l.baseEnd
+	}
+	return l.ends[index-l.baseIndex-1]
+}
+
+// bytesBetween returns the size in bytes of the data of the entries with
+// from < index <= to that are in memory.
+func (l *entryLog) bytesBetween(from, to uint64) uint64 {
+	from = max(from, l.baseIndex)
+	if to <= from {
+		return 0
+	}
+	return l.end(to) - l.end(from)
+}
+
+// countWithin returns how many of the last entries up to index have at most
+// maxBytes of data, and at most count.
+func (l *entryLog) countWithin(index, count, maxBytes uint64) uint64 {
+	first := max(l.baseIndex, index-min(count, index))
+	for l.bytesBetween(first, index) > maxBytes {
+		first++
+	}
+	return index - first
+}
+
 // truncate removes the entries after index.
 func (l *entryLog) truncate(index uint64) {
 	l.entries = slices.Clone(l.entries[:index-l.baseIndex])
+	l.ends = l.ends[:index-l.baseIndex]
 	l.stable = min(l.stable, index)
 	l.restoredIndex = min(l.restoredIndex, index)
 	for len(l.memberships) > 1 && l.membersIndex() > index {
@@ -217,7 +253,9 @@
 	base := s.Index - keep
 	term, _ := l.term(base)
 	members := l.membersAt(base)
+	l.baseEnd = l.end(base)
 	l.entries = slices.Clone(l.entries[base-l.baseIndex:])
+	l.ends = slices.Clone(l.ends[base-l.baseIndex:])
 	l.memberships = slices.DeleteFunc(l.memberships, func(r membershipRecord) bool { return r.index <= base })
 	l.memberships = slices.Insert(l.memberships, 0, membershipRecord{index: base, members: members})
 	l.baseIndex, l.baseTerm = base, term
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -21,6 +21,9 @@
 	ErrBadChange = errors.New("the change does not fit the membership")
 	// ErrCommittedConflict means that a message contradicts a committed entry.
 	ErrCommittedConflict = errors.New("a message contradicts a committed entry")
+	// ErrTooManyUncommitted means that the uncommitted entries leave no room for
+	// the proposal.
+	ErrTooManyUncommitted = errors.New("too many proposals wait for a majority")
 	// ErrTooLarge means that a proposal exceeds MaxProposalBytes.
 	ErrTooLarge = errors.New("the proposal is too large")
 )
@@ -49,6 +52,13 @@
 	// KeepEntries is the number of entries before a snapshot that stay in
 	// memory, so that a slightly lagging follower needs no snapshot.
 	KeepEntries uint64
+	// MaxInflightBytes and KeepBytes are limits of the data of the entries that
+	// MaxInflight and KeepEntries count. MaxUncommittedBytes limits the data of the
+	// entries that a leader has appended and not committed. Each may be exceeded by
+	// one message or entry. Zero means no limit.
+	MaxInflightBytes    uint64
+	KeepBytes           uint64
+	MaxUncommittedBytes uint64
 	// Seed seeds the random source of the election timeouts.
 	Seed uint64
 	// Snapshot, Entries and HardState are the state read from storage.
@@ -163,6 +173,9 @@
 // LastIndex returns the index of the last entry in the log.
 func (n *Node) LastIndex() uint64 { return n.log.lastIndex() }
 
+// UnsavedBytes returns the size of the data that Advance has not confirmed yet.
+func (n *Node) UnsavedBytes() uint64 { return n.log.bytesBetween(n.log.stable, n.log.lastIndex()) }
+
 // Now returns the number of ticks since the start of the node.
 func (n *Node) Now() uint64 { return n.tick }
 
--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -515,3 +515,58 @@
 		}
 	}
 }
+
+// Guards against limits that count entries where their size matters: with entries
+// of hundreds of kilobytes, a thousand of them fill the memory of a process.
+func TestLimitsInBytes(t *testing.T) {
+	const size = 100
+	propose := func(t *testing.T, n *Node) error {
+		t.Helper()
+		_, _, err := n.Propose(make([]byte, size))
+		return err
+	}
+	t.Run("entries in flight", func(t *testing.T) {
+		n := newLeader(t)
+		n.cfg.MaxInflight, n.cfg.MaxInflightBytes, n.cfg.MaxAppendBytes = 100, 3*size, size
+		ack(t, n, "b", n.log.lastIndex())
+		for range 10 {
+			assert.NilError(t, propose(t, n))
+		}
+		sent := 0
+		for _, m := range drainReady(n) {
+			if m.To == id("b") {
+				sent += len(m.Entries)
+			}
+		}
+		assert.Equal(t, sent, 3)
+		ack(t, n, "b", n.progress[id("b")].match+1)
+		assert.Equal(t, n.progress[id("b")].next-1-n.progress[id("b")].match, uint64(3), "an answer makes room for one more")
+	})
+	t.Run("entries that are not committed", func(t *testing.T) {
+		n := newLeader(t)
+		n.cfg.MaxUncommittedBytes = 3 * size
+		ack(t, n, "b", n.log.lastIndex())
+		for range 3 {
+			assert.NilError(t, propose(t, n))
+		}
+		assert.ErrorIs(t, propose(t, n), ErrTooManyUncommitted)
+		drainReady(n)
+		ack(t, n, "b", n.log.lastIndex())
+		assert.NilError(t, propose(t, n))
+	})
+	t.Run("entries before a snapshot", func(t *testing.T) {
+		n := newLeader(t)
+		n.cfg.KeepEntries, n.cfg.KeepBytes = 100, 3*size+size/2
+		for range 10 {
+			assert.NilError(t, propose(t, n))
+			drainReady(n)
+			ack(t, n, "b", n.log.lastIndex())
+		}
+		last := n.log.lastIndex()
+		n.Compact([]byte("state"))
+		assert.Equal(t, len(n.log.entries), 3)
+		assert.Equal(t, n.log.lastIndex(), last)
+		assert.NilError(t, propose(t, n))
+		assert.Equal(t, n.log.bytesBetween(0, n.log.lastIndex()), uint64(4*size))
+	})
+}
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 )
 
@@ -25,7 +26,7 @@
 // Propose appends data to the log and returns the index and the term of the new
 // entry. The entry is committed once Ready returns an entry with this index and
 // this term in Committed; another term there means that the entry was replaced.
-// It returns ErrNotLeader or ErrTooLarge.
+// It returns ErrNotLeader, ErrTooLarge or ErrTooManyUncommitted.
 func (n *Node) Propose(data []byte) (index, term uint64, err error) {
 	if n.role != RoleLeader {
 		return 0, 0, ErrNotLeader
@@ -33,6 +34,9 @@
 	if len(data) > MaxProposalBytes {
 		return 0, 0, fmt.Errorf("%w: %d bytes, at most %d", ErrTooLarge, len(data), MaxProposalBytes)
 	}
+	if uncommitted := n.log.bytesBetween(n.log.commit, n.log.lastIndex()); uncommitted >= limitOrNone(n.cfg.MaxUncommittedBytes) {
+		return 0, 0, fmt.Errorf("%w: %d bytes", ErrTooManyUncommitted, uncommitted)
+	}
 	n.appendAsLeader(EntryCommand, data)
 	return n.log.lastIndex(), n.term, nil
 }
@@ -103,7 +107,7 @@
 	term, _ := n.log.term(index)
 	s := Snapshot{Index: index, Term: term, Members: n.log.membersAt(index), Data: data}
 	if index > n.log.snapshot.Index {
-		n.log.compact(s, n.cfg.KeepEntries)
+		n.log.compact(s, n.log.countWithin(index, n.cfg.KeepEntries, limitOrNone(n.cfg.KeepBytes)))
 	}
 	return s
 }
@@ -156,14 +160,31 @@
 // maybeSendEntries sends the entries that the follower does not hold, unless
 // the follower is paused, has too many entries in flight or holds them all.
 func (n *Node) maybeSendEntries(id NodeID, pr *progress) {
-	full := !pr.probing && pr.next-1-pr.match >= n.cfg.MaxInflight
-	if pr.paused || full || pr.next > n.log.lastIndex() {
+	if pr.paused || n.isInflightFull(pr) || pr.next > n.log.lastIndex() {
 		return
 	}
 	n.sendAppend(id, pr)
 }
 
-// sendAppend sends a MsgAppend, without entries if the follower has MaxInflight
+// isInflightFull reports whether as many entries are in flight to the follower as
+// MaxInflight or MaxInflightBytes allows.
+func (n *Node) isInflightFull(pr *progress) bool {
+	if pr.probing {
+		return false
+	}
+	return pr.next-1-pr.match >= n.cfg.MaxInflight || n.log.bytesBetween(pr.match, pr.next-1) >= limitOrNone(n.cfg.MaxInflightBytes)
+}
+
+// limitOrNone returns limit, or the highest value if it is zero, which means no
+// limit.
+func limitOrNone(limit uint64) uint64 {
+	if limit == 0 {
+		return math.MaxUint64
+	}
+	return limit
+}
+
+// sendAppend sends a MsgAppend, without entries if the follower has too many
 // entries in flight. It sends a snapshot instead if the entry before pr.next was
 // compacted.
 func (n *Node) sendAppend(id NodeID, pr *progress) {
@@ -177,7 +198,7 @@
 		Type: MsgAppend, To: id, Index: prev, LogTerm: prevTerm,
 		Commit: n.log.commit, Stamp: n.tick,
 	}
-	if prev-pr.match < n.cfg.MaxInflight || pr.probing {
+	if !n.isInflightFull(pr) {
 		m.Entries = n.log.entriesFrom(pr.next, n.cfg.MaxAppendBytes)
 	}
 	if pr.probing {
