The log of a control host is compacted by bytes and knows the size of its disk

A configuration of 262,144 bytes is 349,6xx bytes in the log (Base64 in JSON), so 128 MB are full after 366 of them. All control hosts hold the same log, so all disks are full at the same entry. It does not heal: what must be written to compact the log has no room either. Class: a limit that counts items where bytes matter.

Proposals that wait are limited to 32 MiB. Encodings of commands, entries and files are unchanged, so builds mix.

--- a/cmd/amaranthweir/deployment_test.go
+++ b/cmd/amaranthweir/deployment_test.go
@@ -48,6 +48,8 @@
 	cloud          *http.Server // serves the promotion call
 	stopHeartbeats context.CancelFunc
 	leaving        map[table.InstanceID]bool
+	// controlSettings are further lines of the settings of each control host.
+	controlSettings string
 
 	mu         sync.Mutex
 	promotions []string // the fencing tokens of the promotions, in order of arrival
@@ -93,13 +95,20 @@
 // startDeployment starts a deployment, installs configuration 1 and waits until
 // callers are served.
 func startDeployment(t *testing.T) *deployment {
+	t.Helper()
+	return startDeploymentWith(t, "")
+}
+
+// startDeploymentWith is like startDeployment, with further settings of each
+// control host.
+func startDeploymentWith(t *testing.T, controlSettings string) *deployment {
 	t.Helper()
 	binary := filepath.Join(t.TempDir(), "amaranthweir")
 	out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
 	assert.NilError(t, err, string(out))
 	d := &deployment{
 		t: t, binary: binary, ports: map[string]string{}, hosts: map[string]*hostProcess{},
-		leaving: map[table.InstanceID]bool{},
+		leaving: map[table.InstanceID]bool{}, controlSettings: controlSettings,
 	}
 	free := porttest.Free(t, 7)
 	for n, purpose := range []string{"calls", "callers", "ready", "peers", "http", "cloud", "instances"} {
@@ -158,7 +167,7 @@
 	fmt.Fprintf(&s, "bounds.revoke_timeout_ms=%d\n", revokeTimeout.Milliseconds())
 	p.data = filepath.Join(dir, "data")
 	if p.control {
-		fmt.Fprintf(&s, "listen_addrs.control_plane=%s:%s\ndata_directory=%s\n", p.ip, d.ports["calls"], p.data)
+		fmt.Fprintf(&s, "listen_addrs.control_plane=%s:%s\ndata_directory=%s\n%s", p.ip, d.ports["calls"], p.data, d.controlSettings)
 	} else {
 		fmt.Fprintf(&s, "listen_addrs.frontend=%s:%s\nlisten_addrs.readiness=%s:%s\n", p.ip, d.ports["callers"], p.ip, d.ports["ready"])
 	}
--- a/internal/config/parse_settings.go
+++ b/internal/config/parse_settings.go
@@ -29,6 +29,7 @@
 	maxKeys         = 8
 	maxCallers      = 1_000_000
 	minMessageBytes = 1 << 10
+	minDiskBytes    = 1 << 20
 	maxMessageBytes = 1 << 30
 	maxJoin         = 64
 )
@@ -162,6 +163,7 @@
 	n.object(
 		field{"data_folder", true, func(n node) { c.DataFolder = readPath(n) }},
 		field{"voters", true, p.readVoters},
+		field{"disk_bytes", false, func(n node) { c.DiskBytes = int(n.integer(minDiskBytes, math.MaxInt64)) }},
 	)
 }
 
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -15,6 +15,9 @@
 	// mode the names of control hosts are IP addresses, and all control hosts
 	// use the same peer port.
 	Open bool
+	// DiskBytes is the size of the disk that holds the data folder and nothing
+	// else. Zero means that it is large.
+	DiskBytes int
 	// AllowFounding allows this host to found a deployment. It is implied if Open
 	// is false.
 	AllowFounding bool
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -34,8 +34,10 @@
 	// is published to readers.
 	answers       []func()
 	snapshotIndex uint64 // applied index of the last snapshot
-	loggedTerm    uint64
-	loggedLeader  consensus.NodeID
+	// needsRoom is set if a command was refused that fits after a snapshot.
+	needsRoom    bool
+	loggedTerm   uint64
+	loggedLeader consensus.NodeID
 }
 
 // joinRequest is the identity of a host that asked to join, and the tick at
@@ -103,19 +105,23 @@
 		ElectionTicks:  r.cfg.ElectionTicks,
 		HeartbeatTicks: r.cfg.HeartbeatTicks,
 		LeaseTicks:     r.cfg.leaseTicks(),
-		MaxAppendBytes: maxAppendBytes,
+		MaxAppendBytes: min(maxAppendBytes, r.cfg.inflightBytes),
 		MaxInflight:    maxInflightEntries,
 		KeepEntries:    r.cfg.KeepEntries,
 		Seed:           r.cfg.Random(),
 		Snapshot:       c.Snapshot,
 		Entries:        c.Entries,
 		HardState:      c.HardState,
+
+		MaxInflightBytes:    uint64(r.cfg.inflightBytes),
+		KeepBytes:           keepBytes,
+		MaxUncommittedBytes: uint64(r.cfg.uncommittedBytes),
 	})
 	if err != nil {
 		return err
 	}
 	r.node = node
-	return r.flush()
+	return r.processAll() // a snapshot that is due waits for Run, which survives a full disk
 }
 
 // tick advances the node by one tick. Once per heartbeat interval the leader
@@ -156,14 +162,29 @@
 		r.proposeRemoval(p)
 		return
 	}
-	index, term, err := r.node.Propose(p.data)
+	index, term, err := r.proposeCommand(p.data)
 	if err != nil {
-		r.queueAnswer(p.done, Result{}, r.notLeader())
+		r.queueAnswer(p.done, Result{}, err)
 		return
 	}
 	r.pending[index] = pendingProposal{term: term, done: p.done}
 }
 
+// proposeCommand appends a command if this host leads and can store it.
+func (r *replica) proposeCommand(data []byte) (index, term uint64, err error) {
+	if r.node.Role() != consensus.RoleLeader {
+		return 0, 0, r.notLeader()
+	}
+	if err := r.checkRoom(len(data)); err != nil {
+		return 0, 0, err
+	}
+	index, term, err = r.node.Propose(data)
+	if err != nil {
+		err = errkind.Wrap(err, errkind.NoQuorum, "%v", err).WithEffect(errkind.NotRun)
+	}
+	return index, term, err
+}
+
 func (r *replica) notLeader() error {
 	return errkind.New(errkind.NotLeader, "the leader is %q", r.node.Leader().Host)
 }
@@ -171,6 +192,17 @@
 // flush processes all pending work of the node and takes a snapshot if one is
 // due.
 func (r *replica) flush() error {
+	if err := r.processAll(); err != nil {
+		return err
+	}
+	if reason := r.snapshotReason(); reason != "" {
+		return r.snapshot(reason)
+	}
+	return nil
+}
+
+// processAll processes all pending work of the node.
+func (r *replica) processAll() error {
 	for r.node.HasReady() {
 		if err := r.processReady(r.node.Ready()); err != nil {
 			return err
@@ -181,9 +213,6 @@
 		r.failPending()
 	}
 	r.logLeader()
-	if r.node.AppliedIndex()-r.snapshotIndex >= r.cfg.SnapshotEvery {
-		return r.snapshot()
-	}
 	return nil
 }
 
@@ -280,8 +309,9 @@
 	}
 }
 
-// snapshot stores a snapshot of the state and compacts the log.
-func (r *replica) snapshot() error {
+// snapshot stores a snapshot of the state and compacts the log. The log line shows
+// the reason.
+func (r *replica) snapshot(reason string) error {
 	data, err := r.state.Snapshot()
 	if err != nil {
 		return err
@@ -291,9 +321,9 @@
 	if err := r.wal.SaveSnapshot(s); err != nil {
 		return err
 	}
-	r.snapshotIndex = s.Index
+	r.snapshotIndex, r.needsRoom = s.Index, false
 	r.logUsage().WithFields(logrus.Fields{
-		"index": s.Index, "bytes": len(data), "entries": entries, "freed_bytes": before.SegmentBytes - r.wal.Usage().SegmentBytes,
+		"reason": reason, "index": s.Index, "bytes": len(data), "entries": entries, "freed_bytes": before.SegmentBytes - r.wal.Usage().SegmentBytes,
 	}).Info("snapshot taken")
 	return nil
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -76,12 +76,23 @@
 	// KeepEntries is the number of entries before a snapshot that stay in memory
 	// for lagging hosts.
 	KeepEntries uint64
-	// SegmentBytes is the size at which a new segment file of the log begins.
+	// SnapshotBytes is the size of the log records between two snapshots. The
+	// default follows from DiskBytes.
+	SnapshotBytes int
+	// SegmentBytes is the size at which a new segment file of the log begins. The
+	// default follows from DiskBytes.
 	SegmentBytes int
+	// DiskBytes is the size of the disk that holds the data folder and nothing
+	// else. Zero means that it is large. All voters should have disks of one size,
+	// because a leader refuses only what its own disk has no room for.
+	DiskBytes int
 	// Now reads the local monotonic clock.
 	Now func() time.Duration
 	// Random returns random incarnations, stamps and seeds.
 	Random func() uint64
+
+	// uncommittedBytes and inflightBytes are limits of consensus.Config.
+	uncommittedBytes, inflightBytes int
 }
 
 func (c ServerConfig) withDefaults() ServerConfig {
@@ -90,6 +101,7 @@
 	setDefault(&c.ElectionTicks, DefaultElectionTicks)
 	setDefault(&c.SnapshotEvery, DefaultSnapshotEvery)
 	setDefault(&c.KeepEntries, DefaultKeepEntries)
+	c.applyDisk()
 	if c.Log == nil {
 		c.Log = logrus.StandardLogger()
 	}
@@ -130,6 +142,8 @@
 		return errors.New("control: DataFolder must be set")
 	case c.TickInterval < 0 || c.HeartbeatTicks < 0 || c.ElectionTicks < 0:
 		return errors.New("control: TickInterval, HeartbeatTicks and ElectionTicks must not be negative")
+	case c.DiskBytes < 0 || c.SnapshotBytes < 0 || c.SegmentBytes < 0:
+		return errors.New("control: DiskBytes, SnapshotBytes and SegmentBytes must not be negative")
 	}
 	return nil
 }
@@ -162,6 +176,8 @@
 	proposals chan proposal
 	stopped   chan struct{}
 	status    atomic.Pointer[status]
+	// queuedBytes is the size of the proposals without an answer.
+	queuedBytes atomic.Int64
 	// tickOrigin is the local time of tick 0.
 	tickOrigin time.Duration
 }
@@ -205,6 +221,7 @@
 	if err != nil {
 		return nil, errors.Join(err, closeFolder(fs))
 	}
+	r.logBudget()
 	s := &Server{
 		cfg:        cfg,
 		fs:         fs,
@@ -444,7 +461,8 @@
 // the command is durable on a quorum and applied on this host. Result.Err is not
 // nil if the command was refused. The error of Propose is of kind NotLeader (the
 // command was not run), NoQuorum (the outcome is unknown, unless the effect of
-// the error is NotRun), TooLarge, ShuttingDown or BadRequest.
+// the error is NotRun), TooLarge (also if the disk has no room for it),
+// ShuttingDown or BadRequest.
 func (s *Server) Propose(ctx context.Context, c Command) (Result, error) {
 	data, err := c.encode()
 	if err != nil {
@@ -481,11 +499,20 @@
 		result Result
 		err    error
 	}
+	size := int64(len(p.data))
+	if s.queuedBytes.Add(size) > queuedProposalBytes {
+		s.queuedBytes.Add(-size)
+		return Result{}, errkind.New(errkind.NoQuorum, "too many commands wait").WithEffect(errkind.NotRun)
+	}
 	answers := make(chan answer, 1)
-	p.done = func(r Result, err error) { answers <- answer{r, err} }
+	p.done = func(r Result, err error) {
+		s.queuedBytes.Add(-size)
+		answers <- answer{r, err}
+	}
 	select {
 	case s.proposals <- p:
 	case <-ctx.Done():
+		s.queuedBytes.Add(-size)
 		return Result{}, errkind.Wrap(ctx.Err(), errkind.NoQuorum, "too many commands wait").WithEffect(errkind.NotRun)
 	case <-s.stopped:
 		return Result{}, errkind.New(errkind.ShuttingDown, "")
--- a/internal/host/leader.go
+++ b/internal/host/leader.go
@@ -129,6 +129,7 @@
 	server, err := control.NewServer(control.ServerConfig{
 		Host:          h.settings.Host,
 		DataFolder:    h.settings.Control.DataFolder,
+		DiskBytes:     h.settings.Control.DiskBytes,
 		Voters:        voters,
 		Transport:     l.transport,
 		Log:           h.log,
--- a/internal/wal/waltest/folder.go
+++ b/internal/wal/waltest/folder.go
@@ -170,7 +170,7 @@
 // crash returns a folder with the given files after a power loss.
 func (f *Folder) crash(files map[string]*file, keep func(unsynced int) int) *Folder {
 	next := NewFolder()
-	next.quota = f.quota
+	next.quota, next.peak = f.quota, f.peak
 	for _, name := range slices.Sorted(maps.Keys(files)) {
 		old := files[name]
 		size := old.synced + keep(len(old.data)-old.synced)
