control: the log tells why a host takes no part in the agreement

At its start a host now logs the membership that it has on its disk, or that it has none. Once a second a host that is no member logs whom it asks and whom of these it hears, and a member without a leader how many of the voters it hears.

--- a/internal/control/open_test.go
+++ b/internal/control/open_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -8,18 +9,39 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/amaranthweir/amaranthweir/internal/table"
+	"github.com/amaranthweir/amaranthweir/internal/wal/waltest"
 )
 
-// newOpenNetwork returns a network of four hosts with an open membership. The
-// first three found the deployment, and the settings of all hosts list only
-// these.
-func newOpenNetwork() *network {
-	n := newNetwork(4)
+// openNetwork is a network of hosts with an open membership. The first three
+// found the deployment. seeds holds the hosts that the settings of a host list,
+// if these are not the founders.
+type openNetwork struct {
+	*network
+	seeds map[table.HostID][]table.HostID
+}
+
+func newOpenNetworkOf(hosts int) *openNetwork {
+	n := &openNetwork{newNetwork(hosts), map[table.HostID][]table.HostID{}}
 	founders := n.voters[:3:3]
-	n.configure = func(c *ServerConfig) { c.Voters, c.Open, c.AllowFounding = founders, true, true }
+	n.configure = func(c *ServerConfig) {
+		c.Voters, c.Open, c.AllowFounding = founders, true, true
+		if seeds := n.seeds[c.Host]; seeds != nil {
+			c.Voters, c.AllowFounding = seeds, false
+		}
+	}
 	return n
 }
 
+// add starts a new host without a log whose settings list seeds.
+func (n *openNetwork) add(t *testing.T, host table.HostID, seeds []table.HostID) {
+	t.Helper()
+	if !slices.Contains(n.voters, host) {
+		n.voters = append(slices.Clone(n.voters), host)
+	}
+	n.folders[host], n.seeds[host] = waltest.NewFolder(), seeds
+	n.start(t, host)
+}
+
 // waitForMembership waits long enough for pending membership changes.
 func waitForMembership() { time.Sleep(5 * time.Second) }
 
@@ -36,7 +58,7 @@
 // majority.
 func TestOpenMembershipKeepsOddVoterCount(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newOpenNetwork()
+		n := newOpenNetworkOf(4)
 		n.startAll(t)
 		defer n.crashAll(t)
 		n.leader(t)
@@ -64,7 +86,7 @@
 // then tolerate the loss of another voter.
 func TestUnresponsiveVoterIsReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newOpenNetwork()
+		n := newOpenNetworkOf(4)
 		n.startAll(t)
 		defer n.crashAll(t)
 		n.leader(t)
@@ -98,7 +120,7 @@
 // exists already, must not found another one.
 func TestBlankHostsDoNotFoundAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newOpenNetwork()
+		n := newOpenNetworkOf(4)
 		configure := n.configure
 		n.configure = func(c *ServerConfig) {
 			configure(c)
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -27,6 +27,7 @@
 	founding     *founding
 	echoes       map[table.HostID]uint64 // latest stamp received from each host
 	joinRequests map[table.HostID]joinRequest
+	heard        map[table.HostID]uint64 // tick of the latest message from each host
 
 	pending map[uint64]pendingProposal
 	// answers holds one function for each answered proposal, which calls its
@@ -82,13 +83,18 @@
 		founding:      newFounding(id, pinned),
 		echoes:        map[table.HostID]uint64{},
 		joinRequests:  map[table.HostID]joinRequest{},
+		heard:         map[table.HostID]uint64{},
 		pending:       map[uint64]pendingProposal{},
 		snapshotIndex: contents.Snapshot.Index,
 	}
 	if contents.TornBytes > 0 {
 		r.log.WithField("bytes", contents.TornBytes).Warn("cut off an unfinished write at the end of the log")
 	}
-	return r, r.restore(contents)
+	if err := r.restore(contents); err != nil {
+		return nil, err
+	}
+	r.logRestored()
+	return r, nil
 }
 
 // restore builds the state and the node from the contents of the log.
@@ -122,6 +128,7 @@
 // checks the membership, and a host that is not a member asks to join.
 func (r *replica) tick() error {
 	r.node.Tick()
+	r.reportAbsence()
 	if r.node.Now()%uint64(r.cfg.HeartbeatTicks) != 0 {
 		return nil
 	}
@@ -140,6 +147,7 @@
 
 // receive processes a message from a peer.
 func (r *replica) receive(in inbound) error {
+	r.heard[in.sender()] = r.node.Now()
 	if in.hello != nil {
 		return r.handleHello(*in.hello)
 	}
