control: a host without a log finds the leader through any member

Cause: a host that is no member asks only the hosts that its settings list, and only the leader can add it. A host that does not lead answered, but did not say who the members are, and nothing passed the request on. In the record the settings list three of six control hosts; if the leader was not one of them, a new host, or one that lost its disk, stayed outside for good while it ran and looked healthy. Each replaced voter was then removed, and after two of them four voters were left, of which two lost disks leave no majority. The record fits: manila-7 logs no leader after its start at 05:57:12, and laguna-1, laguna-7, manila-8 and manila-9 start without a log at the final loss of power, four of six hosts where two disks may be lost.

The answer to a host that asks now names the members, and the host asks these too, for as long as others go on naming them. It still proves to the leader itself, with a fresh echo, that it runs.

Looked elsewhere: other hosts find the leader by heartbeats, which read the settings again and use the hosts in the tables; the founding needs only listed hosts.

--- a/cmd/amaranthweir/deployment_test.go
+++ b/cmd/amaranthweir/deployment_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -62,6 +63,9 @@
 	log      *logtest.Buffer
 	settings string
 	data     string // the data directory of a control host
+	// seeds is the value of the setting seed_nodes if the host joins a deployment
+	// that exists already. If it is empty, the host takes part in the founding.
+	seeds string
 }
 
 var zones = []string{"a", "b", "c"}
@@ -151,22 +155,28 @@
 func (d *deployment) startHost(p *hostProcess, zone string) {
 	d.t.Helper()
 	dir := d.t.TempDir()
+	p.settings, p.data = filepath.Join(dir, "settings"), filepath.Join(dir, "data")
+	d.writeSettings(p, zone)
+	p.log = &logtest.Buffer{}
+	d.hosts[p.name] = p
+	d.startProcess(p)
+}
+
+// writeSettings writes the settings file of a host.
+func (d *deployment) writeSettings(p *hostProcess, zone string) {
+	d.t.Helper()
 	var s strings.Builder
 	fmt.Fprintf(&s, "node_name=%s\nip=%s\nzone=%s\ninternal_port_range=%s,%s\n", p.name, p.ip, zone, d.ports["peers"], d.ports["peers"])
-	fmt.Fprintf(&s, "seed_nodes=%s\nbootstrap=true\nheartbeat_interval_ms=200\nlimits.memory_mb=280\n", d.seedNodes())
+	fmt.Fprintf(&s, "seed_nodes=%s\nbootstrap=%t\n", cmp.Or(p.seeds, d.seedNodes()), p.seeds == "")
+	s.WriteString("heartbeat_interval_ms=200\nlimits.memory_mb=280\n")
 	fmt.Fprintf(&s, "cloud_api.address=127.0.0.1:%s\nbounds.grace_period_s=6\n", d.ports["cloud"])
 	fmt.Fprintf(&s, "bounds.revoke_timeout_ms=%d\n", revokeTimeout.Milliseconds())
-	p.data = filepath.Join(dir, "data")
 	if p.control {
 		fmt.Fprintf(&s, "listen_addrs.control_plane=%s:%s\ndata_directory=%s\n", p.ip, d.ports["calls"], p.data)
 	} else {
 		fmt.Fprintf(&s, "listen_addrs.frontend=%s:%s\nlisten_addrs.readiness=%s:%s\n", p.ip, d.ports["callers"], p.ip, d.ports["ready"])
 	}
-	p.settings = filepath.Join(dir, "settings")
 	assert.NilError(d.t, os.WriteFile(p.settings, []byte(s.String()), 0o600))
-	p.log = &logtest.Buffer{}
-	d.hosts[p.name] = p
-	d.startProcess(p)
 }
 
 // startProcess starts the process of a host, or restarts it with the same
--- a/internal/control/hello.go
+++ b/internal/control/hello.go
@@ -26,6 +26,10 @@
 	// message is not an old one delivered late.
 	Stamp uint64
 	Echo  uint64
+	// Members lists the hosts of the members in the sender's log. Only an answer
+	// has it. A host that asks to join asks these too: the leader may be a host
+	// that its settings do not list.
+	Members []table.HostID `json:",omitempty"`
 }
 
 const maxHelloBytes = 64 << 10
@@ -68,7 +72,7 @@
 		return inbound{message: m}, m.UnmarshalBinary(body)
 	case b[0] == frameHello && len(body) <= maxHelloBytes:
 		h := &hello{}
-		if err := json.Unmarshal(body, h); err != nil || len(h.Pinned) > consensus.MaxMembers {
+		if err := json.Unmarshal(body, h); err != nil || max(len(h.Pinned), len(h.Members)) > consensus.MaxMembers {
 			return inbound{}, consensus.ErrMalformed
 		}
 		return inbound{hello: h}, nil
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -33,24 +33,59 @@
 }
 
 // hostsToAsk returns the other hosts that may be members: the voters of the
-// settings and the members in this host's log.
+// settings, the members in this host's log and the members that other hosts
+// named recently.
 func (r *replica) hostsToAsk() []table.HostID {
 	hosts := slices.Clone(r.cfg.Voters)
-	for _, id := range r.node.Members().All() {
-		if !slices.Contains(hosts, id.Host) {
-			hosts = append(hosts, id.Host)
+	hosts = append(hosts, memberHosts(r.node.Members())...)
+	hosts = append(hosts, r.recentReferrals()...)
+	slices.Sort(hosts)
+	return slices.DeleteFunc(slices.Compact(hosts), func(h table.HostID) bool { return h == r.id.Host })
+}
+
+// memberHosts returns the hosts of all members.
+func memberHosts(m consensus.Members) []table.HostID {
+	var hosts []table.HostID
+	for _, id := range m.All() {
+		hosts = append(hosts, id.Host)
+	}
+	return hosts
+}
+
+// maxReferrals is the largest number of hosts that a host remembers because
+// others named them as members. The present members and as many former ones fit.
+const maxReferrals = 2 * consensus.MaxMembers
+
+// recordReferrals remembers the members that the answer h names.
+func (r *replica) recordReferrals(h hello) {
+	for _, host := range h.Members {
+		_, known := r.referrals[host]
+		if r.cfg.isPossibleMember(host) && (known || len(r.referrals) < maxReferrals) {
+			r.referrals[host] = r.node.Now()
 		}
 	}
-	return slices.DeleteFunc(hosts, func(h table.HostID) bool { return h == r.id.Host })
+}
+
+// recentReferrals returns the hosts that were named as members within the last
+// stampTimeouts election timeouts, and forgets the others.
+func (r *replica) recentReferrals() []table.HostID {
+	maps.DeleteFunc(r.referrals, func(_ table.HostID, at uint64) bool {
+		return r.node.Now()-at > uint64(stampTimeouts*r.cfg.ElectionTicks)
+	})
+	return slices.Collect(maps.Keys(r.referrals))
 }
 
 func (r *replica) sendHello(to table.HostID, ask bool) {
-	r.cfg.Transport.Send(to, encodeHello(hello{
+	h := hello{
 		From: r.id, To: to, Ask: ask, Blank: r.isBlank(),
 		Pinned: r.founding.pinned,
 		Stamp:  r.stampBase + r.node.Now(),
 		Echo:   r.echoes[to],
-	}))
+	}
+	if !ask {
+		h.Members = memberHosts(r.node.Members())
+	}
+	r.cfg.Transport.Send(to, encodeHello(h))
 }
 
 func (r *replica) handleHello(h hello) error {
@@ -58,6 +93,7 @@
 		return nil
 	}
 	r.echoes[h.From.Host] = h.Stamp
+	r.recordReferrals(h)
 	if r.isBlank() {
 		if r.founding.record(h) {
 			r.log.WithField("from", h.From.String()).
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -27,6 +27,7 @@
 	founding     *founding
 	echoes       map[table.HostID]uint64 // latest stamp received from each host
 	joinRequests map[table.HostID]joinRequest
+	referrals    map[table.HostID]uint64 // tick at which each host was last named as a member
 	heard        map[table.HostID]uint64 // tick of the latest message from each host
 
 	pending map[uint64]pendingProposal
@@ -83,6 +84,7 @@
 		founding:      newFounding(id, pinned),
 		echoes:        map[table.HostID]uint64{},
 		joinRequests:  map[table.HostID]joinRequest{},
+		referrals:     map[table.HostID]uint64{},
 		heard:         map[table.HostID]uint64{},
 		pending:       map[uint64]pendingProposal{},
 		snapshotIndex: contents.Snapshot.Index,
--- a/internal/control/report_test.go
+++ b/internal/control/report_test.go
@@ -68,7 +68,7 @@
 		time.Sleep(1500 * time.Millisecond)
 		log := logs["h4"].String()
 		assert.Assert(t, strings.Contains(log, "this control host has no log"), log)
-		assert.Assert(t, strings.Contains(log, fmt.Sprintf(`asks="[%s h9]" component=control hears="[%[1]s]"`, heard)), log)
+		assert.Assert(t, strings.Contains(log, fmt.Sprintf(`asks="[h1 h2 h3 h9]" component=control hears="[%s]"`, heard)), log)
 		assert.Equal(t, strings.Count(log, "this control host is no member and waits to join"), 1, log)
 	})
 }
