control: a learner that never comes back leaves the membership

What operators see: each replaced control host that had been the standby stays in the membership for good (up to 32 members, then no host can join), and counts as a standby, so that the next host that joins becomes a voter: an even number of voters.

Cause: only unresponsive voters were removed.

A leader now removes a learner that has confirmed nothing for 12 election timeouts (3.6 s). It does not count towards the quorum, and asks to join again when it is back. The time counts from the addition of the member, so that a new one is not removed at once.

Before: TestLearnerThatNeverComesBackIsRemoved: 1 (int) != 0 (int). TestSlowLearnerJoinsAgain passes on both.

--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -12,6 +12,9 @@
 	// ackTick is the leader's tick when it sent the latest message that the
 	// follower has confirmed.
 	ackTick uint64
+	// addedTick is the leader's tick at which the follower became a member, or
+	// at which the leader was elected if that is later.
+	addedTick uint64
 	// probing is set until the follower confirms next-1. While it is set, the
 	// leader sends one message per heartbeat.
 	probing bool
@@ -77,15 +80,15 @@
 }
 
 // TicksSinceAck returns the number of ticks since this leader sent the latest
-// message that the member id has confirmed, or since its election if that is
-// later. It returns 0 if this node is not the leader or id is not another
-// member.
+// message that the member id has confirmed, or since its election or the addition
+// of the member if that is later. It returns 0 if this node is not the leader or
+// id is not another member.
 func (n *Node) TicksSinceAck(id NodeID) uint64 {
 	pr := n.progress[id]
 	if n.role != RoleLeader || pr == nil {
 		return 0
 	}
-	return n.tick - min(n.tick, max(pr.ackTick, n.electedTick))
+	return n.tick - min(n.tick, max(pr.ackTick, pr.addedTick))
 }
 
 // hasCaughtUp reports whether the member id holds all committed entries and has
@@ -129,7 +132,7 @@
 	}
 	for _, id := range members.All() {
 		if id != n.cfg.ID && n.progress[id] == nil {
-			n.progress[id] = &progress{next: n.log.lastIndex() + 1, probing: true}
+			n.progress[id] = &progress{next: n.log.lastIndex() + 1, addedTick: n.tick, probing: true}
 		}
 	}
 }
--- a/internal/control/join_test.go
+++ b/internal/control/join_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -83,3 +84,40 @@
 		assert.Assert(t, n.isMember(t, away))
 	})
 }
+
+// A learner that never comes back leaves the membership. Learners of replaced
+// hosts accumulated, and each made a standby look like a second one.
+func TestLearnerThatNeverComesBackIsRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newOpenNetworkOf(4)
+		n.startAll(t)
+		defer n.crashAll(t)
+		waitForMembership()
+		members := n.leader(t).Members()
+		assert.Equal(t, len(members.Learners), 1)
+		n.crash(t, members.Learners[0].Host)
+		waitForMembership()
+		assert.Equal(t, len(n.leader(t).Members().Learners), 0)
+		n.add(t, "h5", n.followers(t))
+		waitForMembership()
+		members = n.leader(t).Members()
+		assert.Equal(t, len(members.Voters), 3)
+		assert.Equal(t, len(members.Learners), 1)
+	})
+}
+
+// A learner that was slow to answer is back as a member soon.
+func TestSlowLearnerJoinsAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newOpenNetworkOf(4)
+		n.startAll(t)
+		defer n.crashAll(t)
+		waitForMembership()
+		learner := n.leader(t).Members().Learners[0].Host
+		n.setIsolated(learner, true)
+		time.Sleep(10 * time.Second)
+		n.setIsolated(learner, false)
+		waitForMembership()
+		assert.Assert(t, n.isMember(t, learner))
+	})
+}
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -165,9 +165,9 @@
 // that asked to join become learners, and learners that have caught up become
 // voters. The old identity of a host that lost its disk is removed first; only a
 // blank host may replace another identity. An open membership also drops
-// unresponsive voters.
+// unresponsive members.
 func (r *replica) reconcileMembers() {
-	if r.cfg.Open && r.removeUnresponsiveVoter() {
+	if r.cfg.Open && (r.removeUnresponsiveVoter() || r.removeUnresponsiveLearner()) {
 		return
 	}
 	for _, id := range r.node.Members().Learners {
@@ -201,6 +201,10 @@
 	// unresponsiveTimeouts is the number of election timeouts without contact
 	// after which a voter may be removed. It may join again.
 	unresponsiveTimeouts = 6
+	// learnerTimeouts is the same for a learner. It is longer, because a learner
+	// may be slow while it receives a snapshot, and does not count towards the
+	// quorum.
+	learnerTimeouts = 12
 )
 
 // needsVoter reports whether a learner of an open membership should become a
@@ -251,6 +255,18 @@
 	return r.proposeChange(consensus.RemoveMember, unresponsive)
 }
 
+// removeUnresponsiveLearner removes a learner of an open membership that has been
+// without contact for learnerTimeouts election timeouts. It may join again. It
+// reports whether it proposed a change.
+func (r *replica) removeUnresponsiveLearner() bool {
+	for _, id := range r.node.Members().Learners {
+		if r.node.TicksSinceAck(id) >= uint64(learnerTimeouts*r.cfg.ElectionTicks) {
+			return r.proposeChange(consensus.RemoveMember, id)
+		}
+	}
+	return false
+}
+
 // proposeRemoval proposes the removal of the host p.remove on behalf of
 // Server.RemoveMember.
 func (r *replica) proposeRemoval(p proposal) {
