Show how current the configuration of a host is

Logs and metrics could not tell apart why a host handles callers by an older configuration: it hears no leader, it dropped what the leader sent, or the answer does not get through.

- amaranthweir_deployment_version, amaranthweir_leader_answer_age_seconds and amaranthweir_heartbeat_replies_total{outcome};
- the line of a refused caller has the version and the revision in force at the host and the time since a leader answered it;
- 'applying the control state delta failed' has the revision that was sent and the one that the host has, and what became of the lease and the orders of the reply; 'heartbeat failed' has the revision and the time that it took;

No logic changes.

--- a/internal/host/adapter.go
+++ b/internal/host/adapter.go
@@ -175,6 +175,7 @@
 			IdleTransaction: h.dir.idleTransactionTimeout,
 			WithdrawalGrace: access.TransactionGrace(h.settings.Revocation),
 			AwaitNewerKeys:  h.awaitNewerKeys,
+			RefusalFields:   h.knowledgeFields,
 			Counters:        h.metrics,
 		})
 	}
--- a/internal/host/deployment.go
+++ b/internal/host/deployment.go
@@ -55,7 +55,27 @@
 	if d.onDeployment != nil {
 		d.onDeployment()
 	}
-	d.log.WithFields(logrus.Fields{"version": deployment.Version, "databases": len(documents)}).Info("deployment in force")
+	d.log.WithFields(logrus.Fields{
+		"version": deployment.Version, "databases": len(documents), "bytes": len(next.Deployment.Body),
+	}).Info("deployment in force")
+}
+
+// deploymentVersion returns the version of the deployment in force at this host, or
+// zero if there is none.
+func (d *directory) deploymentVersion() uint64 {
+	if deployment := d.deployment.Load(); deployment != nil {
+		return deployment.Version
+	}
+	return 0
+}
+
+// knowledgeFields returns log fields that tell how current the configuration of this
+// host is.
+func (h *Host) knowledgeFields() logrus.Fields {
+	return logrus.Fields{
+		"version": h.dir.deploymentVersion(), "revision": h.dir.view.Load().Revision,
+		"answer_age_ms": h.heartbeats.sinceLastAnswer().Milliseconds(),
+	}
 }
 
 // idleTransactionTimeout returns how long a transaction may wait for its next
--- a/internal/host/heartbeat.go
+++ b/internal/host/heartbeat.go
@@ -37,6 +37,12 @@
 	maxControlSearchDelay = 100 * time.Millisecond
 )
 
+// What is done with the reply to a heartbeat.
+const (
+	replyApplied = "applied"
+	replyDropped = "dropped"
+)
+
 // heartbeatSender sends the heartbeats of this host to the control leader and
 // applies the replies: control state, tables, lease and orders.
 type heartbeatSender struct {
@@ -165,7 +171,7 @@
 	var reply heartbeatReply
 	err := s.conn.Call(ctx, address, methodHeartbeat, hb, &reply)
 	if err != nil || !reply.Leads {
-		s.handleFailure(hb, &reply, err)
+		s.handleFailure(hb, sentAt, &reply, err)
 		return false
 	}
 	s.handleReply(ctx, sentAt, hb, &reply)
@@ -252,7 +258,7 @@
 // handleFailure handles a heartbeat that the leader did not process: the next
 // heartbeat reports all owned instances and document versions again and repeats
 // the announcements.
-func (s *heartbeatSender) handleFailure(hb *heartbeat, reply *heartbeatReply, err error) {
+func (s *heartbeatSender) handleFailure(hb *heartbeat, sentAt time.Duration, reply *heartbeatReply, err error) {
 	hosts := len(s.host.hostsToAsk())
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -262,7 +268,9 @@
 		s.searchDelay = s.search.NoLeader(hosts, min(reply.RetryAfter, maxRetryAfter), rand.Float64())
 	}
 	if err != nil && s.leader != "" {
-		s.log.WithError(err).WithField("leader", s.leader).Info("heartbeat failed")
+		s.log.WithError(err).WithFields(logrus.Fields{
+			"leader": s.leader, "sent_revision": hb.Revision, "took_ms": (s.host.clock() - sentAt).Milliseconds(),
+		}).Info("heartbeat failed")
 	}
 	s.leader = reply.Leader
 	s.reported = reportedVersions{}
@@ -278,9 +286,14 @@
 // the lease, so that the lease never covers an older state.
 func (s *heartbeatSender) handleReply(ctx context.Context, sentAt time.Duration, hb *heartbeat, reply *heartbeatReply) {
 	if err := s.applyControl(reply); err != nil {
-		s.log.WithError(err).Error("applying the control state delta failed")
+		s.host.metrics.CountHeartbeatReply(replyDropped)
+		s.log.WithError(err).WithFields(logrus.Fields{
+			"sent_revision": hb.Revision, "revision": s.host.dir.view.Load().Revision, "lease": reply.Lease > 0,
+			"orders": len(reply.Orders), "took_ms": (s.host.clock() - sentAt).Milliseconds(), "reply": replyDropped,
+		}).Error("applying the control state delta failed")
 		return
 	}
+	s.host.metrics.CountHeartbeatReply(replyApplied)
 	if t, err := reply.receivedTables(); err != nil {
 		s.log.WithError(err).Error("decoding the tables failed")
 	} else if t != nil {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -148,6 +148,7 @@
 	h.callers = h.newCallers(secrets)
 	h.dir.onDeployment = h.applyKeys
 	h.heartbeats = newHeartbeatSender(h)
+	h.metrics.RegisterKnowledge(h.dir.deploymentVersion, h.heartbeats.sinceLastAnswer)
 	h.peerServer = &peer.Server{Owner: h.owner, Log: h.log, Methods: map[string]peer.Method{}}
 	if h.settings.Control != nil {
 		if h.control, err = newLeader(h); err != nil {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -26,6 +26,8 @@
 	leaseValid     prometheus.Gauge
 	logWritable    prometheus.Gauge
 	droppedLines   *prometheus.CounterVec
+
+	heartbeatReplies *prometheus.CounterVec
 }
 
 // New returns a Metrics with its own registry and all values at zero.
@@ -71,8 +73,12 @@
 			Namespace: namespace, Name: "log_lines_left_out_total",
 			Help: "Log lines over the limit of their kind, or for which there was no room.",
 		}, []string{"kind"}),
+		heartbeatReplies: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "heartbeat_replies_total",
+			Help: "Replies of control leaders to heartbeats of this host, by what was done with them.",
+		}, []string{"outcome"}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.reads, m.retries, m.callers, m.callersRefused, m.announcements, m.leaseValid, m.logWritable, m.droppedLines)
+	m.registry.MustRegister(m.requests, m.latency, m.reads, m.retries, m.callers, m.callersRefused, m.announcements, m.leaseValid, m.logWritable, m.droppedLines, m.heartbeatReplies)
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
--- a/internal/typedserver/listener.go
+++ b/internal/typedserver/listener.go
@@ -50,6 +50,9 @@
 	// new as those in force when it was called, or when ctx ends. Nil means that
 	// they always are.
 	AwaitNewerKeys func(ctx context.Context)
+	// RefusalFields returns further fields for the log line of a refused caller. Nil
+	// means that there are none.
+	RefusalFields func() logrus.Fields
 	// Counters counts connected and refused callers; see package metrics.
 	Counters Counters
 }
@@ -196,7 +199,11 @@
 // recordRefusal counts and logs a refused caller. The line has the given fields too.
 func (l *Listener) recordRefusal(nc net.Conn, database string, e *errkind.Error, fields logrus.Fields) {
 	l.cfg.Counters.Refused(e.Kind)
-	l.cfg.Log.WithError(e).WithFields(fields).WithFields(logrus.Fields{
+	line := l.cfg.Log.WithError(e).WithFields(fields)
+	if l.cfg.RefusalFields != nil {
+		line = line.WithFields(l.cfg.RefusalFields())
+	}
+	line.WithFields(logrus.Fields{
 		"kind": e.Kind.String(), "database": database, "caller": nc.RemoteAddr().String(),
 	}).Info("caller refused")
 }
