A control host uses a reply that its own replica has overtaken

Cause: a control host learns changes by its replica and by the replies to its heartbeats. If the replica goes on while a heartbeat is on its way, the delta of the reply leads to a revision that the host has passed. handleReply then returned early and dropped the whole reply: the lease, the tables, orders and hand-overs, and that a leader answered at all. Orders and hand-overs are sent again with the next heartbeat; the lease and readiness depend on the answers in a row.

Why this works: a view with a higher revision includes all changes of a lower one, so the state of the host is never behind what the lease of the reply covers. A gap or a delta that cannot be decoded still drops the reply and is an error line; an overtaken one is counted in amaranthweir_heartbeat_replies_total and is no line.

Elsewhere: ApplyDelta is called here only; State.Restore starts from an empty view. Tables are merged by version and are not dropped with a delta.

--- a/internal/host/heartbeat.go
+++ b/internal/host/heartbeat.go
@@ -40,7 +40,10 @@
 // What is done with the reply to a heartbeat.
 const (
 	replyApplied = "applied"
-	replyDropped = "dropped"
+	// replyOvertaken: the control state of the host was later than that in the reply;
+	// all else was applied.
+	replyOvertaken = "overtaken"
+	replyDropped   = "dropped"
 )
 
 // heartbeatSender sends the heartbeats of this host to the control leader and
@@ -285,15 +288,15 @@
 // handleReply applies the reply to a heartbeat: the control state first, then
 // the lease, so that the lease never covers an older state.
 func (s *heartbeatSender) handleReply(ctx context.Context, sentAt time.Duration, hb *heartbeat, reply *heartbeatReply) {
-	if err := s.applyControl(reply); err != nil {
-		s.host.metrics.CountHeartbeatReply(replyDropped)
+	outcome, err := s.applyControl(reply)
+	s.host.metrics.CountHeartbeatReply(outcome)
+	if err != nil {
 		s.log.WithError(err).WithFields(logrus.Fields{
 			"sent_revision": hb.Revision, "revision": s.host.dir.view.Load().Revision, "lease": reply.Lease > 0,
 			"orders": len(reply.Orders), "took_ms": (s.host.clock() - sentAt).Milliseconds(), "reply": replyDropped,
 		}).Error("applying the control state delta failed")
 		return
 	}
-	s.host.metrics.CountHeartbeatReply(replyApplied)
 	if t, err := reply.receivedTables(); err != nil {
 		s.log.WithError(err).Error("decoding the tables failed")
 	} else if t != nil {
@@ -326,24 +329,29 @@
 	}
 }
 
-// applyControl applies the delta of the control state in the reply, if it has one.
-func (s *heartbeatSender) applyControl(reply *heartbeatReply) error {
+// applyControl applies the delta of the control state in the reply, if it has one,
+// and returns what is done with the reply. A control host also follows its own
+// replica, which may be ahead of the reply: the control state of the host then
+// includes all that the reply has.
+func (s *heartbeatSender) applyControl(reply *heartbeatReply) (outcome string, err error) {
 	delta := reply.Control
 	if len(reply.PackedControl) > 0 {
-		var err error
 		if delta, err = compress.Unpack(reply.PackedControl); err != nil {
-			return err
+			return replyDropped, err
 		}
 	}
 	if len(delta) == 0 {
-		return nil
+		return replyApplied, nil
 	}
 	v, err := s.host.dir.view.Load().ApplyDelta(delta)
+	if errors.Is(err, control.ErrLowerRevision) {
+		return replyOvertaken, nil
+	}
 	if err != nil {
-		return err
+		return replyDropped, err
 	}
 	s.host.dir.setView(v)
-	return nil
+	return replyApplied, nil
 }
 
 // executeOrder executes one order of the leader.
