A host that hears no leader does not deny what it may have missed

Cause: a change is acknowledged when a majority has it and reaches other hosts with the answer to their next heartbeat, up to 130 ms later. Without a leader these hosts stay behind until one is back. They cannot know whether a database exists, and asserted that it does not, which ends the caller's attempts instead of sending it to another host.

Fix: a host that no leader has answered for 0.6 s (by when the answered heartbeat was sent, so that a frozen host counts too), or not at all since its start, refuses an unknown database, class or key as configuration_outdated: not run, repeat. Callers with typed statements get BUSY. What the host knows is served on as before (TestIsolatedHost); a key known to be withdrawn stays refused. The refusal comes at once.

Class of fault: stale knowledge asserted as absence. Elsewhere: Session.plan, SetClass, Explain, classes of a document, unknown keys (mended here, one function). Left: checkPlatformAnnouncement answers 400 for an instance of a group that the host does not know; the instance calls the next host on any answer but 2xx.

--- a/internal/api/errors.go
+++ b/internal/api/errors.go
@@ -91,6 +91,8 @@
 	errkind.TxAborted:           http.StatusConflict,
 	errkind.IdleInTransaction:   http.StatusConflict,
 	errkind.UpstreamBusy:        http.StatusServiceUnavailable,
+
+	errkind.ConfigurationOutdated: http.StatusServiceUnavailable,
 }
 
 // describe returns the HTTP status code and the response body for err.
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -39,6 +39,7 @@
 	IdleInTransaction
 	UpstreamBusy
 	QuotaExceeded
+	ConfigurationOutdated
 	kindCount
 )
 
@@ -104,6 +105,8 @@
 	UpstreamBusy:        {"upstream_busy", "53300", "the upstream has no room for the statement", NotRun, true},
 	QuotaExceeded:       {"quota_exceeded", "53400", "the workspace is over its rate limit", NotRun, true},
 	TxAborted:           {"transaction_aborted", "25P02", "the current transaction is aborted", NotRun, false},
+
+	ConfigurationOutdated: {"configuration_outdated", "57P07", "this host may have missed a change of the configuration", NotRun, true},
 }
 
 // Answer returns the answer for k. An undefined kind has the answer of Internal.
--- a/internal/gateway/authenticate.go
+++ b/internal/gateway/authenticate.go
@@ -18,7 +18,9 @@
 
 // CheckKey determines the workspace of the session by the rules in force. It
 // returns an error of kind Unauthenticated if they do not admit the caller any
-// more, or of kind NotLeader if this host must not rely on what it knows. It must not be called inside a transaction, which stays in its workspace.
+// more, of kind NotLeader if this host must not rely on what it knows, or of kind
+// ConfigurationOutdated if it may have missed the key. It must not be called inside a
+// transaction, which stays in its workspace.
 func (s *Session) CheckKey() error {
 	if s.gateway.cfg.Access == nil {
 		return nil
@@ -26,7 +28,7 @@
 	rules := s.gateway.rules()
 	workspace, ok := rules.Admit(s.service, s.key)
 	if !ok {
-		return errkind.New(errkind.Unauthenticated, "%s", s.describeKey())
+		return s.keyError()
 	}
 	if rules.NeedsKey(s.service) && s.gateway.cfg.KeysOutdated != nil && s.gateway.cfg.KeysOutdated() {
 		return errkind.New(errkind.NotLeader, "no control leader answers, so keys may have been withdrawn")
@@ -35,6 +37,14 @@
 	return nil
 }
 
+// keyError returns the error for a caller whose key is not in force at this host.
+func (s *Session) keyError() error {
+	if s.workspace != "" { // the key was withdrawn
+		return errkind.New(errkind.Unauthenticated, "%s", s.describeKey())
+	}
+	return s.gateway.notFound(errkind.Unauthenticated, "%s", s.describeKey())
+}
+
 // IsAdmitted reports whether the rules in force admit the caller. Unlike the other
 // methods, it is safe for concurrent use once Authenticate has returned.
 func (s *Session) IsAdmitted() bool {
--- a/internal/gateway/do.go
+++ b/internal/gateway/do.go
@@ -133,7 +133,7 @@
 func (s *Session) plan(w *Work) (*plan, error) {
 	doc := s.gateway.cfg.Directory.Document(s.service)
 	if doc == nil {
-		return nil, errkind.New(errkind.UnknownClass, "service %s", s.service)
+		return nil, s.gateway.notFound(errkind.UnknownClass, "service %s", s.service)
 	}
 	tags := firstTags(w.Texts)
 	p := &plan{requestID: tags.RequestID}
@@ -154,7 +154,7 @@
 	if name == "" {
 		name = s.class
 	}
-	class, err := findClass(doc, name)
+	class, err := s.gateway.findClass(doc, name)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -24,9 +24,9 @@
 func (g *Gateway) Explain(service, class, key string) (*Explanation, error) {
 	doc := g.cfg.Directory.Document(service)
 	if doc == nil {
-		return nil, errkind.New(errkind.UnknownClass, "no document for the service %q is in force", service)
+		return nil, g.notFound(errkind.UnknownClass, "no document for the service %q is in force", service)
 	}
-	c, err := findClass(doc, class)
+	c, err := g.findClass(doc, class)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -91,6 +91,11 @@
 	// configuration since it started. Nil means that the configuration is
 	// always known.
 	ConfigurationKnown func() bool
+	// ConfigurationOutdated reports whether this host may have missed a change of
+	// the configuration, because no control leader has answered it lately. It then
+	// goes on with what it knows, but cannot tell that anything does not exist. Nil
+	// means never.
+	ConfigurationOutdated func() bool
 	// Access returns the rules by which callers are admitted. Nil means that
 	// callers need no key.
 	Access func() *access.Rules
@@ -144,7 +149,7 @@
 		return nil, errkind.New(errkind.NotLeader, "the configuration is not known yet")
 	}
 	if g.cfg.Directory.Document(service) == nil {
-		return nil, errkind.New(errkind.UnknownClass, "no document for the service %q is in force", service)
+		return nil, g.notFound(errkind.UnknownClass, "no document for the service %q is in force", service)
 	}
 	return &Session{
 		gateway: g,
@@ -167,16 +172,26 @@
 	return string(g.cfg.Host) + "-" + strconv.FormatUint(g.cfg.Incarnation, 36) + "-" + strconv.FormatUint(n, 36)
 }
 
+// notFound returns the error for something that is not in the configuration of this
+// host: one of kind absent, or of kind ConfigurationOutdated if it may have been added
+// by a change that this host missed.
+func (g *Gateway) notFound(absent errkind.Kind, format string, args ...any) error {
+	if g.cfg.ConfigurationOutdated != nil && g.cfg.ConfigurationOutdated() {
+		return errkind.New(errkind.ConfigurationOutdated, format, args...)
+	}
+	return errkind.New(absent, format, args...)
+}
+
 // findClass returns the class of the document with the given name, or the
 // default class if the name is empty.
-func findClass(doc *config.Document, name string) (*config.Class, error) {
+func (g *Gateway) findClass(doc *config.Document, name string) (*config.Class, error) {
 	if name == "" {
 		name = doc.Default
 	}
 	if class, ok := doc.Class(name); ok {
 		return class, nil
 	}
-	return nil, errkind.New(errkind.UnknownClass, "service %s, class %q", doc.Service, name)
+	return nil, g.notFound(errkind.UnknownClass, "service %s, class %q", doc.Service, name)
 }
 
 // chooseGroup returns the group of a request: the only group of its class, or
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -87,9 +87,9 @@
 func (s *Session) SetClass(name string) error {
 	doc := s.gateway.cfg.Directory.Document(s.service)
 	if doc == nil {
-		return errkind.New(errkind.UnknownClass, "service %s", s.service)
+		return s.gateway.notFound(errkind.UnknownClass, "service %s", s.service)
 	}
-	if _, err := findClass(doc, name); err != nil {
+	if _, err := s.gateway.findClass(doc, name); err != nil {
 		return err
 	}
 	s.class = name
--- a/internal/host/deployment.go
+++ b/internal/host/deployment.go
@@ -107,6 +107,13 @@
 	return h.adapter == nil || h.dir.deployment.Load() != nil
 }
 
+// mayMissChanges reports whether a change of the control state may have been
+// acknowledged that this host has not heard of: no leader has answered it since its
+// start, or the latest heartbeat that one answered was sent too long ago.
+func (h *Host) mayMissChanges() bool {
+	return !h.heartbeats.caughtUp() || h.heartbeats.knowledgeAge() > isolatedAfter
+}
+
 // isIsolated reports whether no control leader answers this host. It is always
 // false without an adapter: PostgreSQL callers are not distributed by a load
 // balancer that watches readiness, so an isolated host does not refuse them.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -136,11 +136,12 @@
 		Log:         h.log,
 		Clock:       h.clock,
 
-		UpstreamFloors:     h.adapter != nil,
-		ConfigurationKnown: h.hasConfiguration,
-		Access:             h.dir.accessRules.Load,
-		KeysOutdated:       h.keysOutdated,
-		Isolated:           h.isIsolated,
+		UpstreamFloors:        h.adapter != nil,
+		ConfigurationKnown:    h.hasConfiguration,
+		ConfigurationOutdated: h.mayMissChanges,
+		Access:                h.dir.accessRules.Load,
+		KeysOutdated:          h.keysOutdated,
+		Isolated:              h.isIsolated,
 	})
 	h.owner = owner.New(h.ownerConfig())
 	h.metrics.RegisterCapacities(h.owner.Capacities)
--- a/internal/typedserver/failure_test.go
+++ b/internal/typedserver/failure_test.go
@@ -27,6 +27,7 @@
 		"a commit that did not run":            {notRun, true, true, typedproto.CodeAborted},
 		"a commit that may have run":           {unknown, true, true, typedproto.CodeInDoubt},
 		"a read-only commit that may have run": {unknown, false, true, typedproto.CodeAborted},
+		"a database that may have been added":  {errkind.New(errkind.ConfigurationOutdated, ""), false, false, typedproto.CodeBusy},
 		"an unknown database":                  {errkind.New(errkind.UnknownClass, ""), false, false, typedproto.CodeNoDatabase},
 	} {
 		assert.Equal(t, errorAnswer(c.err, c.commitsWrite, c.inTx).Code, c.want, name)
