A heartbeat whose reply is arriving is not given up

What callers would see: on a host with a slow link a large configuration never comes into force. The host loses its lease and counts as one that hears no leader.

Cause: a heartbeat ended after 400 ms, whatever arrived. Over a link of 2 Mbit/s that callers use too, the reply with a large deployment takes longer. The host gave it up, waited until the rest had arrived, and asked again with the same revision, for the same reply, for ever.

Fix: ControlClient.Silence. A heartbeat ends after 400 ms in which nothing arrives, as before with a leader that is silent, dead or frozen, and after 4 s at most. The time in which the host is late does not change: a reply that is asked for again arrives no sooner. The release at a shutdown keeps its 400 ms.

Elsewhere: calls to the leader (askLeader) and nudges have no limit below that of their caller, and replies with tables come with the same heartbeat. Not changed: each version sends the whole body again.

--- a/internal/host/heartbeat.go
+++ b/internal/host/heartbeat.go
@@ -21,8 +21,11 @@
 )
 
 const (
-	// heartbeatTimeout limits one heartbeat call.
-	heartbeatTimeout = 400 * time.Millisecond
+	// heartbeatSilence is how long a heartbeat waits without hearing from the leader.
+	heartbeatSilence = 400 * time.Millisecond
+	// heartbeatTimeout limits one heartbeat whose reply is arriving: a large control
+	// state takes long over a slow link, and takes as long when it is asked for again.
+	heartbeatTimeout = 4 * time.Second
 	// fastHeartbeatDuration is how long heartbeats are sent at the short
 	// interval after an order.
 	fastHeartbeatDuration = time.Second
@@ -81,7 +84,7 @@
 func newHeartbeatSender(h *Host) *heartbeatSender {
 	return &heartbeatSender{
 		host:                 h,
-		conn:                 peer.ControlClient{Dial: h.dir.dial},
+		conn:                 peer.ControlClient{Dial: h.dir.dial, Silence: heartbeatSilence},
 		log:                  h.log,
 		trigger:              make(chan struct{}, 1),
 		pendingAnnouncements: map[table.InstanceID]dbedge.Announcement{},
@@ -163,7 +166,11 @@
 // send sends one heartbeat and applies the reply. It reports whether the leader
 // answered.
 func (s *heartbeatSender) send(ctx context.Context, release bool) bool {
-	ctx, stop := context.WithTimeout(ctx, heartbeatTimeout)
+	timeout := heartbeatTimeout
+	if release { // the last heartbeat of a shutdown, whose reply is not used
+		timeout = heartbeatSilence
+	}
+	ctx, stop := context.WithTimeout(ctx, timeout)
 	defer stop()
 	address := s.targetAddress()
 	if address == "" {
--- a/internal/peer/controlclient.go
+++ b/internal/peer/controlclient.go
@@ -45,6 +45,9 @@
 type ControlClient struct {
 	// Dial opens connections; nil means plain TCP.
 	Dial DialFunc
+	// Silence ends a call once nothing has arrived from the other host for this
+	// long. Zero means that only the context of the call limits it.
+	Silence time.Duration
 
 	mu      sync.Mutex
 	conns   map[string]*controlConn
@@ -79,7 +82,7 @@
 	}
 	conn := c.acquire(address)
 	defer c.release(conn)
-	reply, err := conn.call(ctx, c.Dial, method, body)
+	reply, err := conn.call(ctx, c.Dial, c.Silence, method, body)
 	if err != nil {
 		return err
 	}
@@ -137,22 +140,30 @@
 }
 
 // call sends one call once the connection is free. Its errors state the effect.
-func (c *controlConn) call(ctx context.Context, dial DialFunc, method string, body []byte) (*peerpb.CallReply, error) {
+func (c *controlConn) call(ctx context.Context, dial DialFunc, silence time.Duration, method string, body []byte) (*peerpb.CallReply, error) {
 	notSent := func(err error) error {
 		return errkind.Wrap(err, errkind.NoQuorum, "%s: %v", c.address, err).WithEffect(errkind.NotRun)
 	}
+	began, opening := time.Now(), ctx
+	if silence > 0 {
+		var stop context.CancelFunc
+		opening, stop = context.WithTimeout(ctx, silence)
+		defer stop()
+	}
 	select {
 	case c.slot <- struct{}{}:
-	case <-ctx.Done():
-		return nil, notSent(ctx.Err())
+	case <-opening.Done():
+		return nil, notSent(opening.Err())
 	}
 	defer func() { <-c.slot }()
-	if err := c.awaitPrevious(ctx); err != nil {
+	if err := c.awaitPrevious(opening); err != nil {
 		return nil, notSent(err)
 	}
-	if err := c.connect(ctx, dial); err != nil {
+	if err := c.connect(opening, dial); err != nil {
 		return nil, notSent(err)
 	}
+	ctx, stop := c.untilSilent(ctx, began, silence)
+	defer stop()
 	reply, err := c.send(ctx, method, body)
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.NoQuorum, "%s %s: %v", c.address, method, err)
@@ -160,6 +171,32 @@
 	return reply, nil
 }
 
+// untilSilent returns a context for a call that began at a time. It ends with ctx, or
+// once nothing has arrived over the open connection for silence. A zero silence means no
+// limit.
+func (c *controlConn) untilSilent(ctx context.Context, began time.Time, silence time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	if silence == 0 {
+		return ctx, cancel
+	}
+	activity := c.activity
+	go func() {
+		defer cancel()
+		for {
+			left := silence - min(time.Since(began), activity.sinceLastRead())
+			if left <= 0 {
+				return
+			}
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(left):
+			}
+		}
+	}()
+	return ctx, cancel
+}
+
 // send sends one call over the open connection.
 func (c *controlConn) send(ctx context.Context, method string, body []byte) (*peerpb.CallReply, error) {
 	began := time.Now()
--- a/internal/peer/controlclient_test.go
+++ b/internal/peer/controlclient_test.go
@@ -144,3 +144,48 @@
 	}
 	assert.Assert(t, accepted.Load() <= 3, "%d connections in 3 s", accepted.Load())
 }
+
+// With ControlClient.Silence a call ends when the other host is silent, and not while a
+// large reply arrives: the same reply would take as long when asked for again.
+func TestControlCallLastsWhileItsReplyArrives(t *testing.T) {
+	const (
+		silence    = 100 * time.Millisecond
+		replyBytes = 64 << 10
+		rate       = 128 << 10 // bytes a second
+	)
+	server := &Server{Owner: newOwner(echo), Methods: map[string]Method{
+		"large": func(context.Context, []byte) (any, error) { return strings.Repeat("x", replyBytes), nil },
+		"mute":  func(ctx context.Context, _ []byte) (any, error) { <-ctx.Done(); return nil, ctx.Err() },
+	}}
+	var plain DialFunc
+	c := ControlClient{Silence: silence, Dial: func(ctx context.Context, to string) (net.Conn, error) {
+		nc, err := plain.dial(ctx, to)
+		return limitedConn{nc, rate}, err
+	}}
+	defer c.Close()
+	address := startServer(t, server)
+	began := time.Now()
+	var reply string
+	assert.NilError(t, c.Call(t.Context(), address, "large", nil, &reply))
+	assert.Equal(t, len(reply), replyBytes)
+	assert.Assert(t, time.Since(began) > 2*silence, "the reply was not slow")
+
+	began = time.Now()
+	err := c.Call(t.Context(), address, "mute", nil, &reply)
+	assert.Equal(t, errkind.Of(err).Effect, errkind.Unknown, "%v", err)
+	assert.Assert(t, time.Since(began) >= silence, "the call ended before the other host was silent")
+	assert.NilError(t, c.Call(t.Context(), address, "large", nil, &reply))
+}
+
+// limitedConn is a connection that delivers bytes at a limited rate per second.
+type limitedConn struct {
+	net.Conn
+	rate float64
+}
+
+// Read implements net.Conn.
+func (c limitedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p[:min(len(p), 1<<10)])
+	time.Sleep(time.Duration(float64(n) / c.rate * float64(time.Second)))
+	return n, err
+}
