--- a/internal/host/deployment.go
+++ b/internal/host/deployment.go
@@ -55,7 +55,27 @@
 	if d.onDeployment != nil {
 		d.onDeployment()
 	}
-	d.log.WithFields(logrus.Fields{"version": deployment.Version, "databases": len(documents)}).Info("deployment in force")
+	d.log.WithFields(logrus.Fields{
+		"version": deployment.Version, "databases": len(documents), "bytes": len(next.Deployment.Body),
+	}).Info("deployment in force")
+}
+
+// deploymentVersion returns the version of the deployment in force at this host, or
+// zero if there is none.
+func (d *directory) deploymentVersion() uint64 {
+	if deployment := d.deployment.Load(); deployment != nil {
+		return deployment.Version
+	}
+	return 0
+}
+
+// knowledgeFields returns log fields that tell how current the configuration of this
+// host is.
+func (h *Host) knowledgeFields() logrus.Fields {
+	return logrus.Fields{
+		"version": h.dir.deploymentVersion(), "revision": h.dir.view.Load().Revision,
+		"answer_age_ms": h.heartbeats.sinceLastAnswer().Milliseconds(),
+	}
 }
 
 // idleTransactionTimeout returns how long a transaction may wait for its next
@@ -87,6 +107,13 @@
 	return h.adapter == nil || h.dir.deployment.Load() != nil
 }
 
+// mayMissChanges reports whether a change of the control state may have been
+// acknowledged that this host has not heard of: no leader has answered it since its
+// start, or the latest heartbeat that one answered was sent too long ago.
+func (h *Host) mayMissChanges() bool {
+	return !h.heartbeats.caughtUp() || h.heartbeats.knowledgeAge() > isolatedAfter
+}
+
 // isIsolated reports whether no control leader answers this host. It is always
 // false without an adapter: PostgreSQL callers are not distributed by a load
 // balancer that watches readiness, so an isolated host does not refuse them.
--- a/internal/host/heartbeat.go
+++ b/internal/host/heartbeat.go
@@ -21,8 +21,11 @@
 )
 
 const (
-	// heartbeatTimeout limits one heartbeat call.
-	heartbeatTimeout = 400 * time.Millisecond
+	// heartbeatSilence is how long a heartbeat waits without hearing from the leader.
+	heartbeatSilence = 400 * time.Millisecond
+	// heartbeatTimeout limits one heartbeat whose reply is arriving: a large control
+	// state takes long over a slow link, and takes as long when it is asked for again.
+	heartbeatTimeout = 4 * time.Second
 	// fastHeartbeatDuration is how long heartbeats are sent at the short
 	// interval after an order.
 	fastHeartbeatDuration = time.Second
@@ -37,6 +40,15 @@
 	maxControlSearchDelay = 100 * time.Millisecond
 )
 
+// What is done with the reply to a heartbeat.
+const (
+	replyApplied = "applied"
+	// replyOvertaken: the control state of the host was later than that in the reply;
+	// all else was applied.
+	replyOvertaken = "overtaken"
+	replyDropped   = "dropped"
+)
+
 // heartbeatSender sends the heartbeats of this host to the control leader and
 // applies the replies: control state, tables, lease and orders.
 type heartbeatSender struct {
@@ -72,7 +84,7 @@
 func newHeartbeatSender(h *Host) *heartbeatSender {
 	return &heartbeatSender{
 		host:                 h,
-		conn:                 peer.ControlClient{Dial: h.dir.dial},
+		conn:                 peer.ControlClient{Dial: h.dir.dial, Silence: heartbeatSilence},
 		log:                  h.log,
 		trigger:              make(chan struct{}, 1),
 		pendingAnnouncements: map[table.InstanceID]dbedge.Announcement{},
@@ -154,7 +166,11 @@
 // send sends one heartbeat and applies the reply. It reports whether the leader
 // answered.
 func (s *heartbeatSender) send(ctx context.Context, release bool) bool {
-	ctx, stop := context.WithTimeout(ctx, heartbeatTimeout)
+	timeout := heartbeatTimeout
+	if release { // the last heartbeat of a shutdown, whose reply is not used
+		timeout = heartbeatSilence
+	}
+	ctx, stop := context.WithTimeout(ctx, timeout)
 	defer stop()
 	address := s.targetAddress()
 	if address == "" {
@@ -165,7 +181,7 @@
 	var reply heartbeatReply
 	err := s.conn.Call(ctx, address, methodHeartbeat, hb, &reply)
 	if err != nil || !reply.Leads {
-		s.handleFailure(hb, &reply, err)
+		s.handleFailure(hb, sentAt, &reply, err)
 		return false
 	}
 	s.handleReply(ctx, sentAt, hb, &reply)
@@ -252,7 +268,7 @@
 // handleFailure handles a heartbeat that the leader did not process: the next
 // heartbeat reports all owned instances and document versions again and repeats
 // the announcements.
-func (s *heartbeatSender) handleFailure(hb *heartbeat, reply *heartbeatReply, err error) {
+func (s *heartbeatSender) handleFailure(hb *heartbeat, sentAt time.Duration, reply *heartbeatReply, err error) {
 	hosts := len(s.host.hostsToAsk())
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -262,7 +278,9 @@
 		s.searchDelay = s.search.NoLeader(hosts, min(reply.RetryAfter, maxRetryAfter), rand.Float64())
 	}
 	if err != nil && s.leader != "" {
-		s.log.WithError(err).WithField("leader", s.leader).Info("heartbeat failed")
+		s.log.WithError(err).WithFields(logrus.Fields{
+			"leader": s.leader, "sent_revision": hb.Revision, "took_ms": (s.host.clock() - sentAt).Milliseconds(),
+		}).Info("heartbeat failed")
 	}
 	s.leader = reply.Leader
 	s.reported = reportedVersions{}
@@ -277,8 +295,13 @@
 // handleReply applies the reply to a heartbeat: the control state first, then
 // the lease, so that the lease never covers an older state.
 func (s *heartbeatSender) handleReply(ctx context.Context, sentAt time.Duration, hb *heartbeat, reply *heartbeatReply) {
-	if err := s.applyControl(reply); err != nil {
-		s.log.WithError(err).Error("applying the control state delta failed")
+	outcome, err := s.applyControl(reply)
+	s.host.metrics.CountHeartbeatReply(outcome)
+	if err != nil {
+		s.log.WithError(err).WithFields(logrus.Fields{
+			"sent_revision": hb.Revision, "revision": s.host.dir.view.Load().Revision, "lease": reply.Lease > 0,
+			"orders": len(reply.Orders), "took_ms": (s.host.clock() - sentAt).Milliseconds(), "reply": replyDropped,
+		}).Error("applying the control state delta failed")
 		return
 	}
 	if t, err := reply.receivedTables(); err != nil {
@@ -313,24 +336,29 @@
 	}
 }
 
-// applyControl applies the delta of the control state in the reply, if it has one.
-func (s *heartbeatSender) applyControl(reply *heartbeatReply) error {
+// applyControl applies the delta of the control state in the reply, if it has one,
+// and returns what is done with the reply. A control host also follows its own
+// replica, which may be ahead of the reply: the control state of the host then
+// includes all that the reply has.
+func (s *heartbeatSender) applyControl(reply *heartbeatReply) (outcome string, err error) {
 	delta := reply.Control
 	if len(reply.PackedControl) > 0 {
-		var err error
 		if delta, err = compress.Unpack(reply.PackedControl); err != nil {
-			return err
+			return replyDropped, err
 		}
 	}
 	if len(delta) == 0 {
-		return nil
+		return replyApplied, nil
 	}
 	v, err := s.host.dir.view.Load().ApplyDelta(delta)
+	if errors.Is(err, control.ErrLowerRevision) {
+		return replyOvertaken, nil
+	}
 	if err != nil {
-		return err
+		return replyDropped, err
 	}
 	s.host.dir.setView(v)
-	return nil
+	return replyApplied, nil
 }
 
 // executeOrder executes one order of the leader.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -136,11 +136,12 @@
 		Log:         h.log,
 		Clock:       h.clock,
 
-		UpstreamFloors:     h.adapter != nil,
-		ConfigurationKnown: h.hasConfiguration,
-		Access:             h.dir.accessRules.Load,
-		KeysOutdated:       h.keysOutdated,
-		Isolated:           h.isIsolated,
+		UpstreamFloors:        h.adapter != nil,
+		ConfigurationKnown:    h.hasConfiguration,
+		ConfigurationOutdated: h.mayMissChanges,
+		Access:                h.dir.accessRules.Load,
+		KeysOutdated:          h.keysOutdated,
+		Isolated:              h.isIsolated,
 	})
 	h.owner = owner.New(h.ownerConfig())
 	h.metrics.RegisterCapacities(h.owner.Capacities)
@@ -148,6 +149,7 @@
 	h.callers = h.newCallers(secrets)
 	h.dir.onDeployment = h.applyKeys
 	h.heartbeats = newHeartbeatSender(h)
+	h.metrics.RegisterKnowledge(h.dir.deploymentVersion, h.heartbeats.sinceLastAnswer)
 	h.peerServer = &peer.Server{Owner: h.owner, Log: h.log, Methods: map[string]peer.Method{}}
 	if h.settings.Control != nil {
 		if h.control, err = newLeader(h); err != nil {
