An announcement that no instance sends is refused where it enters

Cause: the HTTP interface of PostgreSQL checked the values of an announcement, that of the platform only that they were there.

Both interfaces call it. A refusal answers 400, is counted and logged with a bounded line. The leader checks again what hosts of an older build let pass, and removes what they stored.

TestLateAnnouncements: its announcements name a failure domain now, as all do.

--- a/internal/api/announcement.go
+++ b/internal/api/announcement.go
@@ -6,20 +6,12 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/netip"
 	"reflect"
 	"strings"
 
 	"github.com/amaranthweir/amaranthweir/internal/config"
 	"github.com/amaranthweir/amaranthweir/internal/dbedge"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
-	"github.com/amaranthweir/amaranthweir/internal/table"
-)
-
-// Limits of the values in an announcement.
-const (
-	maxSlots       = 10_000
-	maxConnections = 100_000
 )
 
 // announcementFields maps the names of the members of an announcement to whether
@@ -43,7 +35,8 @@
 	return a, nil
 }
 
-// validateAnnouncement checks the values of an announcement.
+// validateAnnouncement checks the values of an announcement. Names are those of
+// documents, and an instance states how many connections it accepts.
 func validateAnnouncement(a dbedge.Announcement) error {
 	names := []struct{ field, value string }{
 		{"group", string(a.Group)},
@@ -55,32 +48,10 @@
 			return fmt.Errorf("%s: found %.80q, expected %s", n.field, n.value, config.NameExpected)
 		}
 	}
-	if err := validateAddress(a.Address); err != nil {
-		return err
-	}
-	if a.Role != table.RolePrimary.String() && a.Role != table.RoleReplica.String() {
-		return fmt.Errorf("role: found %.80q, expected primary or replica", a.Role)
-	}
-	if a.Slots < 1 || a.Slots > maxSlots {
-		return fmt.Errorf("slots: found %d, expected 1 to %d", a.Slots, maxSlots)
-	}
-	if a.Connections < 1 || a.Connections > maxConnections {
-		return fmt.Errorf("connections: found %d, expected 1 to %d", a.Connections, maxConnections)
+	if a.Connections < 1 {
+		return fmt.Errorf("connections: found %d, expected 1 to %d", a.Connections, dbedge.MaxConnections)
 	}
-	return nil
-}
-
-// validateAddress checks that s is the ip:port of a single instance, to which a
-// host can connect.
-func validateAddress(s string) error {
-	addr, err := netip.ParseAddrPort(s)
-	if err != nil || addr.Port() == 0 || addr.Addr().Zone() != "" {
-		return fmt.Errorf("address: found %.80q, expected ip:port", s)
-	}
-	if addr.Addr().IsUnspecified() || addr.Addr().IsMulticast() {
-		return fmt.Errorf("address: found %.80q, expected the address of one instance", s)
-	}
-	return nil
+	return a.Validate()
 }
 
 // checkMembers checks that body is a single flat JSON object. required maps the
--- a/internal/host/backend.go
+++ b/internal/host/backend.go
@@ -26,16 +26,24 @@
 // Announce implements api.Backend.
 func (b *Backend) Announce(_ context.Context, a dbedge.Announcement) (dbedge.AnnounceReply, error) {
 	reply := dbedge.AnnounceReply{IntervalMillis: dbedge.AnnounceInterval.Milliseconds()}
-	err := b.checkAnnouncement(a)
-	b.host.metrics.CountAnnouncement(err)
-	if err != nil {
-		b.host.log.WithError(err).WithField("instance", a.Instance).Warn("announcement refused")
+	if err := b.checkAnnouncement(a); err != nil {
+		b.RefuseAnnouncement(string(a.Instance), err)
 		return dbedge.AnnounceReply{}, err
 	}
+	b.host.metrics.CountAnnouncement(nil)
 	b.host.heartbeats.queueAnnouncement(a)
 	return reply, nil
 }
 
+// RefuseAnnouncement logs and counts an announcement that was refused.
+func (b *Backend) RefuseAnnouncement(id string, err error) {
+	b.host.metrics.CountAnnouncement(err)
+	if len(id) > dbedge.MaxNameBytes {
+		id = id[:dbedge.MaxNameBytes]
+	}
+	b.host.log.WithError(err).WithField("instance", id).Warn("announcement refused")
+}
+
 // checkAnnouncement rejects an announcement that contradicts the control state.
 // The announcement of an old primary is rejected but still forwarded, because
 // the leader must fence that primary.
--- a/internal/host/instances_test.go
+++ b/internal/host/instances_test.go
@@ -30,7 +30,9 @@
 }
 
 func numberedAnnouncement(id table.InstanceID, address string, born, sequence uint64) dbedge.Announcement {
-	return dbedge.Announcement{Group: "g", Instance: id, Address: address, Role: "replica", Slots: 2, Born: born, Sequence: sequence}
+	return dbedge.Announcement{
+		Group: "g", Instance: id, Address: address, Domain: "a", Role: "replica", Slots: 2, Born: born, Sequence: sequence,
+	}
 }
 
 // TestLateAnnouncements checks that announcements are ordered by the start of
@@ -68,3 +70,52 @@
 	assert.Equal(t, u.missingFor("i-1", true, 5*time.Second), time.Duration(0))
 	assert.Equal(t, u.missingFor("i-1", false, 9*time.Second), time.Duration(0), "the instance was listed in between")
 }
+
+// An announcement that no instance sends must not reach the tables, even if the host
+// that received it let it pass: the group would wait for the positions of an instance
+// that is not there, and true announcements would count as late.
+func TestUnusableAnnouncementsAreDropped(t *testing.T) {
+	l := newTestLeader(t)
+	var commands []control.Command
+	l.propose = func(c control.Command) { commands = append(commands, c) }
+	l.handleAnnouncement(1, numberedAnnouncement("i-1", "10.0.0.1:80", 100, 5))
+	for name, change := range map[string]func(*dbedge.Announcement){
+		"port out of range":          func(a *dbedge.Announcement) { a.Instance, a.Address = "odd", "10.0.0.2:99999" },
+		"id of two words":            func(a *dbedge.Announcement) { a.Instance = "i 2" },
+		"slots too large":            func(a *dbedge.Announcement) { a.Slots = 9e18 },
+		"start too large":            func(a *dbedge.Announcement) { a.Born = 1 << 63 },
+		"sequence too large":         func(a *dbedge.Announcement) { a.Sequence = 1 << 63 },
+		"last one with a late start": func(a *dbedge.Announcement) { a.Born, a.Gone = 1<<63, true },
+	} {
+		a := numberedAnnouncement("i-1", "10.0.0.1:80", 100, 6)
+		change(&a)
+		l.handleAnnouncement(2, a)
+		assert.Equal(t, len(l.instances), 1, name)
+		in := l.instances["i-1"]
+		assert.Assert(t, in.Slots == 2 && in.Born == 100 && in.Sequence == 5 && in.Group == "g" && !in.Left, "%s: %+v", name, in)
+	}
+	l.handleAnnouncement(3, numberedAnnouncement("i-1", "10.0.0.1:80", 100, 7))
+	assert.Equal(t, l.instances["i-1"].Sequence, uint64(7), "the next announcement counts as late")
+	l.proposeNotes()
+	assert.Equal(t, len(commands), 1)
+	assert.Equal(t, len(commands[0].NoteInstances.Known), 1)
+}
+
+// An unusable instance in the control state or in the tables of an earlier leader must
+// not come back with each new leader.
+func TestUnusableInstancesAreNotRestored(t *testing.T) {
+	l := newTestLeader(t)
+	var commands []control.Command
+	l.propose = func(c control.Command) { commands = append(commands, c) }
+	good := instanceFromAnnouncement(numberedAnnouncement("i-1", "10.0.0.1:80", 100, 5))
+	stored, fromTables := good, good
+	stored.ID, stored.Address = "odd-1", "10.0.0.2:99999"
+	fromTables.ID, fromTables.Slots = "odd-2", 9e18
+	view := control.NewView()
+	view.Instances = map[table.InstanceID]table.Instance{good.ID: good, stored.ID: stored}
+	l.instances[fromTables.ID] = fromTables
+	l.restoreInstances(1, view)
+	assert.Equal(t, len(l.instances), 1)
+	assert.Equal(t, len(commands), 1)
+	assert.DeepEqual(t, commands[0].NoteInstances.Gone, []table.InstanceID{"odd-1", "odd-2"})
+}
--- a/internal/host/leader.go
+++ b/internal/host/leader.go
@@ -287,6 +287,7 @@
 			l.instances[id] = in
 		}
 	}
+	l.removeInvalidInstances()
 	for id, in := range l.instances {
 		in.SeenAt = now
 		l.instances[id] = in
--- a/internal/host/leader_actions.go
+++ b/internal/host/leader_actions.go
@@ -24,8 +24,13 @@
 const nudgeTimeout = 200 * time.Millisecond
 
 // handleAnnouncement applies an announcement that a host forwarded to the
-// leader. Stale announcements are dropped.
+// leader. Stale announcements are dropped, and so are those that no instance sends:
+// the host may run a build that lets them pass.
 func (l *leader) handleAnnouncement(now time.Duration, a dbedge.Announcement) {
+	if err := a.Validate(); err != nil {
+		l.log.WithError(err).Warn("announcement of a host refused")
+		return
+	}
 	in := instanceFromAnnouncement(a)
 	in.SeenAt = now
 	if l.isStaleAnnouncement(&in) {
@@ -169,11 +174,47 @@
 	l.log.WithField("instance", id).Info("instance gone")
 	delete(l.instances, id)
 	delete(l.claims, id)
-	l.propose(control.Command{NoteInstances: &control.NoteInstances{Gone: []table.InstanceID{id}}})
+	l.proposeGone(id)
 	l.tablesVersion.Number++
 	l.changeLog = tableLog{truncatedThrough: l.tablesVersion.Number} // hosts get full tables
 }
 
+// proposeGone proposes that instances are removed from the control state.
+func (l *leader) proposeGone(ids ...table.InstanceID) {
+	l.propose(control.Command{NoteInstances: &control.NoteInstances{Gone: ids}})
+}
+
+// removeInvalidInstances removes the restored instances that no announcement may
+// name. They come from hosts of a build that let them pass, and a group would wait
+// for the positions of instances that are not there.
+func (l *leader) removeInvalidInstances() {
+	var gone []table.InstanceID
+	for id, in := range l.instances {
+		a := announcementFromInstance(in)
+		err := a.Validate()
+		if err == nil {
+			continue
+		}
+		l.log.WithError(err).Warn("stored instance refused")
+		delete(l.instances, id)
+		gone = append(gone, id)
+	}
+	if len(gone) > 0 {
+		slices.Sort(gone)
+		l.proposeGone(gone...)
+	}
+}
+
+// announcementFromInstance returns the announcement that leads to an entry of the
+// instance table.
+func announcementFromInstance(in table.Instance) dbedge.Announcement {
+	return dbedge.Announcement{
+		Group: in.Group, Instance: in.ID, Address: in.Address, Domain: in.Domain, Role: in.Role.String(),
+		Term: in.Mark.Term, Position: in.Mark.Position, Slots: in.Slots, Connections: in.Connections,
+		Leaving: in.Leaving, Born: in.Born, Sequence: in.Sequence,
+	}
+}
+
 // instanceFromAnnouncement converts an announcement to an entry of the instance
 // table. Any role but primary counts as replica.
 func instanceFromAnnouncement(a dbedge.Announcement) table.Instance {
