An announcement that contradicts what an instance said of itself is dropped

Cause: an announcement without a start and a number was exempt from the check of its age, also if it named an instance that numbers its starts. It marked that instance as left, or set its start to zero. An announcement from the same start could also move an instance to another group, and leave it a member of both.

Fix: whether numbers may be missing depends on what the instance said before. One that numbers its starts is named by an announcement without numbers only if that is the last one and the instance had said that it is leaving: the page has no body in a deregistration, and an instance reports that it is draining before it sends one. Within one start, an instance stays in its group.

Looked for the same elsewhere: the interface of PostgreSQL refuses another group at the entry already (checkAnnouncement), and its instances number nothing.

--- a/cmd/amaranthweir/odd_entries_test.go
+++ b/cmd/amaranthweir/odd_entries_test.go
@@ -118,6 +118,12 @@
 			assert.Check(t, cmp.Equal(status, http.StatusBadRequest), "%s", e.what)
 		}
 	}
+	for n := range zones { // these have no numbers, so that their senders are not known
+		_, err := d.post(n, "/v1/Instances.Deregister/i-1", `{}`)
+		assert.NilError(t, err)
+		_, err = d.post(n, "/v1/Instances.Deregister/i-2", ``)
+		assert.NilError(t, err)
+	}
 	d.checkAllRun("after the odd entries")
 	underLoad(t, d, func() { time.Sleep(time.Second) })
 	d.changePrimary("after the odd entries")
--- a/internal/host/instances_test.go
+++ b/internal/host/instances_test.go
@@ -85,6 +85,10 @@
 		"slots too large":            func(a *dbedge.Announcement) { a.Slots = 9e18 },
 		"start too large":            func(a *dbedge.Announcement) { a.Born = 1 << 63 },
 		"sequence too large":         func(a *dbedge.Announcement) { a.Sequence = 1 << 63 },
+		"another group":              func(a *dbedge.Announcement) { a.Group = "h" },
+		"no numbers":                 func(a *dbedge.Announcement) { a.Born, a.Sequence = 0, 0 },
+		"last one without a start":   func(a *dbedge.Announcement) { a.Born, a.Sequence, a.Gone = 0, 0, true },
+		"last one of another group":  func(a *dbedge.Announcement) { a.Group, a.Gone = "h", true },
 		"last one with a late start": func(a *dbedge.Announcement) { a.Born, a.Gone = 1<<63, true },
 	} {
 		a := numberedAnnouncement("i-1", "10.0.0.1:80", 100, 6)
@@ -101,6 +105,17 @@
 	assert.Equal(t, len(commands[0].NoteInstances.Known), 1)
 }
 
+// An instance that said that it is leaving may send its last announcement without its
+// start; see TestUnusableAnnouncementsAreDropped for all others.
+func TestLastAnnouncementOfLeavingInstance(t *testing.T) {
+	l := newTestLeader(t)
+	leaving := numberedAnnouncement("i-1", "10.0.0.1:80", 100, 5)
+	leaving.Leaving = true
+	l.handleAnnouncement(1, leaving)
+	l.handleAnnouncement(2, dbedge.Announcement{Instance: "i-1", Leaving: true, Gone: true})
+	assert.Assert(t, l.instances["i-1"].Left)
+}
+
 // An unusable instance in the control state or in the tables of an earlier leader must
 // not come back with each new leader.
 func TestUnusableInstancesAreNotRestored(t *testing.T) {
--- a/internal/host/leader_actions.go
+++ b/internal/host/leader_actions.go
@@ -33,10 +33,14 @@
 	}
 	in := instanceFromAnnouncement(a)
 	in.SeenAt = now
-	if l.isStaleAnnouncement(&in) {
+	if l.isStaleAnnouncement(&in, a.Gone) {
 		l.log.WithFields(logrus.Fields{"instance": in.ID, "born": in.Born, "sequence": in.Sequence}).Info("late announcement dropped")
 		return
 	}
+	if old, known := l.instances[in.ID]; known && old.Born == in.Born && in.Group != "" && old.Group != in.Group {
+		l.log.WithFields(logrus.Fields{"instance": in.ID, "group": in.Group, "known_group": old.Group}).Warn("announcement of another group refused")
+		return
+	}
 	if a.Gone {
 		l.markLeft(now, in.ID)
 		return
@@ -104,10 +108,10 @@
 
 // isStaleAnnouncement reports whether an announcement is older than what the
 // leader knows: the announcement was delayed, or its sender has left and a
-// later instance uses the address.
-func (l *leader) isStaleAnnouncement(in *table.Instance) bool {
+// later instance uses the address. Gone is set for a last announcement.
+func (l *leader) isStaleAnnouncement(in *table.Instance, gone bool) bool {
 	if in.Sequence == 0 && in.Born == 0 {
-		return false // the instance numbers neither starts nor announcements
+		return l.lacksNumbers(in, gone)
 	}
 	if born, left := l.leftInstances[in.ID]; left && in.Born <= born {
 		return true
@@ -126,6 +130,14 @@
 	return false
 }
 
+// lacksNumbers reports whether an announcement without numbers names an instance that
+// numbers its starts. It is not known whether its sender is that instance. Only the
+// last announcement of an instance that said that it is leaving may come without.
+func (l *leader) lacksNumbers(in *table.Instance, gone bool) bool {
+	old, known := l.instances[in.ID]
+	return known && old.Born != 0 && !(gone && old.Leaving)
+}
+
 // isOlderAnnouncement reports whether the instance sent in before old. After an
 // instance has left, only an announcement of a new start is newer.
 func isOlderAnnouncement(in, old *table.Instance) bool {
