A line break in a statement forms no message of its own

Cause: a message ends with CR LF; readLine ended it at LF and took a CR off if there was one. The class of fault: a delimiter that is not escaped, accepted in a text.

A statement with a CR or LF of its own is answered with MALFORMED; it has not run, and the session goes on with the next message. AppendStatement and AppendStartup of UpstreamCodec return an error for that; the pool encodes the statement before it opens a transaction for it and refuses it as a bad request that has not run.

A setting or prepared statement that cannot be encoded closes the connection: it counted as in effect though the instance was never given it (also before, after a prepared statement of another host that could not be read).

lines_test.go: the calls of the two methods take their error, nothing else.

--- a/cmd/amaranthweir/lines_test.go
+++ b/cmd/amaranthweir/lines_test.go
@@ -171,7 +171,8 @@
 // which only these tests have, agrees with the codec of the proxy.
 func TestInstanceLinesMatchLines(t *testing.T) {
 	floor := &table.Mark{Term: 3, Position: 7}
-	sent := platform.Lines{}.AppendStatement(nil, &typedproto.Statement{Kind: typedproto.BeginRead}, floor)
+	sent, err := platform.Lines{}.AppendStatement(nil, &typedproto.Statement{Kind: typedproto.BeginRead}, floor)
+	assert.NilError(t, err)
 	s, got, err := instanceLines{}.ReadInstanceStatement(bufio.NewReader(bytes.NewReader(sent)))
 	assert.NilError(t, err)
 	assert.Equal(t, s.Kind, typedproto.BeginRead)
--- a/cmd/amaranthweir/platform_test.go
+++ b/cmd/amaranthweir/platform_test.go
@@ -95,6 +95,7 @@
 func TestPlatform(t *testing.T) {
 	d := startDeployment(t)
 	t.Run("sessions and transactions", func(t *testing.T) { testSessions(t, d) })
+	t.Run("line breaks in statements", func(t *testing.T) { testLineBreaks(t, d) })
 	t.Run("databases that are not there", func(t *testing.T) { testUnknownDatabases(t, d) })
 	t.Run("two operators at once", func(t *testing.T) { testConcurrentOperators(t, d) })
 	t.Run("an answer is lost", func(t *testing.T) { testLostAnswer(t, d) })
@@ -151,6 +152,26 @@
 	assert.Equal(t, mustExec(t, c, "t8", "ROLLBACK").txStatus, "I")
 }
 
+// testLineBreaks guards against data with a line feed in it that reaches an instance cut
+// off, or as two statements.
+func testLineBreaks(t *testing.T, d *deployment) {
+	c, err := connect(d.entryAddress(0), "orders")
+	assert.NilError(t, err)
+	defer c.close()
+	for id, text := range map[string]string{
+		"two-lines": "WRITE note first line\nsecond line",
+		"quoted":    "WRITE mail he wrote:\nQUERY not-sent WRITE price 0",
+		"carriage":  "WRITE mail he wrote:\rQUERY not-sent WRITE price 0",
+		"setting":   "SET suffix a\nQUERY not-sent WRITE price 0",
+	} {
+		r, err := c.exec(id, text)
+		assert.NilError(t, err)
+		assert.Equal(t, r.code, "MALFORMED", id)
+		mustExec(t, c, id+"-next", "WRITE cap green") // the session goes on
+		assert.Equal(t, d.group.RunCount(id)+d.group.RunCount("not-sent"), 0, id)
+	}
+}
+
 func testUnknownDatabases(t *testing.T, d *deployment) {
 	_, err := connect(d.entryAddress(1), "nowhere")
 	assert.ErrorContains(t, err, "NODB")
--- a/internal/pool/statementconn.go
+++ b/internal/pool/statementconn.go
@@ -82,7 +82,11 @@
 func (c *StatementConn) startup(ctx context.Context, t dbedge.Target, workspace string) error {
 	deadline, _ := ctx.Deadline()
 	defer c.watchContext(ctx, deadline, DefaultSilenceTimeout)()
-	if _, err := c.send(c.codec.AppendStartup(nil, typedproto.InstanceStartup{Group: t.Group, Workspace: workspace, Instance: t.Instance})); err != nil {
+	buf, err := c.codec.AppendStartup(nil, typedproto.InstanceStartup{Group: t.Group, Workspace: workspace, Instance: t.Instance})
+	if err != nil {
+		return notCarried(err)
+	}
+	if _, err := c.send(buf); err != nil {
 		return err
 	}
 	a, err := c.receive()
@@ -95,6 +99,12 @@
 	return nil
 }
 
+// notCarried returns the error for a text that the protocol cannot carry. Nothing of the
+// message was sent.
+func notCarried(err error) error {
+	return errkind.Wrap(err, errkind.BadRequest, "%v", err).WithEffect(errkind.NotRun)
+}
+
 // refusalError returns the error for a refused statement, with the effect NotRun.
 // It must not be used for a statement of a caller that may have run.
 func refusalError(a *typedproto.Answer) *errkind.Error {
@@ -135,13 +145,19 @@
 	if x.HasFloor {
 		floor = &x.Floor
 	}
+	statementFloor := floor
+	if u.Opens != typedproto.None || u.Statement.Kind == typedproto.Commit {
+		statementFloor = nil // the statement that opened the transaction carried the floor
+	}
+	// Encoded first, so that no transaction is opened for it in vain.
+	message, err := c.codec.AppendStatement(nil, &u.Statement, statementFloor)
+	if err != nil {
+		return Outcome{TxStatus: c.txStatus, ConnReusable: true}, notCarried(err)
+	}
 	if out, err := c.setUp(ctx, x, u.Opens, floor); err != nil {
 		return out, err
 	}
-	if u.Opens != typedproto.None || u.Statement.Kind == typedproto.Commit {
-		floor = nil // the statement that opened the transaction carried the floor
-	}
-	if n, err := c.send(c.codec.AppendStatement(c.writeBuf[:0], &u.Statement, floor)); err != nil {
+	if n, err := c.send(message); err != nil {
 		return Outcome{}, exchangeError(ctx, err, n > 0)
 	}
 	a, err := c.receive()
@@ -180,13 +196,14 @@
 // other settings.
 func (c *StatementConn) setUp(ctx context.Context, x *Exchange, opens typedproto.Kind, floor *table.Mark) (Outcome, error) {
 	buf, count, err := c.appendSetup(x, c.writeBuf[:0])
-	if err != nil {
-		return Outcome{TxStatus: c.txStatus, ConnReusable: true}, err
-	}
-	if opens != typedproto.None {
-		buf = c.codec.AppendStatement(buf, &typedproto.Statement{Kind: opens}, floor)
+	if err == nil && opens != typedproto.None {
+		buf, err = c.codec.AppendStatement(buf, &typedproto.Statement{Kind: opens}, floor)
 		count++
 	}
+	if err != nil {
+		c.mustClose = true // it lacks settings and prepared statements that it counts as in effect
+		return Outcome{TxStatus: c.txStatus}, notCarried(err)
+	}
 	if count == 0 {
 		return Outcome{}, nil
 	}
@@ -224,8 +241,11 @@
 // statements appended.
 func (c *StatementConn) appendSetup(x *Exchange, buf []byte) ([]byte, int, error) {
 	count := 0
+	var err error
 	if c.hasExtraSetting(x.Settings) {
-		buf = c.codec.AppendStatement(buf, &typedproto.Statement{Kind: typedproto.Discard}, nil)
+		if buf, err = c.codec.AppendStatement(buf, &typedproto.Statement{Kind: typedproto.Discard}, nil); err != nil {
+			return nil, 0, err
+		}
 		count++
 		clear(c.settings)
 		clear(c.prepared)
@@ -235,7 +255,9 @@
 		if old, ok := c.settings[name]; ok && old == value {
 			continue
 		}
-		buf = c.codec.AppendStatement(buf, &typedproto.Statement{Kind: typedproto.Set, Name: name, Value: value}, nil)
+		if buf, err = c.codec.AppendStatement(buf, &typedproto.Statement{Kind: typedproto.Set, Name: name, Value: value}, nil); err != nil {
+			return nil, 0, err
+		}
 		count++
 		c.settings[name] = value
 	}
@@ -247,7 +269,10 @@
 		if err != nil {
 			return nil, 0, err
 		}
-		buf = c.codec.AppendStatement(buf, &typedproto.Statement{Kind: typedproto.Prepare, Name: p.Name, Value: shape, Writes: writes}, nil)
+		prepare := typedproto.Statement{Kind: typedproto.Prepare, Name: p.Name, Value: shape, Writes: writes}
+		if buf, err = c.codec.AppendStatement(buf, &prepare, nil); err != nil {
+			return nil, 0, err
+		}
 		count++
 		c.prepared[p.Name] = struct{}{}
 	}
@@ -294,7 +319,11 @@
 func (c *StatementConn) RoundTrip(ctx context.Context, s *typedproto.Statement) (typedproto.Answer, error) {
 	deadline, _ := ctx.Deadline()
 	defer c.watchContext(ctx, deadline, time.Hour)()
-	if _, err := c.send(c.codec.AppendStatement(c.writeBuf[:0], s, nil)); err != nil {
+	buf, err := c.codec.AppendStatement(c.writeBuf[:0], s, nil)
+	if err != nil {
+		return typedproto.Answer{}, notCarried(err)
+	}
+	if _, err := c.send(buf); err != nil {
 		return typedproto.Answer{}, err
 	}
 	return c.receive()
--- a/internal/pool/statementconn_test.go
+++ b/internal/pool/statementconn_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -183,3 +185,39 @@
 	assert.Equal(t, errkind.Of(err).Effect, errkind.NotRun)
 	assert.Assert(t, out.ConnReusable)
 }
+
+// lineCodec cannot carry texts with a line feed, like a protocol of lines.
+type lineCodec struct{ typedtest.Codec }
+
+var errLineFeed = errors.New("a line feed")
+
+func (c lineCodec) AppendStatement(dst []byte, s *typedproto.Statement, floor *table.Mark) ([]byte, error) {
+	if strings.Contains(s.Text+s.Name+s.Value, "\n") {
+		return dst, errLineFeed
+	}
+	return c.Codec.AppendStatement(dst, s, floor)
+}
+
+// A text that the protocol cannot carry is refused as not run. Nothing is sent for it,
+// and no setting counts as in effect that the instance was never given.
+func TestTextsThatCannotBeSent(t *testing.T) {
+	g, primary, _ := startGroup(t)
+	c := openStatements(t, primary)
+	c.codec = lineCodec{}
+	notRun := func(err error) {
+		t.Helper()
+		assert.Assert(t, errors.Is(err, errLineFeed) && errkind.Is(err, errkind.BadRequest), "%v", err)
+		assert.Equal(t, errkind.Of(err).Effect, errkind.NotRun)
+	}
+	_, out, err := do(t, c, writeItem("w1", "apron", "red\nWRITE cap 0"), func(_ *Exchange, u *typedproto.Unit) { u.Opens = typedproto.Begin })
+	notRun(err)
+	assert.Assert(t, out.ConnReusable && c.isReusable(), "no transaction was opened")
+	assert.Equal(t, g.RunCount("w1"), 0)
+	_, _, err = do(t, c, writeItem("w2", "apron", "red"), nil)
+	assert.NilError(t, err)
+
+	_, out, err = do(t, c, readItem("apron"), func(x *Exchange, _ *typedproto.Unit) { x.Settings = []string{"suffix one", "other a\nb"} })
+	notRun(err)
+	assert.Assert(t, !out.ConnReusable && !c.isReusable())
+	assert.Equal(t, g.RunCount("r-apron"), 0)
+}
--- a/internal/typedproto/typedproto.go
+++ b/internal/typedproto/typedproto.go
@@ -163,11 +163,13 @@
 // UpstreamCodec encodes and decodes the messages of a protocol spoken with
 // instances.
 type UpstreamCodec interface {
-	// AppendStartup appends the first message on a connection.
-	AppendStartup(dst []byte, s InstanceStartup) []byte
+	// AppendStartup appends the first message on a connection. It fails if the
+	// protocol cannot carry a name.
+	AppendStartup(dst []byte, s InstanceStartup) ([]byte, error)
 	// AppendStatement appends a statement. If floor is not nil, an instance
-	// whose log has not reached it refuses the statement.
-	AppendStatement(dst []byte, s *Statement, floor *table.Mark) []byte
+	// whose log has not reached it refuses the statement. It fails if the
+	// protocol cannot carry a text: that text would form messages of its own.
+	AppendStatement(dst []byte, s *Statement, floor *table.Mark) ([]byte, error)
 	// AppendTerminate appends the last message on a connection.
 	AppendTerminate(dst []byte) []byte
 	// ReadAnswer reads one answer, including the answer to the first message.
--- a/internal/typedproto/typedtest/codec.go
+++ b/internal/typedproto/typedtest/codec.go
@@ -47,13 +47,13 @@
 }
 
 // AppendStartup implements typedproto.UpstreamCodec.
-func (Codec) AppendStartup(dst []byte, s typedproto.InstanceStartup) []byte {
-	return appendMessage(dst, message{Group: s.Group, Instance: s.Instance, Workspace: s.Workspace})
+func (Codec) AppendStartup(dst []byte, s typedproto.InstanceStartup) ([]byte, error) {
+	return appendMessage(dst, message{Group: s.Group, Instance: s.Instance, Workspace: s.Workspace}), nil
 }
 
 // AppendStatement implements typedproto.UpstreamCodec.
-func (Codec) AppendStatement(dst []byte, s *typedproto.Statement, floor *table.Mark) []byte {
-	return appendMessage(dst, message{Statement: s, Floor: floor})
+func (Codec) AppendStatement(dst []byte, s *typedproto.Statement, floor *table.Mark) ([]byte, error) {
+	return appendMessage(dst, message{Statement: s, Floor: floor}), nil
 }
 
 // AppendTerminate implements typedproto.UpstreamCodec.
