An instance outlives an entry whose numbers are ahead of it

Cause: the highest start and number win for ever, so that one message is believed more than all that follow. A bound of the values cannot tell such an entry from a restart, and a comparison with the clock would refuse true instances where the clock is wrong.

Fix: what tells them apart is what comes next. An instance that runs goes on announcing itself; the sender of one entry does not. Announcements that count as late are counted per start; after four with rising numbers, each 500 ms or more after the one before and nothing from the newer start meanwhile, the entry is dropped with a warning. Held-back announcements of a start that is over do not: the later start announces itself meanwhile, they arrive together, or the instance left (TestLateAnnouncementsInNumbers). Within one start, only a number that is over 100 ahead counts as such.

Open: an entry with a new id, the address of a true instance and a later start, all of it plausible, still marks that instance as left until it starts again: it looks like an instance that took over the address. Only a connection to the address could tell.

--- a/cmd/amaranthweir/odd_entries_test.go
+++ b/cmd/amaranthweir/odd_entries_test.go
@@ -148,3 +148,23 @@
 		}
 	}
 }
+
+// TestNumbersAheadOfInstance guards against an entry of another writer that has numbers
+// ahead of those of a true instance and leaves its group without that instance for ever,
+// and then without a primary.
+func TestNumbersAheadOfInstance(t *testing.T) {
+	d := startDeployment(t)
+	for n, id := range []string{"i-1", "i-2", "i-3"} {
+		body := strings.Replace(oddHeartbeat, `1700000000001`, `1900000000000`, 1)
+		if n == 1 {
+			body = strings.Replace(oddHeartbeat, `"sequence":1,"born":1700000000001`, `"sequence":4294967295,"born":1700000000000`, 1)
+		}
+		status, err := d.post(n, "/v1/Instances.Heartbeat/"+id, body)
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK)
+	}
+	d.changePrimary("after the entries")
+	underLoad(t, d, func() { time.Sleep(time.Second) })
+	d.changePrimary("once more")
+	d.checkAllRun("at the end")
+}
--- a/internal/host/instances_test.go
+++ b/internal/host/instances_test.go
@@ -134,3 +134,76 @@
 	assert.Equal(t, len(commands), 1)
 	assert.DeepEqual(t, commands[0].NoteInstances.Gone, []table.InstanceID{"odd-1", "odd-2"})
 }
+
+// An entry of another writer with numbers that an instance may have, but that are ahead
+// of it, must not make the announcements of the instance count as late for ever: the
+// group would do without it, or without a primary.
+func TestInstanceOutlivesNumbersAheadOfIt(t *testing.T) {
+	for name, ahead := range map[string]dbedge.Announcement{
+		"start":    numberedAnnouncement("i-1", "10.0.0.9:80", 200, 1),
+		"sequence": numberedAnnouncement("i-1", "10.0.0.9:80", 100, 1<<39),
+	} {
+		l := newTestLeader(t)
+		now, sequence := time.Duration(0), uint64(0)
+		announce := func() {
+			sequence++
+			l.handleAnnouncement(now, numberedAnnouncement("i-1", "10.0.0.1:80", 100, sequence))
+			now += time.Second
+		}
+		announce()
+		l.handleAnnouncement(now, ahead)
+		for range 20 {
+			announce()
+		}
+		assert.Equal(t, l.instances["i-1"].Address, "10.0.0.1:80", name)
+		assert.Equal(t, l.instances["i-1"].Sequence, sequence, name)
+	}
+}
+
+// Late announcements of an earlier start must not displace a later one, even if many
+// arrive: while the later start announces itself, when they arrive at once, or after its
+// last announcement.
+func TestLateAnnouncementsInNumbers(t *testing.T) {
+	arrive := func(l *leader, step time.Duration, between func(now time.Duration)) {
+		now := 2 * time.Second
+		for n := range uint64(100) {
+			l.handleAnnouncement(now, numberedAnnouncement("i-1", "10.0.0.1:80", 100, 10+n))
+			between(now)
+			now += step
+		}
+		assert.Equal(t, l.instances["i-1"].Born, uint64(200))
+	}
+	start := func() *leader {
+		l := newTestLeader(t)
+		l.handleAnnouncement(1, numberedAnnouncement("i-1", "10.0.0.1:80", 100, 5))
+		l.handleAnnouncement(2, numberedAnnouncement("i-1", "10.0.0.2:80", 200, 1))
+		return l
+	}
+	l := start()
+	sequence := uint64(1)
+	arrive(l, time.Second, func(now time.Duration) {
+		sequence++
+		l.handleAnnouncement(now, numberedAnnouncement("i-1", "10.0.0.2:80", 200, sequence))
+	})
+	arrive(start(), time.Millisecond, func(time.Duration) {})
+	l = start()
+	l.handleAnnouncement(3, dbedge.Announcement{Instance: "i-1", Born: 200, Gone: true})
+	arrive(l, time.Second, func(time.Duration) {})
+
+	// Of the same start, however slowly they arrive.
+	l = start()
+	leaving := numberedAnnouncement("i-1", "10.0.0.2:80", 200, 200)
+	leaving.Leaving = true
+	l.handleAnnouncement(3, leaving)
+	for n := range uint64(50) {
+		l.handleAnnouncement(time.Duration(n+1)*time.Second, numberedAnnouncement("i-1", "10.0.0.2:80", 200, 150+n))
+	}
+	assert.Assert(t, l.instances["i-1"].Leaving)
+
+	// The same announcement again and again, as a link may repeat it, continues nothing.
+	l = start()
+	for now := 2 * time.Second; now < time.Minute; now += time.Second {
+		l.handleAnnouncement(now, numberedAnnouncement("i-1", "10.0.0.1:80", 100, 10))
+	}
+	assert.Equal(t, l.instances["i-1"].Born, uint64(200))
+}
--- a/internal/host/leader.go
+++ b/internal/host/leader.go
@@ -66,6 +66,7 @@
 	// announcements from that start may still arrive.
 	leftInstances         map[table.InstanceID]uint64
 	claims                map[table.InstanceID]addressClaim // of this leadership
+	continuations         map[table.InstanceID]continuation // of this leadership
 	notes                 []table.Instance                  // queued for proposeNotes
 	documentVersions      hostVersions
 	waits                 map[table.GroupName]string
@@ -321,7 +322,7 @@
 		l.hosts[h.ID] = h
 	}
 	l.instances = map[table.InstanceID]table.Instance{}
-	l.claims, l.notes = nil, nil
+	l.claims, l.continuations, l.notes = nil, nil, nil
 	for _, in := range t.Instances {
 		l.instances[in.ID] = in
 	}
--- a/internal/host/leader_actions.go
+++ b/internal/host/leader_actions.go
@@ -117,7 +117,12 @@
 		return true
 	}
 	if old, known := l.instances[in.ID]; known && isOlderAnnouncement(in, &old) {
-		return true
+		if !l.continuesDespite(in, &old) {
+			return true
+		}
+		l.log.WithFields(logrus.Fields{
+			"instance": in.ID, "born": in.Born, "sequence": in.Sequence, "dropped_born": old.Born, "dropped_sequence": old.Sequence,
+		}).Warn("entry ahead of its instance dropped")
 	}
 	if l.holdsAddress(in) {
 		return false
@@ -186,6 +191,7 @@
 	l.log.WithField("instance", id).Info("instance gone")
 	delete(l.instances, id)
 	delete(l.claims, id)
+	delete(l.continuations, id)
 	l.proposeGone(id)
 	l.tablesVersion.Number++
 	l.changeLog = tableLog{truncatedThrough: l.tablesVersion.Number} // hosts get full tables
