--- a/internal/host/leader_actions.go
+++ b/internal/host/leader_actions.go
@@ -24,14 +24,23 @@
 const nudgeTimeout = 200 * time.Millisecond
 
 // handleAnnouncement applies an announcement that a host forwarded to the
-// leader. Stale announcements are dropped.
+// leader. Stale announcements are dropped, and so are those that no instance sends:
+// the host may run a build that lets them pass.
 func (l *leader) handleAnnouncement(now time.Duration, a dbedge.Announcement) {
+	if err := a.Validate(); err != nil {
+		l.log.WithError(err).Warn("announcement of a host refused")
+		return
+	}
 	in := instanceFromAnnouncement(a)
 	in.SeenAt = now
-	if l.isStaleAnnouncement(&in) {
+	if l.isStaleAnnouncement(&in, a.Gone) {
 		l.log.WithFields(logrus.Fields{"instance": in.ID, "born": in.Born, "sequence": in.Sequence}).Info("late announcement dropped")
 		return
 	}
+	if old, known := l.instances[in.ID]; known && old.Born == in.Born && in.Group != "" && old.Group != in.Group {
+		l.log.WithFields(logrus.Fields{"instance": in.ID, "group": in.Group, "known_group": old.Group}).Warn("announcement of another group refused")
+		return
+	}
 	if a.Gone {
 		l.markLeft(now, in.ID)
 		return
@@ -99,16 +108,21 @@
 
 // isStaleAnnouncement reports whether an announcement is older than what the
 // leader knows: the announcement was delayed, or its sender has left and a
-// later instance uses the address.
-func (l *leader) isStaleAnnouncement(in *table.Instance) bool {
+// later instance uses the address. Gone is set for a last announcement.
+func (l *leader) isStaleAnnouncement(in *table.Instance, gone bool) bool {
 	if in.Sequence == 0 && in.Born == 0 {
-		return false // the instance numbers neither starts nor announcements
+		return l.lacksNumbers(in, gone)
 	}
 	if born, left := l.leftInstances[in.ID]; left && in.Born <= born {
 		return true
 	}
 	if old, known := l.instances[in.ID]; known && isOlderAnnouncement(in, &old) {
-		return true
+		if !l.continuesDespite(in, &old) {
+			return true
+		}
+		l.log.WithFields(logrus.Fields{
+			"instance": in.ID, "born": in.Born, "sequence": in.Sequence, "dropped_born": old.Born, "dropped_sequence": old.Sequence,
+		}).Warn("entry ahead of its instance dropped")
 	}
 	if l.holdsAddress(in) {
 		return false
@@ -121,6 +135,14 @@
 	return false
 }
 
+// lacksNumbers reports whether an announcement without numbers names an instance that
+// numbers its starts. It is not known whether its sender is that instance. Only the
+// last announcement of an instance that said that it is leaving may come without.
+func (l *leader) lacksNumbers(in *table.Instance, gone bool) bool {
+	old, known := l.instances[in.ID]
+	return known && old.Born != 0 && !(gone && old.Leaving)
+}
+
 // isOlderAnnouncement reports whether the instance sent in before old. After an
 // instance has left, only an announcement of a new start is newer.
 func isOlderAnnouncement(in, old *table.Instance) bool {
@@ -169,11 +191,48 @@
 	l.log.WithField("instance", id).Info("instance gone")
 	delete(l.instances, id)
 	delete(l.claims, id)
-	l.propose(control.Command{NoteInstances: &control.NoteInstances{Gone: []table.InstanceID{id}}})
+	delete(l.continuations, id)
+	l.proposeGone(id)
 	l.tablesVersion.Number++
 	l.changeLog = tableLog{truncatedThrough: l.tablesVersion.Number} // hosts get full tables
 }
 
+// proposeGone proposes that instances are removed from the control state.
+func (l *leader) proposeGone(ids ...table.InstanceID) {
+	l.propose(control.Command{NoteInstances: &control.NoteInstances{Gone: ids}})
+}
+
+// removeInvalidInstances removes the restored instances that no announcement may
+// name. They come from hosts of a build that let them pass, and a group would wait
+// for the positions of instances that are not there.
+func (l *leader) removeInvalidInstances() {
+	var gone []table.InstanceID
+	for id, in := range l.instances {
+		a := announcementFromInstance(in)
+		err := a.Validate()
+		if err == nil {
+			continue
+		}
+		l.log.WithError(err).Warn("stored instance refused")
+		delete(l.instances, id)
+		gone = append(gone, id)
+	}
+	if len(gone) > 0 {
+		slices.Sort(gone)
+		l.proposeGone(gone...)
+	}
+}
+
+// announcementFromInstance returns the announcement that leads to an entry of the
+// instance table.
+func announcementFromInstance(in table.Instance) dbedge.Announcement {
+	return dbedge.Announcement{
+		Group: in.Group, Instance: in.ID, Address: in.Address, Domain: in.Domain, Role: in.Role.String(),
+		Term: in.Mark.Term, Position: in.Mark.Position, Slots: in.Slots, Connections: in.Connections,
+		Leaving: in.Leaving, Born: in.Born, Sequence: in.Sequence,
+	}
+}
+
 // instanceFromAnnouncement converts an announcement to an entry of the instance
 // table. Any role but primary counts as replica.
 func instanceFromAnnouncement(a dbedge.Announcement) table.Instance {
