control: a replaced voter leaves an odd number of voters

Cause: the replaced voter counts as unresponsive after 1.8 s. Its successor joins before that, and two learners are one more than the standby, so both became voters: seven, one of which was gone, and six once it was removed. An even number without a learner stayed as it was.

The number of voters now grows only while no voter is silent. A silent one either answers again or counts as unresponsive soon; only then the standby takes its place.

Before: TestReplacedVoterLeavesAnOddMembership: 4 (int) != 3 (want int) with four hosts.

--- a/internal/control/join_test.go
+++ b/internal/control/join_test.go
@@ -121,3 +121,32 @@
 		assert.Assert(t, n.isMember(t, learner))
 	})
 }
+
+// A voter that is replaced by a new host leaves an odd number of voters, none of
+// which is gone. The new host made the standby and itself voters before the old
+// voter counted as unresponsive: six voters of six hosts, which have no majority
+// when they are split in two.
+func TestReplacedVoterLeavesAnOddMembership(t *testing.T) {
+	for _, hosts := range []int{4, 6} {
+		synctest.Test(t, func(t *testing.T) {
+			n := newOpenNetworkOf(hosts)
+			n.startAll(t)
+			defer n.crashAll(t)
+			waitForMembership()
+			want := len(n.leader(t).Members().Voters)
+			leader := n.leader(t)
+			old := leader.Members().Voters[0].Host
+			if old == leader.cfg.Host {
+				old = leader.Members().Voters[1].Host
+			}
+			n.crash(t, old)
+			n.add(t, "new", n.followers(t))
+			waitForMembership()
+			members := n.leader(t).Members()
+			assert.Equal(t, len(members.Voters), want)
+			assert.Equal(t, len(members.Learners), 1)
+			_, isMember := members.OnHost(old)
+			assert.Assert(t, !isMember)
+		})
+	}
+}
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -210,18 +210,31 @@
 // needsVoter reports whether a learner of an open membership should become a
 // voter. The number of voters is kept odd, so that one side has a majority when
 // a partition splits the control hosts in two. A single remaining learner is a
-// standby that replaces a voter which becomes unresponsive.
+// standby that replaces a voter which becomes unresponsive. While it is not known
+// yet whether a silent voter comes back, the number of voters does not grow.
 func (r *replica) needsVoter() bool {
 	members := r.node.Members()
-	if len(members.Voters)%2 == 0 || len(members.Learners) > 1 {
+	silent := r.countSilent(members.Voters, 1)
+	switch {
+	case len(members.Voters)%2 == 0:
+		return silent == 0
+	case r.countSilent(members.Voters, unresponsiveTimeouts) > 0:
 		return true
+	default:
+		return silent == 0 && len(members.Learners)-r.countSilent(members.Learners, 1) > 1
 	}
-	for _, id := range members.Voters {
-		if r.isUnresponsive(id) {
-			return true
+}
+
+// countSilent returns how many of ids are other members that have been without
+// contact for the given number of election timeouts.
+func (r *replica) countSilent(ids []consensus.NodeID, timeouts int) int {
+	silent := 0
+	for _, id := range ids {
+		if id != r.id && r.node.TicksSinceAck(id) >= uint64(timeouts*r.cfg.ElectionTicks) {
+			silent++
 		}
 	}
-	return false
+	return silent
 }
 
 // isUnresponsive reports whether id is another voter that has been without
