A read of the configuration leaves a leader that is silent

What operators saw: when the control leader freezes or loses power, a Config.Fetch that is under way at any other control host gets no answer within the second after which the operator gives up, although another leader is there after 0.4 s.

Cause: a host asks the leader that it knows and waits for the answer as long as the whole call may last (3 s). A leader that is silent is not left before that.

Fix: reads (the configuration, the status) give one attempt 0.4 s, as long as a heartbeat waits for a silent leader, and ask again, by then another host. Changes keep waiting: a second attempt would append the change to the log again.

Checked and left: handleDeployment reads the view before it checks the lease, which is the right order: a lease that is valid afterwards shows that no other leader had committed anything later when the view was read.

--- a/internal/host/adapter.go
+++ b/internal/host/adapter.go
@@ -236,7 +236,7 @@
 	ctx, stop := context.WithTimeout(ctx, deploymentTimeout)
 	defer stop()
 	var d control.Deployment
-	if err := b.host.askLeader(ctx, methodDeployment, struct{}{}, &d); err != nil {
+	if err := b.host.readFromLeader(ctx, methodDeployment, &d); err != nil {
 		return nil, err
 	}
 	return d.Body, nil
--- /dev/null
+++ b/internal/host/asking_test.go
@@ -0,0 +1,45 @@
+package host
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthweir/amaranthweir/internal/control"
+	"github.com/amaranthweir/amaranthweir/internal/peer"
+	"github.com/amaranthweir/amaranthweir/internal/porttest"
+)
+
+// An operator gives up on a host after one second.
+const operatorTimeout = time.Second
+
+// A host that asked a silent leader for the configuration waited for it until the
+// operator had given up, although another leader was there.
+func TestReadOfDeploymentLeavesSilentLeader(t *testing.T) {
+	h := newIdleHost(t)
+	silent, err := net.Listen("tcp", porttest.Free(t, 1)[0])
+	assert.NilError(t, err)
+	defer silent.Close()
+	leader, err := net.Listen("tcp", porttest.Free(t, 1)[0])
+	assert.NilError(t, err)
+	server := &peer.Server{Log: h.log, Methods: map[string]peer.Method{
+		methodDeployment: func(context.Context, []byte) (any, error) {
+			return control.Deployment{Version: 7, Body: []byte("latest")}, nil
+		},
+	}}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(ctx, leader) }()
+	defer func() { stop(); <-done }()
+
+	h.settings.Join = []string{silent.Addr().String(), leader.Addr().String()}
+	h.heartbeats.nextJoin = 1 // the silent host is asked first
+	asked, stopAsking := context.WithTimeout(t.Context(), operatorTimeout)
+	defer stopAsking()
+	body, err := (&Backend{host: h}).Deployment(asked)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "latest")
+}
--- a/internal/host/backend.go
+++ b/internal/host/backend.go
@@ -116,11 +116,32 @@
 // no leader is known or the call fails with a repeatable error. A call whose
 // reply is lost may be sent again, so the call must be idempotent.
 func (h *Host) askLeader(ctx context.Context, method string, in, out any) error {
+	return h.retryLeader(ctx, func(address string) error {
+		return h.calls.Call(ctx, address, method, in, out)
+	})
+}
+
+// leaderReadTimeout limits one attempt of readFromLeader. A leader that is silent for
+// longer gets no heartbeats either, and another one is looked for.
+const leaderReadTimeout = heartbeatSilence
+
+// readFromLeader is askLeader for a call that changes nothing. It does not wait long for
+// a host that is silent, which may lead no more.
+func (h *Host) readFromLeader(ctx context.Context, method string, out any) error {
+	return h.retryLeader(ctx, func(address string) error {
+		attempt, stop := context.WithTimeout(ctx, leaderReadTimeout)
+		defer stop()
+		return h.calls.Call(attempt, address, method, struct{}{}, out)
+	})
+}
+
+// retryLeader calls the leader as askLeader says.
+func (h *Host) retryLeader(ctx context.Context, call func(address string) error) error {
 	var err error
 	for {
 		err = errkind.New(errkind.NotLeader, "no leader is known")
 		if address := h.heartbeats.targetAddress(); address != "" {
-			err = h.calls.Call(ctx, address, method, in, out)
+			err = call(address)
 		}
 		if err == nil || !errkind.Of(err).Kind.Answer().Repeat {
 			return err
@@ -181,7 +202,7 @@
 	var report leaderReport
 	ctx, stop := context.WithTimeout(ctx, time.Second)
 	defer stop()
-	if err := h.askLeader(ctx, methodStatus, struct{}{}, &report); err != nil {
+	if err := h.readFromLeader(ctx, methodStatus, &report); err != nil {
 		h.log.WithError(err).Info("status request to the leader failed")
 	}
 	st.Leader = report.Leader
