A host whose disk is full does not read its log again and again

Cause: four times a second a suspended host opened its log, which reads all of it, before the rewriting of the last segment found that there is no room. Fix: first write a file of 4 KiB, and open the log only if that succeeds.

TestHostWithFullDiskDoesNotReadItsLog on the code before: storage_test.go:120: 137903 (folder.ReadBytes() - before) != 0

--- a/internal/control/storage.go
+++ b/internal/control/storage.go
@@ -57,6 +57,14 @@
 	}
 }
 
+// reopen opens the log again, unless the disk is still full.
+func (s *Server) reopen() (*replica, error) {
+	if err := wal.CheckRoom(s.fs); err != nil {
+		return nil, err
+	}
+	return openReplica(s.cfg, s.fs, wal.Options{RewriteLast: true})
+}
+
 // resume waits until the log can be opened and written again, and restores the
 // replica from it, as after a restart of the process. Meanwhile it drops messages
 // and refuses proposals. It returns nil if ctx is done, and an error if the log is
@@ -72,7 +80,7 @@
 		case p := <-s.proposals:
 			p.done(Result{}, errkind.New(errkind.NotLeader, "the disk of this control host refuses writes"))
 		case <-ticker.C:
-			r, err := openReplica(s.cfg, s.fs, wal.Options{RewriteLast: true})
+			r, err := s.reopen()
 			if isStorageError(err) {
 				continue
 			}
--- a/internal/control/storage_test.go
+++ b/internal/control/storage_test.go
@@ -106,3 +106,19 @@
 		n.assertConverged(t, 4)
 	})
 }
+
+// Guards against a host that runs out of memory and processor time while its disk is
+// full: it read its whole log four times a second, only to find no room.
+func TestHostWithFullDiskDoesNotReadItsLog(t *testing.T) {
+	withLeader(t, func(t *testing.T, n *network, leader *Server) {
+		folder := n.folders[n.hostInRole(leader, "follower")]
+		folder.SetFull(alwaysFull)
+		n.proposeUntilAnswered(t, put("s", 1, "v"))
+		time.Sleep(time.Second)
+		before := folder.ReadBytes()
+		time.Sleep(time.Minute)
+		assert.Equal(t, folder.ReadBytes()-before, 0)
+		folder.SetFull(nil)
+		n.assertConverged(t, 1)
+	})
+}
--- a/internal/wal/usage.go
+++ b/internal/wal/usage.go
@@ -1,5 +1,36 @@
 package wal
 
+import "errors"
+
+const (
+	probeFile = "probe" + tempSuffix
+	// probeBytes is the size of the file that CheckRoom writes.
+	probeBytes = 4 << 10
+)
+
+// CheckRoom returns an error if fs refuses a small file, as on a full disk. It is
+// much cheaper than Open, which reads the whole log first. A nil error does not mean
+// that the disk has room for more.
+func CheckRoom(fs FS) error {
+	err := writeProbe(reportingFS{fs})
+	if err != nil {
+		return err
+	}
+	return storageError(fs.Remove(probeFile))
+}
+
+func writeProbe(fs FS) error {
+	file, err := fs.Create(probeFile)
+	if err != nil {
+		return err
+	}
+	_, err = file.Write(make([]byte, probeBytes))
+	if err == nil {
+		err = file.Sync()
+	}
+	return errors.Join(err, file.Close())
+}
+
 // Usage is the size of the files of a log.
 type Usage struct {
 	Segments      int // number of segment files
--- a/internal/wal/waltest/folder.go
+++ b/internal/wal/waltest/folder.go
@@ -23,6 +23,8 @@
 	durable map[string]*file
 	// SyncCount is the number of file syncs.
 	SyncCount int
+	// readBytes is the size of all files that were read.
+	readBytes int
 	syncTime  time.Duration
 	// IgnoreSync makes file syncs succeed without making data durable.
 	IgnoreSync     bool
@@ -205,9 +207,17 @@
 	if !ok {
 		return nil, fmt.Errorf("read %s: %w", name, fs.ErrNotExist)
 	}
+	f.readBytes += len(c.data)
 	return bytes.Clone(c.data), nil
 }
 
+// ReadBytes returns the size of all files that were read so far.
+func (f *Folder) ReadBytes() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.readBytes
+}
+
 // Create creates an empty file. Until SyncFolder is called, a crash undoes the
 // creation.
 func (f *Folder) Create(name string) (wal.File, error) {
