control: a voter that is only cut off still counts when disks are lost

What callers would see: on a deployment that is to survive the loss of two disks, two of six control hosts are cut off for some seconds, then two others lose their disks while the rest loses power. All are back, and the configuration never comes.

Cause: a silent voter was removed after 1.8 s as long as three remained. A voter that is only cut off keeps its disk; without it four voters were left, and two of four are no majority. The number of voters did not follow from what is to be survived, which the settings state (fault_tolerance.machines) and nobody read.

ServerConfig.Tolerance is that number. A silent voter is removed only if 2*Tolerance+1 voters remain, or as many as there are members; the standby is promoted first. Hosts that asked to join are admitted before, so that they count as members. The leader removes the voter that has been silent for longest.

--- a/cmd/amaranthweir/deployment_test.go
+++ b/cmd/amaranthweir/deployment_test.go
@@ -170,6 +170,7 @@
 	fmt.Fprintf(&s, "seed_nodes=%s\nbootstrap=%t\n", cmp.Or(p.seeds, d.seedNodes()), p.seeds == "")
 	s.WriteString("heartbeat_interval_ms=200\nlimits.memory_mb=280\n")
 	fmt.Fprintf(&s, "cloud_api.address=127.0.0.1:%s\nbounds.grace_period_s=6\n", d.ports["cloud"])
+	fmt.Fprintf(&s, "fault_tolerance.machines=%d\n", toleratedDisks)
 	fmt.Fprintf(&s, "bounds.revoke_timeout_ms=%d\n", revokeTimeout.Milliseconds())
 	if p.control {
 		fmt.Fprintf(&s, "listen_addrs.control_plane=%s:%s\ndata_directory=%s\n", p.ip, d.ports["calls"], p.data)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -18,6 +18,9 @@
 	// AllowFounding allows this host to found a deployment. It is implied if Open
 	// is false.
 	AllowFounding bool
+	// Tolerance is the number of control hosts that may lose their disks at the
+	// same time. Zero selects the default of the control package.
+	Tolerance int
 }
 
 // PeerSettings identifies a host.
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"maps"
@@ -161,23 +162,27 @@
 	return nil
 }
 
-// reconcileMembers proposes the next membership change, if one is needed. Hosts
-// that asked to join become learners, and learners that have caught up become
-// voters. The old identity of a host that lost its disk is removed first; only a
-// blank host may replace another identity. An open membership also drops
-// unresponsive members.
+// reconcileMembers proposes the next membership change, if one is needed. A host
+// that asked to join is admitted first, because the number of members decides which
+// silent voters may be removed.
 func (r *replica) reconcileMembers() {
-	if r.cfg.Open && (r.removeUnresponsiveVoter() || r.removeUnresponsiveLearner()) {
+	if r.admitHosts() || r.cfg.Open && (r.removeUnresponsiveVoter() || r.removeUnresponsiveLearner()) {
+		return
+	}
+	if r.cfg.Open && !r.needsVoter() {
 		return
 	}
 	for _, id := range r.node.Members().Learners {
-		if r.cfg.Open && !r.needsVoter() {
-			break
-		}
 		if r.proposeChange(consensus.PromoteLearner, id) {
 			return
 		}
 	}
+}
+
+// admitHosts proposes to make a host that asked to join a learner. The old
+// identity of a host that lost its disk is removed first; only a blank host may
+// replace another identity. It reports whether it proposed a change.
+func (r *replica) admitHosts() bool {
 	for _, host := range slices.Sorted(maps.Keys(r.joinRequests)) {
 		j := r.joinRequests[host]
 		current, isMember := r.node.Members().OnHost(host)
@@ -186,12 +191,13 @@
 			delete(r.joinRequests, host)
 		case isMember:
 			if r.proposeChange(consensus.RemoveMember, current) {
-				return
+				return true
 			}
 		case r.proposeChange(consensus.AddLearner, j.id):
-			return
+			return true
 		}
 	}
+	return false
 }
 
 const (
@@ -207,6 +213,16 @@
 	learnerTimeouts = 12
 )
 
+// voterFloor returns the number of voters below which a silent voter is not
+// removed. A voter that is only cut off keeps its disk, and with
+// 2*Tolerance+1 voters a majority still has a disk after the loss of Tolerance of
+// them. Fewer are enough if there are fewer members.
+func (r *replica) voterFloor() int {
+	all := len(r.node.Members().All())
+	largestOdd := all - 1 + all%2
+	return max(minVoters, min(2*r.cfg.Tolerance+1, largestOdd))
+}
+
 // needsVoter reports whether a learner of an open membership should become a
 // voter. The number of voters is kept odd, so that one side has a majority when
 // a partition splits the control hosts in two. A single remaining learner is a
@@ -216,6 +232,8 @@
 	members := r.node.Members()
 	silent := r.countSilent(members.Voters, 1)
 	switch {
+	case len(members.Voters) < r.voterFloor():
+		return true
 	case len(members.Voters)%2 == 0:
 		return silent == 0
 	case r.countSilent(members.Voters, unresponsiveTimeouts) > 0:
@@ -237,35 +255,25 @@
 	return silent
 }
 
-// isUnresponsive reports whether id is another voter that has been without
-// contact for long enough to be removed.
-func (r *replica) isUnresponsive(id consensus.NodeID) bool {
-	return id != r.id && r.node.TicksSinceAck(id) >= uint64(unresponsiveTimeouts*r.cfg.ElectionTicks)
-}
-
-// removeUnresponsiveVoter removes an unresponsive voter of an open membership,
-// so that hosts that never come back do not count towards the quorum. It does so
-// only if enough other voters are responsive to tolerate the loss of one more.
-// It reports whether it proposed a change.
+// removeUnresponsiveVoter removes the voter of an open membership that has been
+// unresponsive for longest, so that hosts that never come back do not count towards the
+// quorum. It does so only if the other voters are enough, and enough of them are
+// responsive to tolerate the loss of one more. It reports whether it proposed a
+// change.
 func (r *replica) removeUnresponsiveVoter() bool {
 	voters := r.node.Members().Voters
-	if len(voters) <= minVoters {
+	remaining := len(voters) - 1
+	responsive := len(voters) - r.countSilent(voters, 1)
+	if remaining < r.voterFloor() || responsive < remaining/2+2 {
 		return false
 	}
-	var unresponsive consensus.NodeID
-	responsive := 0
-	for _, id := range voters {
-		switch {
-		case id == r.id || r.node.TicksSinceAck(id) < uint64(r.cfg.ElectionTicks):
-			responsive++
-		case r.isUnresponsive(id):
-			unresponsive = id
-		}
-	}
-	if unresponsive.IsZero() || responsive < max(minVoters, (len(voters)-1)/2+2) {
+	longest := slices.MaxFunc(voters, func(a, b consensus.NodeID) int {
+		return cmp.Compare(r.node.TicksSinceAck(a), r.node.TicksSinceAck(b))
+	})
+	if r.countSilent([]consensus.NodeID{longest}, unresponsiveTimeouts) == 0 {
 		return false
 	}
-	return r.proposeChange(consensus.RemoveMember, unresponsive)
+	return r.proposeChange(consensus.RemoveMember, longest)
 }
 
 // removeUnresponsiveLearner removes a learner of an open membership that has been
--- a/internal/control/open_test.go
+++ b/internal/control/open_test.go
@@ -17,14 +17,15 @@
 // if these are not the founders.
 type openNetwork struct {
 	*network
-	seeds map[table.HostID][]table.HostID
+	seeds     map[table.HostID][]table.HostID
+	tolerance int // disks that may be lost at once, if it is set
 }
 
 func newOpenNetworkOf(hosts int) *openNetwork {
-	n := &openNetwork{newNetwork(hosts), map[table.HostID][]table.HostID{}}
+	n := &openNetwork{network: newNetwork(hosts), seeds: map[table.HostID][]table.HostID{}}
 	founders := n.voters[:3:3]
 	n.configure = func(c *ServerConfig) {
-		c.Voters, c.Open, c.AllowFounding = founders, true, true
+		c.Voters, c.Open, c.AllowFounding, c.Tolerance = founders, true, true, n.tolerance
 		if seeds := n.seeds[c.Host]; seeds != nil {
 			c.Voters, c.AllowFounding = seeds, false
 		}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -26,6 +26,7 @@
 	DefaultElectionTicks  = 30
 	DefaultSnapshotEvery  = 1000
 	DefaultKeepEntries    = 1000
+	DefaultTolerance      = 1
 )
 
 const (
@@ -65,8 +66,11 @@
 	// Voters. It is implied unless Open is set. A host without a log that may
 	// not found a deployment waits until it can join one.
 	AllowFounding bool
-	Transport     Transport
-	Log           logrus.FieldLogger
+	// Tolerance is the number of hosts that may lose their disks at the same time.
+	// An open membership keeps 2*Tolerance+1 voters if it has as many members.
+	Tolerance int
+	Transport Transport
+	Log       logrus.FieldLogger
 
 	TickInterval   time.Duration
 	HeartbeatTicks int
@@ -90,6 +94,7 @@
 	setDefault(&c.ElectionTicks, DefaultElectionTicks)
 	setDefault(&c.SnapshotEvery, DefaultSnapshotEvery)
 	setDefault(&c.KeepEntries, DefaultKeepEntries)
+	setDefault(&c.Tolerance, DefaultTolerance)
 	if c.Log == nil {
 		c.Log = logrus.StandardLogger()
 	}
--- a/internal/host/leader.go
+++ b/internal/host/leader.go
@@ -134,6 +134,7 @@
 		Log:           h.log,
 		Open:          open,
 		AllowFounding: h.settings.Control.AllowFounding,
+		Tolerance:     h.settings.Control.Tolerance,
 		Now:           bootclock.Now,
 	})
 	l.server = server
