control: a host that is no member asks the hosts of the present settings and tables

What operators would see: a new control host whose listed hosts are all gone runs, is heard by the leader, and never becomes a member, also after its settings file lists others.

Cause: heartbeats read the file again once a second and use the control hosts in the tables; the requests to join used the hosts that were listed at the start only.

ServerConfig.Contacts returns these hosts; a host that is no member asks them too.

Before: TestNewControlHostReadsItsSettingsAgain (processes): "the new control host knows the leader: not within 30s", its log: "this control host is no member and waits to join" asks 127.0.1.21 to .23, hears none. TestNewHostJoinsThroughContacts is new with the field.

--- a/cmd/amaranthweir/control_hosts_test.go
+++ b/cmd/amaranthweir/control_hosts_test.go
@@ -146,3 +146,18 @@
 	body, status := d.fetchWithin(recoveryTime)
 	assert.Assert(t, strings.Contains(body, `"version":2`), "%q, last status %q\n%s", body, status, d.logs())
 }
+
+// A new control host, all of whose listed hosts are gone, joins once its settings
+// file lists others, without a restart. The file was read again for heartbeats
+// only, so that such a host looked like one that runs but never became a member.
+func TestNewControlHostReadsItsSettingsAgain(t *testing.T) {
+	d := startDeployment(t)
+	next := &hostProcess{name: "new", ip: "127.0.1.11", control: true, seeds: "127.0.1.21:1,127.0.1.22:1,127.0.1.23:1"}
+	d.startHost(next, zones[0])
+	time.Sleep(time.Second)
+	next.seeds = d.seedNodes()
+	d.writeSettings(next, zones[0])
+	d.waitFor("the new control host knows the leader", func() bool {
+		return len(leaderLine.FindStringSubmatch(next.log.String())) > 0
+	})
+}
--- a/internal/control/join_test.go
+++ b/internal/control/join_test.go
@@ -150,3 +150,21 @@
 		})
 	}
 }
+
+// A host none of whose listed hosts runs any more joins through its contacts.
+func TestNewHostJoinsThroughContacts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newOpenNetworkOf(3)
+		n.startAll(t)
+		defer n.crashAll(t)
+		contact := n.followers(t)[0]
+		configure := n.configure
+		n.configure = func(c *ServerConfig) {
+			configure(c)
+			c.Contacts = func() []table.HostID { return []table.HostID{contact} }
+		}
+		n.add(t, "h4", []table.HostID{"gone"})
+		waitForMembership()
+		assert.Assert(t, n.isMember(t, "h4"))
+	})
+}
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -34,10 +34,13 @@
 }
 
 // hostsToAsk returns the other hosts that may be members: the voters of the
-// settings, the members in this host's log and the members that other hosts
-// named recently.
+// settings, the contacts, the members in this host's log and the members that
+// other hosts named recently.
 func (r *replica) hostsToAsk() []table.HostID {
 	hosts := slices.Clone(r.cfg.Voters)
+	if r.cfg.Contacts != nil {
+		hosts = append(hosts, r.cfg.Contacts()...)
+	}
 	hosts = append(hosts, memberHosts(r.node.Members())...)
 	hosts = append(hosts, r.recentReferrals()...)
 	slices.Sort(hosts)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -69,6 +69,9 @@
 	// Tolerance is the number of hosts that may lose their disks at the same time.
 	// An open membership keeps 2*Tolerance+1 voters if it has as many members.
 	Tolerance int
+	// Contacts, if set, returns further hosts that may be members now, for example
+	// from settings that changed. A host that is no member asks these too.
+	Contacts  func() []table.HostID
 	Transport Transport
 	Log       logrus.FieldLogger
 
--- a/internal/host/leader.go
+++ b/internal/host/leader.go
@@ -126,7 +126,12 @@
 		voters = append(voters, v.Host)
 		l.addresses[v.Host] = v.PeerAddress
 	}
+	var contacts func() []table.HostID
+	if open {
+		contacts = l.contacts
+	}
 	server, err := control.NewServer(control.ServerConfig{
+		Contacts:      contacts,
 		Host:          h.settings.Host,
 		DataFolder:    h.settings.Control.DataFolder,
 		Voters:        voters,
@@ -155,6 +160,18 @@
 	return net.JoinHostPort(string(id), port)
 }
 
+// contacts returns the hosts that may be control hosts according to the present
+// settings and tables. Hosts that may join are named by their IP addresses.
+func (l *leader) contacts() []table.HostID {
+	var hosts []table.HostID
+	for _, address := range l.host.hostsToAsk() {
+		if ip, _, err := net.SplitHostPort(address); err == nil {
+			hosts = append(hosts, table.HostID(ip))
+		}
+	}
+	return hosts
+}
+
 // isControlAddress reports whether an address is that of a member of the control
 // hosts, as far as this host knows.
 func (l *leader) isControlAddress(a net.Addr) bool {
