--- a/internal/control/budget.go
+++ b/internal/control/budget.go
@@ -63,7 +63,7 @@
 		return ""
 	case entries >= r.cfg.SnapshotEvery:
 		return snapshotForEntries
-	case r.wal.Usage().BytesSinceSnapshot >= r.cfg.SnapshotBytes:
+	case r.wal.RemovableBytes(r.node.AppliedIndex()) >= r.cfg.SnapshotBytes:
 		return snapshotForBytes
 	case r.needsRoom:
 		return snapshotForRoom
--- a/internal/control/disk_test.go
+++ b/internal/control/disk_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -291,3 +292,37 @@
 		assert.Assert(t, queued.Load() > 0)
 	})
 }
+
+// Guards against control hosts that never come back after their log has filled the
+// disks, as builds without a limit in bytes could do: cutting off the write that did
+// not fit makes room for a snapshot, which compacts the log.
+func TestLogThatFilledTheDiskIsCompacted(t *testing.T) {
+	const disk = 4_000_000
+	body := bytes.Repeat([]byte("route "), 20_000)
+	synctest.Test(t, func(t *testing.T) {
+		n := newDiskNetwork(disk)
+		n.configure = func(c *ServerConfig) { c.SnapshotBytes = 100 * disk }
+		n.startAll(t)
+		defer n.crashAll(t)
+		version := uint64(1)
+		for {
+			c := Command{ReplaceDeployment: &ReplaceDeployment{Version: version, Body: body}}
+			if _, err := propose(t, n.leader(t), c); err != nil {
+				break
+			}
+			version++
+		}
+		time.Sleep(time.Second)
+		for _, host := range n.voters {
+			assert.Assert(t, n.server(host).Suspended(), host)
+		}
+		n.configure = func(c *ServerConfig) { c.DiskBytes = disk }
+		n.crashAll(t)
+		n.startAll(t)
+		assert.Assert(t, n.leader(t).View().Deployment.Version >= version-1)
+		for next := version + 1; next < version+50; next++ {
+			n.proposeUntilAnswered(t, Command{ReplaceDeployment: &ReplaceDeployment{Version: next, Body: body}})
+		}
+		n.assertDeployment(t, version+49)
+	})
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -76,8 +76,8 @@
 	// KeepEntries is the number of entries before a snapshot that stay in memory
 	// for lagging hosts.
 	KeepEntries uint64
-	// SnapshotBytes is the size of the log records between two snapshots. The
-	// default follows from DiskBytes.
+	// SnapshotBytes is the size of the log files at which a snapshot is taken, if
+	// it lets them be removed. The default follows from DiskBytes.
 	SnapshotBytes int
 	// SegmentBytes is the size at which a new segment file of the log begins. The
 	// default follows from DiskBytes.
--- a/internal/wal/usage.go
+++ b/internal/wal/usage.go
@@ -44,6 +44,22 @@
 // TotalBytes returns the size of all files.
 func (u Usage) TotalBytes() int { return u.SegmentBytes + u.SnapshotBytes }
 
+// RemovableBytes returns the size of the segments that a snapshot at index allows to
+// remove.
+func (l *Log) RemovableBytes(index uint64) int {
+	removable := 0
+	for i, s := range l.segments {
+		if s.lastIndex > index {
+			break
+		}
+		if i == len(l.segments)-1 {
+			s.size = l.size
+		}
+		removable += s.size
+	}
+	return removable
+}
+
 // Usage returns the size of the files. After a failed write it includes what may
 // have reached the disk.
 func (l *Log) Usage() Usage {
