A write that did not fit is cut off, and the probe asks for the room that is needed

What an operator would see: the part of a large write that fitted stays in the last segment and fills the disk to the last byte, so the copy of that segment, which the host needs to take part again, never fits. Found by reading and by the test.

Cause: with RewriteLast, Open wrote the copy without cutting off the torn end first, and a process that goes on never opens its log without RewriteLast. Fix: the log cuts the write off as soon as it fails; Open cuts before it copies. Nothing of such a write was confirmed to anyone, as after a power loss. CheckRoom now writes as many bytes as the copy needs: with 4 KiB a disk with less room than a segment would still have had its whole log read four times a second.

--- a/internal/control/storage.go
+++ b/internal/control/storage.go
@@ -59,7 +59,7 @@
 
 // reopen opens the log again, unless the disk is still full.
 func (s *Server) reopen() (*replica, error) {
-	if err := wal.CheckRoom(s.fs); err != nil {
+	if err := s.replica.wal.CheckRoom(); err != nil {
 		return nil, err
 	}
 	return openReplica(s.cfg, s.fs, wal.Options{RewriteLast: true})
--- a/internal/wal/replay.go
+++ b/internal/wal/replay.go
@@ -39,12 +39,13 @@
 // a torn write of torn bytes.
 func (l *Log) openLastSegment(torn int) error {
 	name := segmentName(l.segments[len(l.segments)-1].number)
-	if l.opts.RewriteLast {
-		if err := l.rewriteSegment(name); err != nil {
+	if torn > 0 {
+		if err := l.fs.Truncate(name, int64(l.size)); err != nil {
 			return err
 		}
-	} else if torn > 0 {
-		if err := l.fs.Truncate(name, int64(l.size)); err != nil {
+	}
+	if l.opts.RewriteLast {
+		if err := l.rewriteSegment(name); err != nil {
 			return err
 		}
 	}
--- a/internal/wal/usage.go
+++ b/internal/wal/usage.go
@@ -4,27 +4,29 @@
 
 const (
 	probeFile = "probe" + tempSuffix
-	// probeBytes is the size of the file that CheckRoom writes.
-	probeBytes = 4 << 10
+	// probeBytes is the size of one write to probeFile.
+	probeBytes = 64 << 10
 )
 
-// CheckRoom returns an error if fs refuses a small file, as on a full disk. It is
-// much cheaper than Open, which reads the whole log first. A nil error does not mean
-// that the disk has room for more.
-func CheckRoom(fs FS) error {
-	err := writeProbe(reportingFS{fs})
-	if err != nil {
-		return err
+// CheckRoom returns an error unless the disk has room for a copy of the last segment,
+// which Open writes if Options.RewriteLast is set. It reads nothing, unlike Open,
+// which reads the whole log first.
+func (l *Log) CheckRoom() error {
+	if err := l.writeProbe(); err != nil {
+		return errors.Join(err, l.fs.Remove(probeFile))
 	}
-	return storageError(fs.Remove(probeFile))
+	return l.fs.Remove(probeFile)
 }
 
-func writeProbe(fs FS) error {
-	file, err := fs.Create(probeFile)
+// writeProbe writes and syncs a file of the size of the last segment.
+func (l *Log) writeProbe() error {
+	file, err := l.fs.Create(probeFile)
 	if err != nil {
 		return err
 	}
-	_, err = file.Write(make([]byte, probeBytes))
+	for rest := l.size; rest > 0 && err == nil; rest -= probeBytes {
+		_, err = file.Write(make([]byte, min(rest, probeBytes)))
+	}
 	if err == nil {
 		err = file.Sync()
 	}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -296,16 +296,28 @@
 	}
 	if len(l.buffer) > 0 {
 		n, err := l.file.Write(l.buffer)
-		l.size += n
-		l.bytesSinceSnapshot += n
 		l.buffer = l.buffer[:0]
 		if err != nil {
-			return err
+			return l.cutOff(n, err)
 		}
+		l.size += n
+		l.bytesSinceSnapshot += n
 	}
 	return l.file.Sync()
 }
 
+// cutOff removes the n bytes of a write that failed with err, and returns err. On a
+// full disk they would take the room that the next Open needs. Open does the same if
+// this fails.
+func (l *Log) cutOff(n int, err error) error {
+	name := segmentName(l.segments[len(l.segments)-1].number)
+	if l.fs.Truncate(name, int64(l.size)) != nil {
+		l.size += n
+		l.bytesSinceSnapshot += n
+	}
+	return err
+}
+
 // rotateSegment closes the current segment and starts the next one.
 func (l *Log) rotateSegment() error {
 	if err := errors.Join(l.flush(true), l.file.Close()); err != nil {
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -443,3 +443,27 @@
 	}
 	t.Fatal("the snapshot takes more operations")
 }
+
+// Guards against a host that stays suspended because the write that did not fit fills
+// the disk: it must be cut off, at once or else before the last segment is written
+// anew, which needs room for a copy.
+func TestReopenCutsOffBeforeItRewrites(t *testing.T) {
+	fs := newFilledFolder(t, 20)
+	l, _ := openLog(t, fs)
+	used := fs.UsedBytes()
+	fs.SetQuota(used + 2_000)
+	large := consensus.Entry{Index: 21, Term: 21, Data: make([]byte, 5_000)}
+	var storage *wal.StorageError
+	assert.Assert(t, errors.As(l.Save(nil, []consensus.Entry{large}, true), &storage))
+	assert.Equal(t, fs.PeakBytes(), used+2_000, "the disk was full")
+	assert.Equal(t, fs.UsedBytes(), used)
+	assert.NilError(t, l.CheckRoom())
+	assert.Equal(t, fs.UsedBytes(), used)
+	assert.NilError(t, l.CloseFile())
+	fs.Edit(lastSegment(t, fs), func(b []byte) []byte { return append(b, make([]byte, 2_000)...) })
+	assert.Assert(t, errors.As(l.CheckRoom(), &storage))
+	l, c, err := wal.Open(fs, wal.Options{SegmentBytes: 512, RewriteLast: true})
+	assert.NilError(t, err)
+	checkPrefix(t, c, 20, 20)
+	assert.NilError(t, l.Save(hardState(21), []consensus.Entry{entry(21, 21)}, true))
+}
