A host leaves a leader that leads no more

No line tells why: the heartbeats are answered.

Cause, two parts: - A control leader that waits for its disk answers heartbeats, does not lead for want of a lease, and does not know its successor: it names itself. The host took that as the leader and asked it again, for as long as the disk hung. - The new leader calls each host once. A reply of the old one that was on its way then replaced the new address by the old one.

Fix: a host that names itself and does not lead counts as one that knows no leader, so that the next control host is asked; a reply replaces the known leader only if that was known when the heartbeat was sent.

Elsewhere: calls of askLeader go to the same address and follow the heartbeats. Left: a control host whose own disk hangs sends its heartbeats to itself (targetAddress); it serves no callers on the users' platform.

--- a/internal/host/heartbeat.go
+++ b/internal/host/heartbeat.go
@@ -172,6 +172,7 @@
 	}
 	ctx, stop := context.WithTimeout(ctx, timeout)
 	defer stop()
+	known := s.leaderAddress()
 	address := s.targetAddress()
 	if address == "" {
 		return false
@@ -182,6 +183,7 @@
 	err := s.conn.Call(ctx, address, methodHeartbeat, hb, &reply)
 	if err != nil || !reply.Leads {
 		s.handleFailure(hb, sentAt, &reply, err)
+		s.replaceLeader(known, address, reply.Leader)
 		return false
 	}
 	s.handleReply(ctx, sentAt, hb, &reply)
@@ -282,7 +284,6 @@
 			"leader": s.leader, "sent_revision": hb.Revision, "took_ms": (s.host.clock() - sentAt).Milliseconds(),
 		}).Info("heartbeat failed")
 	}
-	s.leader = reply.Leader
 	s.reported = reportedVersions{}
 	clear(s.sentReports)
 	for _, a := range hb.Announcements {
@@ -292,6 +293,22 @@
 	}
 }
 
+// replaceLeader records the leader that the host at the address asked has named, unless
+// a new leader has called since the heartbeat, when the known leader was another one. A
+// host that names itself, but does not lead, knows none: its lease ended while its disk
+// hung, for example.
+func (s *heartbeatSender) replaceLeader(known, asked, named string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leader != known {
+		return
+	}
+	if named == asked {
+		named = ""
+	}
+	s.leader = named
+}
+
 // handleReply applies the reply to a heartbeat: the control state first, then
 // the lease, so that the lease never covers an older state.
 func (s *heartbeatSender) handleReply(ctx context.Context, sentAt time.Duration, hb *heartbeat, reply *heartbeatReply) {
