A read of the configuration is answered before the operator gives up

Cause: a host looks for a leader for 3 s, and an operator waits one second. The answer 'no leader confirms the configuration' came when nobody waited for it. Evidence, on the code before: go test -run TestReadOfDeploymentIsAnsweredWithoutLeader ./internal/host asking_test.go:55: answered after 3.000815512s Fix: reads have a limit of 0.9 s of their own; the test passes. A read changes nothing, so giving it up early is safe. Replacing a configuration keeps 3 s: it may be committed after its sender has gone.

--- a/internal/host/adapter.go
+++ b/internal/host/adapter.go
@@ -215,9 +215,14 @@
 	methodReplace    = "replace"
 )
 
-// deploymentTimeout limits a call that reads or replaces the deployment. The
-// platform gives up on a host after one second.
-const deploymentTimeout = 3 * time.Second
+const (
+	// deploymentTimeout limits a call that replaces the deployment. It is longer than
+	// operators wait, because the change may be committed after they have gone.
+	deploymentTimeout = 3 * time.Second
+	// deploymentReadTimeout limits a call that reads the deployment. Operators give up
+	// on a host after one second, and are told before that if there is no leader.
+	deploymentReadTimeout = 900 * time.Millisecond
+)
 
 // ReplaceDeployment proposes a deployment and returns once the replicated log
 // has committed it or one with a higher version.
@@ -233,7 +238,7 @@
 // Deployment returns the body of the latest committed deployment, as the leader
 // knows it. It fails if no leader confirms that deployment as the latest.
 func (b *Backend) Deployment(ctx context.Context) ([]byte, error) {
-	ctx, stop := context.WithTimeout(ctx, deploymentTimeout)
+	ctx, stop := context.WithTimeout(ctx, deploymentReadTimeout)
 	defer stop()
 	var d control.Deployment
 	if err := b.host.readFromLeader(ctx, methodDeployment, &d); err != nil {
--- a/internal/host/asking_test.go
+++ b/internal/host/asking_test.go
@@ -43,3 +43,14 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(body), "latest")
 }
+
+// Without a leader a host did not answer an operator who reads the configuration before
+// the operator had given up, so that an outage of control looked like a host that is gone.
+func TestReadOfDeploymentIsAnsweredWithoutLeader(t *testing.T) {
+	h := newIdleHost(t)
+	h.settings.Join = porttest.Free(t, 2) // nobody listens
+	began := time.Now()
+	_, err := (&Backend{host: h}).Deployment(t.Context())
+	assert.Assert(t, err != nil)
+	assert.Assert(t, time.Since(began) < operatorTimeout, "answered after %v", time.Since(began))
+}
