Failover: count the copies that hold acknowledged writes, not the members

One cause: findFloor took it that control knows each instance that confirms writes, that a member holds what it held, and that each member can be read again. The fix follows docs/design/failover.md, "Which instances count":

A host learns of an instance only once the control state holds it, and a lost proposal of the entry is repeated. An unknown replica confirms nothing, so a promotion without it loses nothing; the same makes the early fence sound. A read counts only if it is of the start that announced itself last: probes report how long their connection has been open. - Found by the model: a replica without an entry of the term that it follows reports that term, and was taken for more advanced than one that holds more. Marks are compared by the term of their last entry.

Looked for the same cause in removal.go (marks compared by the stated term: mended), switchover.go (the candidate must hold all the primary holds: sound), bootstrap.go (first primary, nothing acknowledged through us yet).

Open points: docs/design/failover.md, "Not as designed".

--- a/internal/config/deployment.go
+++ b/internal/config/deployment.go
@@ -94,6 +94,9 @@
 	}
 	writes, reads := class, class
 	writes.Name, writes.Access = ClassName(r.Database, true), AccessWrite
+	// The instance itself waits for any replica. The owner waits for one that the
+	// control hosts count.
+	writes.AckReplicas = min(1, limits.AckReplicas)
 	reads.Name, reads.Access, reads.Repeatable = ClassName(r.Database, false), AccessRead, true
 	if r.Consistency != ConsistencyCurrent {
 		reads.Staleness = r.Staleness
--- a/internal/dbedge/dbedge.go
+++ b/internal/dbedge/dbedge.go
@@ -52,6 +52,10 @@
 	// Held is the term given to the Hold that is in effect on a replica; zero
 	// while the replica receives from its primary.
 	Held table.Term
+	// ConnectedAt is when the connection that returned this was opened, zero if the
+	// prober does not tell. All answers over one connection are of one start of the
+	// instance.
+	ConnectedAt time.Time
 }
 
 // Announcer accepts announcements.
--- a/internal/dbedge/typededge/typededge.go
+++ b/internal/dbedge/typededge/typededge.go
@@ -49,10 +49,16 @@
 
 // idleConn is an open connection that no call uses.
 type idleConn struct {
-	conn   *pool.StatementConn
+	openConn
 	usedAt time.Time
 }
 
+// openConn is a connection, and a time at which it was open.
+type openConn struct {
+	*pool.StatementConn
+	openedAt time.Time
+}
+
 var (
 	_ dbedge.Prober            = (*Client)(nil)
 	_ dbedge.Promoter          = (*Client)(nil)
@@ -70,7 +76,7 @@
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	for t, ic := range cl.idle {
-		ic.conn.Close()
+		ic.Close()
 		delete(cl.idle, t)
 	}
 }
@@ -133,7 +139,7 @@
 // connection. Every command of this package is idempotent, so that it is safe to
 // repeat it.
 func (cl *Client) call(ctx context.Context, t dbedge.Target, do command) (dbedge.Status, error) {
-	if c := cl.takeIdle(t); c != nil {
+	if c, ok := cl.takeIdle(t); ok {
 		reuseCtx, stop := context.WithTimeout(ctx, reuseTimeout)
 		status, err := cl.run(reuseCtx, t, c, do)
 		stop()
@@ -148,48 +154,48 @@
 	if err != nil {
 		return dbedge.Status{}, fmt.Errorf("connect to %s: %w", t.Instance, err)
 	}
-	return cl.run(ctx, t, c, do)
+	return cl.run(ctx, t, openConn{c, time.Now()}, do)
 }
 
 // run runs do over c. If do succeeds or returns ErrBusy, c becomes idle; after any
 // other error c is closed.
-func (cl *Client) run(ctx context.Context, t dbedge.Target, c *pool.StatementConn, do command) (dbedge.Status, error) {
-	s, err := do(c, ctx)
+func (cl *Client) run(ctx context.Context, t dbedge.Target, c openConn, do command) (dbedge.Status, error) {
+	s, err := do(c.StatementConn, ctx)
 	if err != nil && !errors.Is(err, dbedge.ErrBusy) {
 		c.Close()
 		return dbedge.Status{}, fmt.Errorf("ask %s: %w", t.Instance, err)
 	}
 	cl.putIdle(t, c)
-	return dbedge.Status{Role: s.Role, Mark: s.Mark, Held: s.Held}, err
+	return dbedge.Status{Role: s.Role, Mark: s.Mark, Held: s.Held, ConnectedAt: c.openedAt}, err
 }
 
-// takeIdle removes and returns the idle connection to t, or returns nil if there is
+// takeIdle removes and returns the idle connection to t, and false if there is
 // none.
-func (cl *Client) takeIdle(t dbedge.Target) *pool.StatementConn {
+func (cl *Client) takeIdle(t dbedge.Target) (openConn, bool) {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	ic := cl.idle[t]
 	delete(cl.idle, t)
 	if ic == nil {
-		return nil
+		return openConn{}, false
 	}
-	return ic.conn
+	return ic.openConn, true
 }
 
 // putIdle makes c the idle connection to t. It closes the one that c replaces and
 // those to any instance that have been idle for longer than idleTimeout.
-func (cl *Client) putIdle(t dbedge.Target, c *pool.StatementConn) {
+func (cl *Client) putIdle(t dbedge.Target, c openConn) {
 	now := time.Now()
 	cl.mu.Lock()
 	old := cl.idle[t]
-	cl.idle[t] = &idleConn{conn: c, usedAt: now}
-	var toClose []*pool.StatementConn
+	cl.idle[t] = &idleConn{openConn: c, usedAt: now}
+	var toClose []openConn
 	if old != nil {
-		toClose = append(toClose, old.conn)
+		toClose = append(toClose, old.openConn)
 	}
 	for other, ic := range cl.idle {
 		if now.Sub(ic.usedAt) > idleTimeout {
-			toClose = append(toClose, ic.conn)
+			toClose = append(toClose, ic.openConn)
 			delete(cl.idle, other)
 		}
 	}
--- a/internal/dbedge/typededge/typededge_test.go
+++ b/internal/dbedge/typededge/typededge_test.go
@@ -90,6 +90,23 @@
 	assert.NilError(t, err)
 }
 
+// TestProbeTellsStartsApart guards against positions that are taken for those of an
+// earlier start of the instance. Probes over one connection state the same time, and
+// a probe after the connection broke states a later one.
+func TestProbeTellsStartsApart(t *testing.T) {
+	f := start(t)
+	probe := func() time.Time {
+		st, err := f.client.Probe(within(t, callTimeout), f.replica)
+		assert.NilError(t, err)
+		return st.ConnectedAt
+	}
+	first := probe()
+	assert.Assert(t, !first.IsZero())
+	assert.Equal(t, probe(), first)
+	f.client.Close()
+	assert.Assert(t, probe().After(first))
+}
+
 // A probe of a busy instance returns ErrBusy, which shows that the instance is
 // alive.
 func TestProbeOfBusyInstance(t *testing.T) {
--- a/internal/host/instances_test.go
+++ b/internal/host/instances_test.go
@@ -61,6 +61,48 @@
 	assert.Assert(t, !l.instances["i-2"].Left, "an announcement of a new start was dropped")
 }
 
+// TestStartWithoutLogIsRemembered guards against the loss of writes that only one
+// replica confirmed: once it started again under its id, it must count as emptied,
+// also for later announcements, until it was seen to hold what its primary held.
+func TestStartWithoutLogIsRemembered(t *testing.T) {
+	l := newTestLeader(t)
+	l.handleAnnouncement(1, numberedAnnouncement("i-1", "10.0.0.1:80", 100, 5))
+	assert.Assert(t, !l.instances["i-1"].Emptied)
+	l.handleAnnouncement(2, numberedAnnouncement("i-1", "10.0.0.1:80", 200, 1))
+	assert.Assert(t, l.instances["i-1"].Emptied, "the start is not marked")
+	l.handleAnnouncement(3, numberedAnnouncement("i-1", "10.0.0.1:80", 200, 2))
+	assert.Assert(t, l.instances["i-1"].Emptied, "the mark was lost with the next announcement")
+	l.recordRefill("i-1", 100)
+	assert.Assert(t, l.instances["i-1"].Emptied, "another start holds what the primary holds")
+	l.recordRefill("i-1", 200)
+	assert.Assert(t, !l.instances["i-1"].Emptied)
+}
+
+// TestUncommittedInstanceIsNotListed guards against the loss of a write that an owner
+// acknowledged because of a replica that the next leader does not know.
+func TestUncommittedInstanceIsNotListed(t *testing.T) {
+	l := newTestLeader(t)
+	l.uncommitted = map[table.InstanceID]bool{}
+	state := control.NewState()
+	l.appliedView = state.View()
+	var proposed []control.Command
+	l.propose = func(c control.Command) { proposed = append(proposed, c) }
+	l.handleAnnouncement(1, numberedAnnouncement("i-1", "10.0.0.1:80", 100, 5))
+	l.proposeNotes()
+	assert.Equal(t, len(l.fullTables().Instances), 0)
+	assert.Equal(t, len(l.tablesSince(tablesVersion{}).Instances), 0)
+
+	assert.Equal(t, len(proposed), 1)
+	l.handleAnnouncement(2, numberedAnnouncement("i-1", "10.0.0.1:80", 100, 6))
+	l.proposeNotes()
+	assert.Equal(t, len(proposed), 2, "a lost proposal must be repeated")
+	before := l.tablesVersion
+	state.Apply(proposed[1])
+	l.updateSystems(3, state.View())
+	assert.Equal(t, len(l.fullTables().Instances), 1)
+	assert.Equal(t, len(l.tablesSince(before).Instances), 1, "hosts are not told of the change")
+}
+
 func TestMissingForRestartsOnceListed(t *testing.T) {
 	u := unlistedSince{}
 	assert.Equal(t, u.missingFor("i-1", false, time.Second), time.Duration(0))
--- a/internal/host/leader.go
+++ b/internal/host/leader.go
@@ -64,9 +64,13 @@
 	instances   map[table.InstanceID]table.Instance
 	// leftInstances holds Instance.Born of each instance that has left, because
 	// announcements from that start may still arrive.
-	leftInstances         map[table.InstanceID]uint64
-	claims                map[table.InstanceID]addressClaim // of this leadership
-	notes                 []table.Instance                  // queued for proposeNotes
+	leftInstances map[table.InstanceID]uint64
+	claims        map[table.InstanceID]addressClaim // of this leadership
+	notes         []table.Instance                  // queued for proposeNotes
+	// uncommitted holds the instances that the control state does not hold yet. Hosts
+	// do not learn of them: a write that an owner acknowledges because one of them
+	// holds it would depend on an instance that the next leader may not know.
+	uncommitted           map[table.InstanceID]bool
 	documentVersions      hostVersions
 	waits                 map[table.GroupName]string
 	tablesVersion         tablesVersion
@@ -303,6 +307,7 @@
 	l.grantor.StepDown()
 	l.failover.StepDown()
 	l.ownership.StepDown()
+	l.host.metrics.ClearWaits()
 	l.log.Info("leadership ended")
 }
 
@@ -321,6 +326,7 @@
 	}
 	l.instances = map[table.InstanceID]table.Instance{}
 	l.claims, l.notes = nil, nil
+	l.uncommitted = map[table.InstanceID]bool{}
 	for _, in := range t.Instances {
 		l.instances[in.ID] = in
 	}
@@ -353,6 +359,12 @@
 			l.failover.SetGroup(g)
 		}
 	}
+	for id := range l.uncommitted {
+		if _, committed := view.Instances[id]; committed {
+			delete(l.uncommitted, id)
+			l.recordInstanceChange(id)
+		}
+	}
 	for id, o := range view.Owners {
 		if old.Owners[id] == o {
 			continue
--- a/internal/host/leader_actions.go
+++ b/internal/host/leader_actions.go
@@ -40,10 +40,14 @@
 		l.markPredecessorsLeft(&in)
 		l.claimAddress(&in)
 	}
+	old, known := l.instances[in.ID]
+	in.Emptied = known && (old.Emptied || old.Born != 0 && in.Born > old.Born)
 	l.failover.HandleAnnouncement(in)
 	l.ownership.HandleAnnouncement(in)
-	old, known := l.instances[in.ID]
 	l.instances[in.ID] = in
+	if _, committed := l.appliedView.Instances[in.ID]; !known && !committed && l.uncommitted != nil {
+		l.uncommitted[in.ID] = true
+	}
 	// These fields change with every announcement, so a change of them alone
 	// is not distributed to the hosts.
 	old.Mark.Position, old.SeenAt, old.Sequence = in.Mark.Position, in.SeenAt, in.Sequence
@@ -53,8 +57,8 @@
 			"address": in.Address, "leaving": in.Leaving,
 		}).Info("instance announced")
 		l.recordInstanceChange(in.ID)
-		l.recordInstance(in)
 	}
+	l.recordInstance(in) // also if an earlier proposal was lost
 }
 
 // addressClaim is the address at which an instance has announced itself and the
@@ -160,6 +164,21 @@
 	l.recordInstance(in)
 }
 
+// recordRefill records that the given start of an instance holds what the instance
+// may have lost.
+func (l *leader) recordRefill(id table.InstanceID, born uint64) {
+	in, known := l.instances[id]
+	if !known || in.Born != born || !in.Emptied {
+		return
+	}
+	l.log.WithField("instance", id).Info("instance holds what its primary holds")
+	in.Emptied = false
+	l.instances[id] = in
+	l.recordInstanceChange(id)
+	l.recordInstance(in)
+	l.proposeNotes()
+}
+
 // removeInstance deletes an instance that has left, once the other instances hold
 // everything that it may have held.
 func (l *leader) removeInstance(id table.InstanceID) {
@@ -212,13 +231,27 @@
 		l.ownership.RequestMove(now, a.Instance, a.From, a.To)
 	case failover.InstanceRemoved:
 		l.removeInstance(a.Instance)
+	case failover.InstanceRefilled:
+		l.recordRefill(a.Instance, a.Born)
 	case failover.Wait:
-		l.log.WithFields(logrus.Fields{"group": a.Group, "waits_for": a.Reason.String()}).Info("change of primary")
-		l.waits[a.Group] = a.Reason.String()
-		if a.Reason == failover.WaitNothing {
-			delete(l.waits, a.Group)
-		}
+		l.recordWait(a)
+	}
+}
+
+// recordWait records what a change of primary waits for, for the log, the status and
+// the metrics.
+func (l *leader) recordWait(w failover.Wait) {
+	fields := logrus.Fields{"group": w.Group, "waits_for": w.Reason.String()}
+	l.waits[w.Group] = w.Reason.String()
+	if w.Missing != "" {
+		fields["missing"] = w.Missing
+		l.waits[w.Group] += ": " + w.Missing
+	}
+	l.log.WithFields(fields).Info("change of primary")
+	if w.Reason == failover.WaitNothing {
+		delete(l.waits, w.Group)
 	}
+	l.host.metrics.SetWait(w.Group, w.Reason.String(), w.Reason != failover.WaitNothing)
 }
 
 // executeOwnershipAction executes one action of the ownership system.
--- a/internal/host/tables.go
+++ b/internal/host/tables.go
@@ -84,18 +84,22 @@
 		t.Hosts = append(t.Hosts, l.hosts[id])
 	}
 	for id := range instances {
-		t.Instances = append(t.Instances, l.instances[id])
+		if !l.uncommitted[id] {
+			t.Instances = append(t.Instances, l.instances[id])
+		}
 	}
 	return t
 }
 
 // fullTables returns all entries.
 func (l *leader) fullTables() *tables {
-	return &tables{
-		Version:   l.tablesVersion,
-		Hosts:     slices.Collect(maps.Values(l.hosts)),
-		Instances: slices.Collect(maps.Values(l.instances)),
+	t := &tables{Version: l.tablesVersion, Hosts: slices.Collect(maps.Values(l.hosts))}
+	for id, in := range l.instances {
+		if !l.uncommitted[id] {
+			t.Instances = append(t.Instances, in)
+		}
 	}
+	return t
 }
 
 const (
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/amaranthweir/amaranthweir/internal/config"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/gateway"
+	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
 // namespace is the prefix of the name of every metric.
@@ -26,6 +27,7 @@
 	leaseValid     prometheus.Gauge
 	logWritable    prometheus.Gauge
 	droppedLines   *prometheus.CounterVec
+	groupWaits     *prometheus.GaugeVec
 }
 
 // New returns a Metrics with its own registry and all values at zero.
@@ -71,8 +73,12 @@
 			Namespace: namespace, Name: "log_lines_left_out_total",
 			Help: "Log lines over the limit of their kind, or for which there was no room.",
 		}, []string{"kind"}),
+		groupWaits: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "group_waits",
+			Help: "1 while the change of primary of a group waits for the reason, at the leader of the control hosts.",
+		}, []string{"group", "reason"}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.reads, m.retries, m.callers, m.callersRefused, m.announcements, m.leaseValid, m.logWritable, m.droppedLines)
+	m.registry.MustRegister(m.requests, m.latency, m.reads, m.retries, m.callers, m.callersRefused, m.announcements, m.leaseValid, m.logWritable, m.droppedLines, m.groupWaits)
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -128,6 +134,17 @@
 // SetControlLogWritable records whether this control host can write its log.
 func (m *Metrics) SetControlLogWritable(writable bool) { setBool(m.logWritable, writable) }
 
+// SetWait records what the change of primary of a group waits for, if it waits.
+func (m *Metrics) SetWait(group table.GroupName, reason string, waits bool) {
+	m.groupWaits.DeletePartialMatch(prometheus.Labels{"group": string(group)})
+	if waits {
+		m.groupWaits.WithLabelValues(string(group), reason).Set(1)
+	}
+}
+
+// ClearWaits forgets what groups wait for, when this host no longer leads.
+func (m *Metrics) ClearWaits() { m.groupWaits.Reset() }
+
 // setBool sets a gauge to 1 for true and to 0 for false.
 func setBool(g prometheus.Gauge, value bool) {
 	if value {
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -39,6 +39,7 @@
 	m.Request(gateway.Observation{Attempts: 1})
 	m.Refused(errkind.Internal)
 	m.CountAnnouncement(nil)
+	m.SetWait("orders", "the positions of enough instances", true)
 	m.CollectQuotaUse(func() []QuotaUse { return []QuotaUse{{Workspace: "w1"}} })
 	families, err := m.Registry().Gather()
 	assert.NilError(t, err)
@@ -49,6 +50,20 @@
 	}
 }
 
+// A group has one series while it waits, and none afterwards.
+func TestWaitsAreShown(t *testing.T) {
+	m := New()
+	m.SetWait("orders", "the lease of the owner to run out", true)
+	m.SetWait("orders", "the positions of enough instances", true)
+	m.SetWait("stock", "the positions of enough instances", true)
+	assert.Equal(t, testutil.CollectAndCount(m.groupWaits), 2)
+	assert.Equal(t, testutil.ToFloat64(m.groupWaits.WithLabelValues("orders", "the positions of enough instances")), 1.0)
+	m.SetWait("orders", "nothing", false)
+	assert.Equal(t, testutil.CollectAndCount(m.groupWaits), 1)
+	m.ClearWaits()
+	assert.Equal(t, testutil.CollectAndCount(m.groupWaits), 0)
+}
+
 // Thousands of workspaces must not make thousands of series.
 func TestWorkspaceSeriesAreBounded(t *testing.T) {
 	m := New()
--- a/internal/owner/report.go
+++ b/internal/owner/report.go
@@ -65,6 +65,9 @@
 		AckedKnown: h.ackedKnown,
 		Quiesced:   h.quiescedHold != 0 && h.quiescedHold == in.gate.quiescedHold(),
 	}
+	if !h.status.ConnectedAt.IsZero() {
+		r.ConnectedFor = now.Sub(h.status.ConnectedAt)
+	}
 	if !h.reachable {
 		r.UnreachableFor = now.Sub(h.unreachableSince)
 	}
--- a/internal/system/failover/action.go
+++ b/internal/system/failover/action.go
@@ -7,7 +7,8 @@
 )
 
 // Action is an instruction that Step returns to its caller. It is one of
-// Propose, Promote, Fence, SendOrder, MoveOwner, InstanceRemoved and Wait.
+// Propose, Promote, Fence, SendOrder, MoveOwner, InstanceRemoved, InstanceRefilled
+// and Wait.
 type Action interface{ action() }
 
 // Propose asks the caller to append a command to the replicated log. Once the
@@ -56,20 +57,31 @@
 // group, because all other instances hold every write that it may have held.
 type InstanceRemoved struct{ Instance table.InstanceID }
 
+// InstanceRefilled reports that an instance that was marked as emptied holds what
+// its primary held after the start Born.
+type InstanceRefilled struct {
+	Instance table.InstanceID
+	Born     uint64
+}
+
 // Wait reports that the group now waits for Reason. It is returned only when
-// the reason changes; Waiting returns the current reason.
+// the reason or Missing changes; Waiting returns the current reason.
 type Wait struct {
 	Group  table.GroupName
 	Reason WaitReason
+	// Missing names the instances that do not count as answers of a change of primary
+	// that has waited for them for some time, and why. It is empty otherwise.
+	Missing string
 }
 
-func (Propose) action()         {}
-func (Promote) action()         {}
-func (Fence) action()           {}
-func (SendOrder) action()       {}
-func (MoveOwner) action()       {}
-func (InstanceRemoved) action() {}
-func (Wait) action()            {}
+func (Propose) action()          {}
+func (Promote) action()          {}
+func (Fence) action()            {}
+func (SendOrder) action()        {}
+func (MoveOwner) action()        {}
+func (InstanceRefilled) action() {}
+func (InstanceRemoved) action()  {}
+func (Wait) action()             {}
 
 // WaitReason is the condition that a group waits for.
 type WaitReason uint8
--- a/internal/system/failover/copies_control_test.go
+++ b/internal/system/failover/copies_control_test.go
@@ -80,6 +80,7 @@
 		}
 		w.markLeft(id, other.Born)
 	}
+	in.Emptied = known && (old.Emptied || old.Born != 0 && in.Born > old.Born)
 	w.sys.HandleAnnouncement(in)
 	w.known[c.id] = in
 	w.noteInstance(in)
@@ -134,6 +135,9 @@
 		h.probes[id] = p
 	}
 	if c := w.running(id); c != nil {
+		if p.connected != c {
+			p.connected, p.connectedAt = c, w.now
+		}
 		w.probe(h, p, c)
 	} else {
 		if p.report.Reachable {
@@ -149,7 +153,8 @@
 
 func (w *copiesWorld) probe(h *worldHost, p *worldProbe, c *nodeCopy) {
 	p.report = failover.Report{
-		Group: groupName, Instance: c.id, Address: c.address, Reachable: true, Role: c.role, Mark: c.mark(),
+		ConnectedFor: w.now - p.connectedAt + 1,
+		Group:        groupName, Instance: c.id, Address: c.address, Reachable: true, Role: c.role, Mark: c.mark(),
 		Held: c.held, Leaving: c.leaving,
 	}
 	if c.role != table.RolePrimary {
@@ -207,6 +212,12 @@
 		w.promote(a)
 	case failover.Fence:
 		w.fence(a)
+	case failover.InstanceRefilled:
+		w.note("%s is refilled", a.Instance)
+		in := w.known[a.Instance]
+		in.Emptied = in.Born != a.Born
+		w.known[a.Instance] = in
+		w.noteInstance(in)
 	case failover.InstanceRemoved:
 		delete(w.known, a.Instance)
 		w.state.Apply(control.Command{NoteInstances: &control.NoteInstances{Gone: []table.InstanceID{a.Instance}}})
--- a/internal/system/failover/copies_test.go
+++ b/internal/system/failover/copies_test.go
@@ -212,6 +212,7 @@
 func checkHistories(t *testing.T, recovers bool, events ...event) {
 	t.Helper()
 	assert.NilError(t, setRapidFlags())
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		w := newCopiesWorld(rt)
 		for range rapid.IntRange(1, 25).Draw(rt, "events") {
--- a/internal/system/failover/copies_world_test.go
+++ b/internal/system/failover/copies_world_test.go
@@ -78,6 +78,8 @@
 type worldProbe struct {
 	report       failover.Report // of the latest probe
 	failingSince time.Duration
+	connected    *nodeCopy // at the other end of the connection
+	connectedAt  time.Duration
 	acked        table.Mark // highest position acknowledged in the term of the instance
 	ackedKnown   bool
 }
@@ -128,7 +130,7 @@
 	w.lead = w.copies[0]
 	w.lead.role = table.RolePrimary
 	w.powerOn()
-	w.run(3 * time.Second)
+	w.run(time.Second)
 	if !w.serves() {
 		t.Fatalf("the group does not serve at first: %v", w.describe())
 	}
@@ -304,7 +306,7 @@
 		if !p.up || p.role != table.RolePrimary || !p.holds(wr) || !w.maySend(h, p, h.view.Groups[groupName]) {
 			continue // the outcome is unknown to the caller
 		}
-		if !w.isReceived(wr) {
+		if !w.isReceived(h, wr) {
 			kept = append(kept, wr)
 			continue
 		}
@@ -317,10 +319,13 @@
 	h.pending = kept
 }
 
-// isReceived reports whether a replica of its primary holds a write.
-func (w *copiesWorld) isReceived(wr worldWrite) bool {
+// isReceived reports whether a replica of its primary holds a write, and whether the
+// host has seen it at a replica that the control state counts.
+func (w *copiesWorld) isReceived(h *worldHost, wr worldWrite) bool {
 	return slices.ContainsFunc(w.copies, func(r *nodeCopy) bool {
-		return r != wr.at && r.up && r.role == table.RoleReplica && w.linked(r.zone, wr.at.zone) && r.holds(wr)
+		in, counted := h.view.Instances[r.id]
+		counted = counted && !in.Leaving
+		return r != wr.at && r.up && r.role == table.RoleReplica && w.linked(r.zone, wr.at.zone) && r.holds(wr) && counted
 	})
 }
 
--- a/internal/system/failover/external_test.go
+++ b/internal/system/failover/external_test.go
@@ -258,3 +258,46 @@
 	assert.Assert(t, promoted != nil, "phase %v", e.group.Phase)
 	assert.Equal(t, promoted.Instance, table.InstanceID("i-3"))
 }
+
+// TestWaitNamesMissingInstances guards against a group that waits without saying for
+// what: a replica started again without its log, and the primary, which alone would
+// suffice, is not reachable. Once it is back it must be promoted, whatever else is
+// missing.
+func TestWaitNamesMissingInstances(t *testing.T) {
+	e := newExternalFixture(t)
+	e.s.HandleAnnouncement(table.Instance{
+		ID: "i-2", Group: externalGroup, Address: "10.0.0.1:2", SeenAt: e.now, Born: 2, Emptied: true,
+	})
+	e.leases.expired["h-1"] = true
+	e.cutOffPrimary()
+	var missing string
+	for range 200 {
+		e.report("i-2", table.RoleReplica, table.Mark{Term: 7, Position: 0})
+		e.report("i-3", table.RoleReplica, table.Mark{Term: 7, Position: 90})
+		e.step()
+		e.applyProposals()
+		assert.Assert(t, e.promoteAction() == nil, "i-2 may have confirmed what i-3 lacks")
+		for _, a := range e.actions {
+			if w, ok := a.(failover.Wait); ok {
+				missing = w.Missing
+			}
+		}
+	}
+	assert.Equal(t, missing, "i-1 is not reachable, i-2 started again and may lack what it held")
+
+	e.leases.expired["h-1"], e.leases.late["h-1"] = false, false
+	var promoted *failover.Promote
+	for range 200 {
+		for id, position := range map[table.InstanceID]table.Position{"i-2": 0, "i-3": 90} {
+			e.report(id, table.RoleReplica, table.Mark{Term: 7, Position: position})
+		}
+		e.report("i-1", table.RolePrimary, table.Mark{Term: 7, Position: 100})
+		e.step()
+		e.applyProposals()
+		if promoted = e.promoteAction(); promoted != nil {
+			break
+		}
+	}
+	assert.Assert(t, promoted != nil)
+	assert.Equal(t, promoted.Instance, table.InstanceID("i-1"))
+}
--- a/internal/system/failover/group.go
+++ b/internal/system/failover/group.go
@@ -23,6 +23,9 @@
 	unreachableSince time.Duration // valid while report.Reachable is false
 	left             bool          // the instance reported at leftAt that it leaves at once
 	leftAt           time.Duration
+	connectedAt      time.Duration // when the connection of readMark was open, on the leader's clock
+	knowsConnection  bool          // whether connectedAt is valid
+	refill           *removalCheck // whether the instance holds what it may have lost
 	hasRead          bool          // whether readAt and readMark are valid
 	readAt           time.Duration // leader time after which the latest successful probe began
 	readMark         table.Mark    // mark that the probe returned
@@ -128,6 +131,7 @@
 
 	wait      WaitReason
 	waitSince time.Duration
+	missing   string // Wait.Missing
 }
 
 // promotion is the state of the promotion of a term's candidate.
@@ -195,18 +199,18 @@
 		if !accept(m) {
 			continue
 		}
-		if best == nil || isMoreAdvanced(m, best) {
+		if best == nil || g.isMoreAdvanced(m, best) {
 			best = m
 		}
 	}
 	return best
 }
 
-func isMoreAdvanced(m, other *member) bool {
+func (g *group) isMoreAdvanced(m, other *member) bool {
 	if m.leaving() != other.leaving() {
 		return other.leaving()
 	}
-	return other.mark().Less(m.mark())
+	return g.entryMark(other.mark()).Less(g.entryMark(m.mark()))
 }
 
 // clearSuspicion discards the evidence on the primary.
@@ -223,6 +227,9 @@
 	g.floorKnown = false
 	g.ackedKnown = false
 	g.promotion = promotion{}
+	for _, m := range g.members {
+		m.refill = nil
+	}
 }
 
 // setAgreed applies the committed state a.
@@ -266,6 +273,7 @@
 	for _, m := range g.members {
 		m.hasReport = false
 		m.hasRead = false
+		m.knowsConnection = false
 		m.fenceSent = false
 		m.failedTerm = 0
 	}
--- a/internal/system/failover/promote.go
+++ b/internal/system/failover/promote.go
@@ -34,7 +34,7 @@
 		return s.replaceCandidate(now, g, c)
 	}
 	if !g.promotion.ordered && !g.holdsQuiescedMark(c) {
-		if safest := s.safestMember(now, g, nil); safest != nil && isMoreAdvanced(safest, c) {
+		if safest := s.safestMember(now, g, nil); safest != nil && g.isMoreAdvanced(safest, c) {
 			return s.replaceCandidate(now, g, c)
 		}
 	}
@@ -202,10 +202,14 @@
 // read after the fence therefore include one that holds the write, and the
 // highest position of the n-1 least advanced instances is a valid floor. Fewer
 // reads suffice if the owner of the old primary reported its highest
-// acknowledged position. Further reads can only lower the floor.
+// acknowledged position, or if the primary of the latest log term itself was read,
+// which holds every write. Further reads can only lower the floor.
+//
+// A write is acknowledged only once the owner has seen it at an instance of the
+// group that the control hosts know, so those that they do not know do not count.
 func (s *System) findFloor(now time.Duration, g *group, c *member) bool {
 	if g.holdsQuiescedMark(c) {
-		g.setFloor(g.planned.mark)
+		g.setFloor(g.entryMark(g.planned.mark))
 		return true
 	}
 	var marks []table.Mark
@@ -213,12 +217,15 @@
 	for _, id := range g.order {
 		m := g.members[id]
 		switch {
-		case m.readSince(g.fenceTime()):
-			marks = append(marks, g.agreed.History.Surviving(m.readMark))
+		case m.readSince(g.fenceTime()) && s.answers(m):
+			marks = append(marks, g.entryMark(g.agreed.History.Surviving(m.readMark)))
 		case m.reachable() && !s.leases.Late(now, m.owner):
 			pending = true
 		}
 	}
+	if m := s.readLeader(g); m != nil {
+		g.setFloor(g.entryMark(m.readMark))
+	}
 	timedOut := now >= g.fenceTime()+s.cfg.ReadTimeout
 	need := max(1, g.size()-1)
 	switch {
@@ -227,7 +234,7 @@
 		slices.SortFunc(marks, compareMarks)
 		g.setFloor(marks[need-1])
 	case g.ackedKnown && timedOut:
-		g.setFloor(g.acked)
+		g.setFloor(g.entryMark(g.acked))
 	}
 	return g.floorKnown
 }
@@ -254,7 +261,7 @@
 // was lost. An old primary that has not followed a later term yet still holds writes
 // beyond the start of that term, which callers were told have not run.
 func (g *group) isSafe(m *member) bool {
-	if !m.reachable() || m.report.Mark.Less(g.floor) {
+	if !m.reachable() || g.entryMark(m.report.Mark).Less(g.floor) {
 		return false
 	}
 	if g.holdsLostWrites(m) {
@@ -336,7 +343,7 @@
 // most advanced position that was read.
 func (g *group) lowerFloor() {
 	if g.ackedKnown {
-		g.setFloor(g.acked)
+		g.setFloor(g.entryMark(g.acked))
 	}
 }
 
--- a/internal/system/failover/removal.go
+++ b/internal/system/failover/removal.go
@@ -96,12 +96,12 @@
 		return false
 	}
 	if !check.hasMark {
-		check.hasMark, check.mark = true, p.readMark
+		check.hasMark, check.mark = true, g.entryMark(p.readMark)
 	}
 	caughtUp := true
 	for _, id := range g.order {
 		other := g.members[id]
-		if other == m || other.readSince(check.startedAt) && !other.readMark.Less(check.mark) {
+		if other == m || other.readSince(check.startedAt) && !g.entryMark(other.readMark).Less(check.mark) {
 			continue
 		}
 		s.orderProbe(now, other)
--- a/internal/system/failover/report.go
+++ b/internal/system/failover/report.go
@@ -34,6 +34,9 @@
 	// UnreachableFor is the time between the first failed probe since the last
 	// success and the sending of the heartbeat.
 	UnreachableFor time.Duration
+	// ConnectedFor is how long the connection of the latest successful probe has been
+	// open, zero if that is not known.
+	ConnectedFor time.Duration
 	// Role, Mark and TermStart are the results of the latest successful probe.
 	Role      table.Role
 	Mark      table.Mark
--- a/internal/system/failover/system.go
+++ b/internal/system/failover/system.go
@@ -293,10 +293,14 @@
 	fencing := s.fenceStalePrimaries(now, g)
 	receiving := s.orderReceive(now, g)
 	if reason != g.wait {
-		g.wait, g.waitSince = reason, now
-		s.emit(Wait{Group: g.name(), Reason: reason})
+		g.waitSince = now
 	}
-	return reason != WaitNothing || fencing || receiving || g.suspected || g.planned != nil || g.removal != nil
+	missing := s.missing(now, g, reason)
+	if reason != g.wait || missing != g.missing {
+		g.wait, g.missing = reason, missing
+		s.emit(Wait{Group: g.name(), Reason: reason, Missing: missing})
+	}
+	return reason != WaitNothing || fencing || receiving || g.suspected || g.planned != nil || g.removal != nil || g.refilling()
 }
 
 func (s *System) decide(now time.Duration, g *group) WaitReason {
@@ -325,6 +329,7 @@
 		m.hasRead = true
 		m.readAt = r.After.At
 		m.readMark = r.Mark
+		m.knowsConnection, m.connectedAt = r.ConnectedFor > 0, now-r.ConnectedFor
 	}
 }
 
--- a/internal/system/failover/watch.go
+++ b/internal/system/failover/watch.go
@@ -40,6 +40,7 @@
 		// The owner reaches the instance, but it no longer serves as primary.
 		return s.proposeNextTerm(now, g, p)
 	}
+	s.checkRefills(now, g, p)
 	s.removeDeparted(now, g, p)
 	return s.stepSwitchOver(now, g, p)
 }
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -80,6 +80,10 @@
 	// Left is set once the instance has left: it has sent its last announcement,
 	// or a later instance uses its address.
 	Left bool
+	// Emptied is set from a start under the id of an earlier one until the instance
+	// was seen to hold what its primary held after that start. It may have lost
+	// what the earlier start held.
+	Emptied bool
 	// Born orders the starts of the instance, and Sequence the announcements
 	// after one start. Both are zero if the instance does not number them.
 	Born     uint64
