--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/amaranthweir/amaranthweir/internal/config"
 	"github.com/amaranthweir/amaranthweir/internal/errkind"
 	"github.com/amaranthweir/amaranthweir/internal/gateway"
+	"github.com/amaranthweir/amaranthweir/internal/table"
 	"github.com/amaranthweir/amaranthweir/internal/wal"
 )
 
@@ -29,6 +30,7 @@
 	droppedLines   *prometheus.CounterVec
 
 	heartbeatReplies *prometheus.CounterVec
+	groupWaits       *prometheus.GaugeVec
 }
 
 // New returns a Metrics with its own registry and all values at zero.
@@ -78,8 +80,12 @@
 			Namespace: namespace, Name: "heartbeat_replies_total",
 			Help: "Replies of control leaders to heartbeats of this host, by what was done with them.",
 		}, []string{"outcome"}),
+		groupWaits: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "group_waits",
+			Help: "1 while the change of primary of a group waits for the reason, at the leader of the control hosts.",
+		}, []string{"group", "reason"}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.reads, m.retries, m.callers, m.callersRefused, m.announcements, m.leaseValid, m.logWritable, m.droppedLines, m.heartbeatReplies)
+	m.registry.MustRegister(m.requests, m.latency, m.reads, m.retries, m.callers, m.callersRefused, m.announcements, m.leaseValid, m.logWritable, m.droppedLines, m.heartbeatReplies, m.groupWaits)
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -149,6 +155,17 @@
 	)
 }
 
+// SetWait records what the change of primary of a group waits for, if it waits.
+func (m *Metrics) SetWait(group table.GroupName, reason string, waits bool) {
+	m.groupWaits.DeletePartialMatch(prometheus.Labels{"group": string(group)})
+	if waits {
+		m.groupWaits.WithLabelValues(string(group), reason).Set(1)
+	}
+}
+
+// ClearWaits forgets what groups wait for, when this host no longer leads.
+func (m *Metrics) ClearWaits() { m.groupWaits.Reset() }
+
 // setBool sets a gauge to 1 for true and to 0 for false.
 func setBool(g prometheus.Gauge, value bool) {
 	if value {
