A large configuration is read over a slow link

Now an attempt ends after 0.4 s of silence, as a heartbeat does, and only the search for a leader is limited, to 0.5 s: without one the answer is there within the second that operators wait, and a reply that is arriving is read to its end.

--- a/internal/host/adapter.go
+++ b/internal/host/adapter.go
@@ -215,14 +215,10 @@
 	methodReplace    = "replace"
 )
 
-const (
-	// deploymentTimeout limits a call that replaces the deployment. It is longer than
-	// operators wait, because the change may be committed after they have gone.
-	deploymentTimeout = 3 * time.Second
-	// deploymentReadTimeout limits a call that reads the deployment. Operators give up
-	// on a host after one second, and are told before that if there is no leader.
-	deploymentReadTimeout = 900 * time.Millisecond
-)
+// deploymentTimeout limits a call that reads or replaces the deployment. It is longer
+// than operators wait for an answer: a change may be committed after they have gone, and
+// they wait longer for a large body.
+const deploymentTimeout = 3 * time.Second
 
 // ReplaceDeployment proposes a deployment and returns once the replicated log
 // has committed it or one with a higher version.
@@ -238,7 +234,7 @@
 // Deployment returns the body of the latest committed deployment, as the leader
 // knows it. It fails if no leader confirms that deployment as the latest.
 func (b *Backend) Deployment(ctx context.Context) ([]byte, error) {
-	ctx, stop := context.WithTimeout(ctx, deploymentReadTimeout)
+	ctx, stop := context.WithTimeout(ctx, deploymentTimeout)
 	defer stop()
 	var d control.Deployment
 	if err := b.host.readFromLeader(ctx, methodDeployment, &d); err != nil {
--- a/internal/host/asking_test.go
+++ b/internal/host/asking_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -54,3 +55,28 @@
 	assert.Assert(t, err != nil)
 	assert.Assert(t, time.Since(began) < operatorTimeout, "answered after %v", time.Since(began))
 }
+
+// A large configuration over a slow link takes longer than a silent leader is waited for.
+// The read was given up while its reply arrived, and asked again from the start.
+func TestReadOfLargeDeploymentOverSlowLink(t *testing.T) {
+	for _, free := range []float64{1, 0.5, 0.25, 0.125} { // the part of the link that callers leave
+		t.Run(fmt.Sprintf("%g of the link is free", free), func(t *testing.T) {
+			h := newIdleHost(t)
+			leader, err := net.Listen("tcp", porttest.Free(t, 1)[0])
+			assert.NilError(t, err)
+			sent := control.Deployment{Version: 7, Body: largeDeployment(7).Body}
+			server := &peer.Server{Log: h.log, Methods: map[string]peer.Method{
+				methodDeployment: func(context.Context, []byte) (any, error) { return sent, nil },
+			}}
+			ctx, stop := context.WithCancel(context.Background())
+			done := make(chan error, 1)
+			go func() { done <- server.Serve(ctx, leader) }()
+			defer func() { stop(); <-done }()
+			h.settings.Join = []string{leader.Addr().String()}
+			h.reads.Dial = dialSlowly(free * linkBytesPerSecond)
+			body, err := (&Backend{host: h}).Deployment(t.Context())
+			assert.NilError(t, err)
+			assert.Equal(t, len(body), len(sent.Body))
+		})
+	}
+}
--- a/internal/host/backend.go
+++ b/internal/host/backend.go
@@ -129,21 +129,23 @@
 	})
 }
 
-// leaderReadTimeout limits one attempt of readFromLeader. A leader that is silent for
-// longer gets no heartbeats either, and another one is looked for.
-const leaderReadTimeout = heartbeatSilence
+// readSearchTimeout is how long a read looks for a leader. A read that finds none is
+// answered within one second, together with the last attempt, which ends after
+// heartbeatSilence: operators wait no longer.
+const readSearchTimeout = 500 * time.Millisecond
 
-// readFromLeader is askLeader for a call that changes nothing. It does not wait long for
-// a host that is silent, which may lead no more.
+// readFromLeader is askLeader for a call that changes nothing. It leaves a host that is
+// silent, which may lead no more, but not one whose large reply is arriving.
 func (h *Host) readFromLeader(ctx context.Context, method string, out any) error {
-	return h.retryLeader(ctx, func(address string) error {
-		attempt, stop := context.WithTimeout(ctx, leaderReadTimeout)
-		defer stop()
-		return h.calls.Call(attempt, address, method, struct{}{}, out)
+	search, stop := context.WithTimeout(ctx, readSearchTimeout)
+	defer stop()
+	return h.retryLeader(search, func(address string) error {
+		return h.reads.Call(ctx, address, method, struct{}{}, out)
 	})
 }
 
-// retryLeader calls the leader as askLeader says.
+// retryLeader calls the leader as askLeader says. It begins no attempt after ctx has
+// ended.
 func (h *Host) retryLeader(ctx context.Context, call func(address string) error) error {
 	var err error
 	for {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -50,6 +50,7 @@
 	quota       *quotaHolder
 	granter     *quotaGranter      // nil unless this is a control host
 	calls       peer.ControlClient // calls to the leader other than heartbeats
+	reads       peer.ControlClient // those of calls that change nothing
 	peerServer  *peer.Server
 	control     *leader // nil unless this is a control host, which need not lead
 	stopping    chan struct{}
@@ -99,6 +100,7 @@
 	h.dir = newDirectory(s.Host, h.clock, log)
 	h.dir.dial = h.security.dialPeer()
 	h.calls.Dial = h.dir.dial
+	h.reads = peer.ControlClient{Dial: h.dir.dial, Silence: heartbeatSilence}
 	if a != nil {
 		h.dir.decode = a.DecodeDeployment
 		h.dir.peerTiming.IdleTimeout = linkSilenceTimeout
