--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -266,7 +266,8 @@
 		err = file.Sync()
 	}
 	if err = errors.Join(err, file.Close()); err != nil {
-		return err
+		// The part that was written would fill a full disk.
+		return errors.Join(err, fs.Remove(name+tempSuffix))
 	}
 	if err := fs.Rename(name+tempSuffix, name); err != nil {
 		return err
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/amaranthweir/amaranthweir/internal/consensus"
@@ -467,3 +468,16 @@
 	checkPrefix(t, c, 20, 20)
 	assert.NilError(t, l.Save(hardState(21), []consensus.Entry{entry(21, 21)}, true))
 }
+
+// Guards against a host that takes no part for good because the part of a snapshot that
+// it could not finish fills its disk.
+func TestUnfinishedSnapshotLeavesRoom(t *testing.T) {
+	fs := waltest.NewFolder()
+	l, _, err := wal.Open(fs, wal.Options{})
+	assert.NilError(t, err)
+	assert.NilError(t, l.Save(hardState(1), []consensus.Entry{{Index: 1, Term: 1, Data: make([]byte, 1000)}}, true))
+	fs.SetQuota(fs.UsedBytes() + 5000)
+	err = l.SaveSnapshot(consensus.Snapshot{Index: 1, Term: 1, Data: make([]byte, 10_000)})
+	assert.ErrorIs(t, err, syscall.ENOSPC)
+	assert.NilError(t, l.CheckRoom(), "the host opens its log again only if there is room")
+}
