Only configurations are refused for want of room

A list of owners of more than 16 KiB counted as a configuration by its size.

What may be refused is now decided by the type of the command: documents and deployments, which operators send. Terms, primaries, owners, instances and keys are never refused for want of room. TestTermBeginsBesideManyConfigurations covers both limits and passes; TestLimitsInBytes holds that the node refuses only what is proposed within the limit.

--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -522,7 +522,7 @@
 	const size = 100
 	propose := func(t *testing.T, n *Node) error {
 		t.Helper()
-		_, _, err := n.Propose(make([]byte, size))
+		_, _, err := n.ProposeWithinLimit(make([]byte, size))
 		return err
 	}
 	t.Run("entries in flight", func(t *testing.T) {
@@ -550,6 +550,8 @@
 			assert.NilError(t, propose(t, n))
 		}
 		assert.ErrorIs(t, propose(t, n), ErrTooManyUncommitted)
+		_, _, err := n.Propose(nil)
+		assert.NilError(t, err, "a command that no limit applies to")
 		drainReady(n)
 		ack(t, n, "b", n.log.lastIndex())
 		assert.NilError(t, propose(t, n))
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -29,7 +29,7 @@
 // Propose appends data to the log and returns the index and the term of the new
 // entry. The entry is committed once Ready returns an entry with this index and
 // this term in Committed; another term there means that the entry was replaced.
-// It returns ErrNotLeader, ErrTooLarge or ErrTooManyUncommitted.
+// It returns ErrNotLeader or ErrTooLarge.
 func (n *Node) Propose(data []byte) (index, term uint64, err error) {
 	if n.role != RoleLeader {
 		return 0, 0, ErrNotLeader
@@ -37,13 +37,20 @@
 	if len(data) > MaxProposalBytes {
 		return 0, 0, fmt.Errorf("%w: %d bytes, at most %d", ErrTooLarge, len(data), MaxProposalBytes)
 	}
-	if uncommitted := n.log.bytesBetween(n.log.commit, n.log.lastIndex()); uncommitted >= limitOrNone(n.cfg.MaxUncommittedBytes) {
-		return 0, 0, fmt.Errorf("%w: %d bytes", ErrTooManyUncommitted, uncommitted)
-	}
 	n.appendAsLeader(EntryCommand, data)
 	return n.log.lastIndex(), n.term, nil
 }
 
+// ProposeWithinLimit is like Propose, but returns ErrTooManyUncommitted while the
+// uncommitted entries have MaxUncommittedBytes or more.
+func (n *Node) ProposeWithinLimit(data []byte) (index, term uint64, err error) {
+	uncommitted := n.log.bytesBetween(n.log.commit, n.log.lastIndex())
+	if n.role == RoleLeader && uncommitted >= limitOrNone(n.cfg.MaxUncommittedBytes) {
+		return 0, 0, fmt.Errorf("%w: %d bytes", ErrTooManyUncommitted, uncommitted)
+	}
+	return n.Propose(data)
+}
+
 // ProposeConfChange appends a membership change, which applies at once. It
 // returns ErrNotLeader, ErrPendingChange, ErrBadChange or ErrNotCaughtUp.
 func (n *Node) ProposeConfChange(change ConfChange) error {
--- a/internal/control/budget.go
+++ b/internal/control/budget.go
@@ -30,10 +30,6 @@
 	reservePart = 8
 )
 
-// configurationBytes is the size from which a command counts as a configuration
-// that may be refused to keep the reserve.
-const configurationBytes = 16 << 10
-
 // applyDisk sets the sizes that follow from DiskBytes.
 func (c *ServerConfig) applyDisk() {
 	part := func(size, divisor int) int {
@@ -72,12 +68,12 @@
 	}
 }
 
-// checkRoom returns an error if the disk has no room for a command of size bytes:
-// for its entry and for the next snapshot, which is written beside the current
-// one. A configuration must also leave the reserve free. The error is TooLarge if
-// the command would not fit after a compaction of the log either.
+// checkRoom returns an error if the disk has no room for a configuration of size
+// bytes: for its entry, for the next snapshot, which is written beside the current
+// one, and for the reserve. The error is TooLarge if it would not fit after a
+// compaction of the log either.
 func (r *replica) checkRoom(size int) error {
-	if r.cfg.DiskBytes == 0 || size < configurationBytes {
+	if r.cfg.DiskBytes == 0 {
 		return nil
 	}
 	usage := r.wal.Usage()
--- a/internal/control/disk_test.go
+++ b/internal/control/disk_test.go
@@ -326,3 +326,36 @@
 		n.assertDeployment(t, version+49)
 	})
 }
+
+// Guards against a term that cannot begin because configurations that wait for a
+// majority, or in the queue, use up the limits in bytes.
+func TestTermBeginsBesideManyConfigurations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newDiskNetwork(platformDisk)
+		n.startAll(t)
+		defer n.crashAll(t)
+		leader := n.leader(t)
+		n.proposeUntilAnswered(t, replace(1, 1000))
+		for _, host := range n.voters {
+			n.setIsolated(host, host != leader.cfg.Host)
+		}
+		ctx, stop := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer stop()
+		const configurations = 120 // more than both limits allow
+		for version := range uint64(configurations) {
+			go func() { _, _ = leader.Propose(ctx, replace(version+2, largestBody)) }()
+		}
+		time.Sleep(20 * time.Millisecond)
+		answer := make(chan error, 1)
+		go func() {
+			begin := Command{BeginTerm: &BeginTerm{Group: "g", Term: 5, Candidate: "i-1"}}
+			_, err := leader.Propose(t.Context(), begin)
+			answer <- err
+		}()
+		time.Sleep(20 * time.Millisecond)
+		for _, host := range n.voters {
+			n.setIsolated(host, false)
+		}
+		assert.NilError(t, <-answer)
+	})
+}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -172,7 +172,7 @@
 		r.proposeRemoval(p)
 		return
 	}
-	index, term, err := r.proposeCommand(p.data)
+	index, term, err := r.proposeCommand(p)
 	if err != nil {
 		r.queueAnswer(p.done, Result{}, err)
 		return
@@ -180,16 +180,20 @@
 	r.pending[index] = pendingProposal{term: term, done: p.done}
 }
 
-// proposeCommand appends a command if this host leads and can store it.
-func (r *replica) proposeCommand(data []byte) (index, term uint64, err error) {
+// proposeCommand appends the command of p if this host leads. It refuses a limited one
+// that its disk or the entries without a majority leave no room for.
+func (r *replica) proposeCommand(p proposal) (index, term uint64, err error) {
 	if r.node.Role() != consensus.RoleLeader {
 		return 0, 0, r.notLeader()
 	}
-	if err := r.checkRoom(len(data)); err != nil {
-		return 0, 0, err
+	propose := r.node.Propose
+	if p.limited {
+		propose = r.node.ProposeWithinLimit
+		if err := r.checkRoom(len(p.data)); err != nil {
+			return 0, 0, err
+		}
 	}
-	index, term, err = r.node.Propose(data)
-	if err != nil {
+	if index, term, err = propose(p.data); err != nil {
 		err = errkind.Wrap(err, errkind.NoQuorum, "%v", err).WithEffect(errkind.NotRun)
 	}
 	return index, term, err
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -194,7 +194,10 @@
 type proposal struct {
 	data   []byte
 	remove table.HostID
-	done   func(Result, error)
+	// limited is set for a command that is refused where it leaves too little room
+	// for others.
+	limited bool
+	done    func(Result, error)
 }
 
 // status is what the methods for readers return. It is immutable: a change
@@ -479,7 +482,7 @@
 	if len(data) > consensus.MaxProposalBytes {
 		return Result{}, errkind.New(errkind.TooLarge, "%d bytes, at most %d", len(data), consensus.MaxProposalBytes)
 	}
-	return s.submit(ctx, proposal{data: data})
+	return s.submit(ctx, proposal{data: data, limited: c.isConfiguration()})
 }
 
 // RemoveMember removes a host from the membership and returns once the removal
@@ -508,7 +511,7 @@
 		err    error
 	}
 	size := int64(len(p.data))
-	if s.queuedBytes.Add(size) > queuedProposalBytes {
+	if s.queuedBytes.Add(size) > queuedProposalBytes && p.limited {
 		s.queuedBytes.Add(-size)
 		return Result{}, errkind.New(errkind.NoQuorum, "too many commands wait").WithEffect(errkind.NotRun)
 	}
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -309,6 +309,10 @@
 	}
 }
 
+// isConfiguration reports whether the command is what an operator sends. Those are
+// large, and must leave room for the commands of the leader's systems.
+func (c Command) isConfiguration() bool { return c.PutDocument != nil || c.ReplaceDeployment != nil }
+
 // encode returns the JSON form of the command, which the replicated log stores.
 func (c Command) encode() ([]byte, error) { return json.Marshal(c) }
 
