--- a/internal/host/leader_actions.go
+++ b/internal/host/leader_actions.go
@@ -33,12 +33,7 @@
 	}
 	in := instanceFromAnnouncement(a)
 	in.SeenAt = now
-	if l.isStaleAnnouncement(&in, a.Gone) {
-		l.log.WithFields(logrus.Fields{"instance": in.ID, "born": in.Born, "sequence": in.Sequence}).Info("late announcement dropped")
-		return
-	}
-	if old, known := l.instances[in.ID]; known && old.Born == in.Born && in.Group != "" && old.Group != in.Group {
-		l.log.WithFields(logrus.Fields{"instance": in.ID, "group": in.Group, "known_group": old.Group}).Warn("announcement of another group refused")
+	if !l.acceptsAnnouncement(&in, a.Gone) {
 		return
 	}
 	if a.Gone {
@@ -49,6 +44,25 @@
 		l.markPredecessorsLeft(&in)
 		l.claimAddress(&in)
 	}
+	l.putInstance(in)
+}
+
+// acceptsAnnouncement reports whether an announcement is current and agrees with what
+// the instance said before. It logs one that is not accepted.
+func (l *leader) acceptsAnnouncement(in *table.Instance, gone bool) bool {
+	if l.isStaleAnnouncement(in, gone) {
+		l.log.WithFields(logrus.Fields{"instance": in.ID, "born": in.Born, "sequence": in.Sequence}).Info("late announcement dropped")
+		return false
+	}
+	if old, known := l.instances[in.ID]; known && old.Born == in.Born && in.Group != "" && old.Group != in.Group {
+		l.log.WithFields(logrus.Fields{"instance": in.ID, "group": in.Group, "known_group": old.Group}).Warn("announcement of another group refused")
+		return false
+	}
+	return true
+}
+
+// putInstance installs the entry of an announced instance.
+func (l *leader) putInstance(in table.Instance) {
 	old, known := l.instances[in.ID]
 	in.Emptied = known && (old.Emptied || old.Born != 0 && in.Born > old.Born)
 	l.failover.HandleAnnouncement(in)
