An entry that was not an instance's own does not mark it as emptied

Cause: an entry with a later start marks the instance as emptied. When the announcements of the instance displace the entry, the mark stayed until a primary refilled it. With two such entries in a group of three and the primary down, too few instances answer.

Fix: an announcement of an earlier start, which is accepted only if the entry of the later one was not the instance's own, restores the mark that the instance had before, if this leader has seen that. Open: a new leader in between does not know the earlier entry and keeps the mark; the instance then counts again once it was seen to hold what the primary holds.

--- a/internal/host/instances_test.go
+++ b/internal/host/instances_test.go
@@ -204,6 +204,7 @@
 		}
 		assert.Equal(t, l.instances["i-1"].Address, "10.0.0.1:80", name)
 		assert.Equal(t, l.instances["i-1"].Sequence, sequence, name)
+		assert.Assert(t, !l.instances["i-1"].Emptied, "%s: the instance counts as one that lost its log", name)
 	}
 }
 
--- a/internal/host/leader.go
+++ b/internal/host/leader.go
@@ -68,7 +68,10 @@
 	departures    map[table.InstanceID]table.Instance // of leftInstances, when they left
 	claims        map[table.InstanceID]addressClaim   // of this leadership
 	continuations map[table.InstanceID]continuation   // of this leadership
-	notes         []table.Instance                    // queued for proposeNotes
+	// earlierStarts holds the entry that a later start of the instance replaced in this
+	// leadership.
+	earlierStarts map[table.InstanceID]table.Instance
+	notes         []table.Instance // queued for proposeNotes
 	// uncommitted holds the instances that the control state does not hold yet. Hosts
 	// do not learn of them: a write that an owner acknowledges because one of them
 	// holds it would depend on an instance that the next leader may not know.
@@ -347,7 +350,7 @@
 		l.hosts[h.ID] = h
 	}
 	l.instances = map[table.InstanceID]table.Instance{}
-	l.claims, l.continuations, l.notes = nil, nil, nil
+	l.claims, l.continuations, l.earlierStarts, l.notes = nil, nil, nil, nil
 	l.uncommitted = map[table.InstanceID]bool{}
 	for _, in := range t.Instances {
 		l.instances[in.ID] = in
--- a/internal/host/leader_actions.go
+++ b/internal/host/leader_actions.go
@@ -64,7 +64,7 @@
 // putInstance installs the entry of an announced instance.
 func (l *leader) putInstance(in table.Instance) {
 	old, known := l.instances[in.ID]
-	in.Emptied = known && (old.Emptied || old.Born != 0 && in.Born > old.Born)
+	in.Emptied = known && l.isEmptied(&old, &in)
 	l.failover.HandleAnnouncement(in)
 	l.ownership.HandleAnnouncement(in)
 	l.instances[in.ID] = in
@@ -84,6 +84,26 @@
 	l.recordInstance(in) // also if an earlier proposal was lost
 }
 
+// isEmptied reports whether an instance whose entry old is replaced by in may lack what
+// it once held. A later start may. An announcement of an earlier start is accepted only
+// if the entry of the later one was not the instance's own, so that the mark which that
+// entry set does not count.
+func (l *leader) isEmptied(old, in *table.Instance) bool {
+	switch {
+	case old.Born == 0 || in.Born == old.Born:
+		return old.Emptied
+	case in.Born > old.Born:
+		if l.earlierStarts == nil {
+			l.earlierStarts = map[table.InstanceID]table.Instance{}
+		}
+		l.earlierStarts[in.ID] = *old
+		return true
+	default:
+		before, known := l.earlierStarts[in.ID]
+		return !known || before.Born != in.Born || before.Emptied
+	}
+}
+
 // addressClaim is the address at which an instance has announced itself and the
 // number of that start.
 type addressClaim struct {
@@ -232,6 +252,7 @@
 	delete(l.instances, id)
 	delete(l.claims, id)
 	delete(l.continuations, id)
+	delete(l.earlierStarts, id)
 	l.proposeGone(id)
 	l.tablesVersion.Number++
 	l.changeLog = tableLog{truncatedThrough: l.tablesVersion.Number} // hosts get full tables
