--- a/internal/control/disk_loss_test.go
+++ b/internal/control/disk_loss_test.go
@@ -331,3 +331,59 @@
 		})
 	}
 }
+
+// domainRecovery is how long a deployment may take to serve again once all are back.
+const domainRecovery = 12 * time.Second
+
+// Guards against a deployment that tolerates the loss of one machine or one failure domain
+// and has two control hosts in each: those of one domain are cut off for a while, then
+// those of another lose their disks while all lose power.
+func TestDisksOfADomainLostAfterAnotherWasCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newOpenNetworkOf(6)
+		n.tolerance = 1
+		n.startAll(t)
+		defer n.crashAll(t)
+		waitForMembership()
+		leader := n.leader(t)
+		others := slices.DeleteFunc(voters(leader), func(h table.HostID) bool { return h == leader.cfg.Host })
+		cut, wiped := others[:2], others[2:4]
+		for _, host := range cut {
+			n.setIsolated(host, true)
+		}
+		waitForMembership()
+		n.proposeUntilAnswered(t, put("s", 1, "acknowledged"))
+		n.losePowerOfAll(t, wiped, func(int) int { return 0 })
+		for _, host := range cut {
+			n.setIsolated(host, false)
+		}
+		n.startAll(t)
+		assert.Equal(t, n.versionWithin(t, domainRecovery), uint64(1))
+	})
+}
+
+// Guards against an even number of voters for good, which a split into halves leaves
+// without a majority: a voter comes back between the promotion of the standby and its
+// own removal.
+func TestVoterThatComesBackLateLeavesAnOddMembership(t *testing.T) {
+	for _, down := range []time.Duration{1500, 1700, 1750, 1800, 1900, 2200} { // milliseconds
+		synctest.Test(t, func(t *testing.T) {
+			n := newOpenNetworkOf(4)
+			n.startAll(t)
+			defer n.crashAll(t)
+			waitForMembership()
+			host := n.followers(t)[0]
+			for _, id := range n.leader(t).Members().Voters {
+				if id.Host != n.leader(t).cfg.Host {
+					host = id.Host
+				}
+			}
+			n.crash(t, host)
+			time.Sleep(down * time.Millisecond)
+			n.start(t, host)
+			waitForMembership()
+			waitForMembership()
+			assert.Equal(t, len(n.leader(t).Members().Voters)%2, 1, "down for %d ms", down)
+		})
+	}
+}
--- a/internal/control/disk_test.go
+++ b/internal/control/disk_test.go
@@ -295,10 +295,24 @@
 
 // Guards against control hosts that never come back after their log has filled the
 // disks, as builds without a limit in bytes could do: cutting off the write that did
-// not fit makes room for a snapshot, which compacts the log.
+// not fit makes room for a snapshot, if that is smaller, and the snapshot compacts the
+// log.
 func TestLogThatFilledTheDiskIsCompacted(t *testing.T) {
+	t.Run("configurations that compress well", func(t *testing.T) {
+		testLogThatFilledTheDisk(t, func(uint64) []byte { return bytes.Repeat([]byte("route "), 20_000) })
+	})
+	t.Run("configurations that hardly compress", func(t *testing.T) {
+		testLogThatFilledTheDisk(t, func(version uint64) []byte { return replace(version, largestBody).ReplaceDeployment.Body })
+	})
+}
+
+// testLogThatFilledTheDisk fills the disks of all control hosts with configurations, as a
+// build without limits would, and starts the hosts again.
+func testLogThatFilledTheDisk(t *testing.T, body func(version uint64) []byte) {
 	const disk = 4_000_000
-	body := bytes.Repeat([]byte("route "), 20_000)
+	command := func(version uint64) Command {
+		return Command{ReplaceDeployment: &ReplaceDeployment{Version: version, Body: body(version)}}
+	}
 	synctest.Test(t, func(t *testing.T) {
 		n := newDiskNetwork(disk)
 		n.configure = func(c *ServerConfig) { c.SnapshotBytes = 100 * disk }
@@ -306,8 +320,7 @@
 		defer n.crashAll(t)
 		version := uint64(1)
 		for {
-			c := Command{ReplaceDeployment: &ReplaceDeployment{Version: version, Body: body}}
-			if _, err := propose(t, n.leader(t), c); err != nil {
+			if _, err := propose(t, n.leader(t), command(version)); err != nil {
 				break
 			}
 			version++
@@ -321,7 +334,7 @@
 		n.startAll(t)
 		assert.Assert(t, n.leader(t).View().Deployment.Version >= version-1)
 		for next := version + 1; next < version+50; next++ {
-			n.proposeUntilAnswered(t, Command{ReplaceDeployment: &ReplaceDeployment{Version: next, Body: body}})
+			n.proposeUntilAnswered(t, command(next))
 		}
 		n.assertDeployment(t, version+49)
 	})
