--- a/cmd/amaranthweir/odd_entries_test.go
+++ b/cmd/amaranthweir/invalid_announcements_test.go
@@ -14,25 +14,25 @@
 	"gotest.tools/v3/assert/cmp"
 )
 
-// oddEntry is a call about an instance that no instance sends.
-type oddEntry struct {
+// invalidCall is a call about an instance that no instance sends.
+type invalidCall struct {
 	what, path, body string
 }
 
-// oddHeartbeat is the heartbeat of an instance that does not exist, at an address
-// where nobody listens. Each odd entry differs from it in one respect.
-const oddHeartbeat = `{"service":"g1","address":"127.0.3.200:4999","zone":"a","version":"v1","capacity":4,"state":"ready","warmup_remaining_ms":0,"db_role":"replica","sequence":1,"born":1700000000001}`
+// strayHeartbeat is the heartbeat of an instance that does not exist, at an address
+// where nobody listens. Each invalid call differs from it in one respect.
+const strayHeartbeat = `{"service":"g1","address":"127.0.3.200:4999","zone":"a","version":"v1","capacity":4,"state":"ready","warmup_remaining_ms":0,"db_role":"replica","sequence":1,"born":1700000000001}`
 
-// oddEntries returns entries of which each is unusable for one reason. Those with
+// invalidCalls returns calls of which each is unusable for one reason. Those with
 // the id i-1 name an instance that exists.
-func oddEntries() []oddEntry {
+func invalidCalls() []invalidCall {
 	const heartbeats, deregistrations = "/v1/Instances.Heartbeat/", "/v1/Instances.Deregister/"
-	const id = "odd-1"
-	var entries []oddEntry
-	add := func(what, path, body string) { entries = append(entries, oddEntry{what, path, body}) }
+	const id = "stray-1"
+	var entries []invalidCall
+	add := func(what, path, body string) { entries = append(entries, invalidCall{what, path, body}) }
 	replace := func(what, path, old, changed string) {
-		body := strings.Replace(oddHeartbeat, old, changed, 1)
-		if body == oddHeartbeat {
+		body := strings.Replace(strayHeartbeat, old, changed, 1)
+		if body == strayHeartbeat {
 			panic(what + ": nothing was replaced")
 		}
 		add(what, path, body)
@@ -57,8 +57,8 @@
 		replace("the start of another instance "+number, heartbeats+"i-1", `1700000000001`, number)
 		add("the end of another instance with the start "+number, deregistrations+"i-1", `{"born":`+number+`}`)
 	}
-	for what, escaped := range map[string]string{"blank": "odd%201", "line feed": "odd%0A1", "NUL": "odd%001", "no ASCII": "odd%C3%BF", "a kilobyte": strings.Repeat("odd-1", 200)} {
-		add("id with "+what, heartbeats+escaped, oddHeartbeat)
+	for what, escaped := range map[string]string{"blank": "stray%201", "line feed": "stray%0A1", "NUL": "stray%001", "no ASCII": "stray%C3%BF", "a kilobyte": strings.Repeat("stray-1", 200)} {
+		add("id with "+what, heartbeats+escaped, strayHeartbeat)
 	}
 	for _, field := range []string{"service", "address", "zone", "version", "capacity", "state", "warmup_remaining_ms", "db_role", "sequence"} {
 		replace("without "+field, heartbeats+id, `"`+field+`"`, `"x"`)
@@ -69,8 +69,8 @@
 	replace("unknown state", heartbeats+id, `"ready"`, `"sleepy"`)
 	replace("unknown role", heartbeats+id, `"replica"`, `"witness"`)
 	replace("bytes that are not UTF-8", heartbeats+id, `"v1"`, "\"\xff\"")
-	add("an unfinished entry", heartbeats+id, oddHeartbeat[:40])
-	add("two entries", heartbeats+id, oddHeartbeat+oddHeartbeat)
+	add("an unfinished entry", heartbeats+id, strayHeartbeat[:40])
+	add("two entries", heartbeats+id, strayHeartbeat+strayHeartbeat)
 	return entries
 }
 
@@ -105,13 +105,13 @@
 	assert.NilError(d.t, old.Start())
 }
 
-// TestOddEntriesNameNoInstance guards against one odd entry of another writer (very
+// TestInvalidAnnouncementsNameNoInstance guards against one call of an unknown sender (very
 // deeply nested, with a number too large or a port out of range) that ends processes
 // again and again, or keeps a group from ever getting a new primary, also after a
 // restart of all control hosts.
-func TestOddEntriesNameNoInstance(t *testing.T) {
+func TestInvalidAnnouncementsNameNoInstance(t *testing.T) {
 	d := startDeployment(t)
-	for _, e := range oddEntries() {
+	for _, e := range invalidCalls() {
 		for n := range zones {
 			status, err := d.post(n, e.path, e.body)
 			assert.Check(t, err, "%s: no answer", e.what)
@@ -124,9 +124,9 @@
 		_, err = d.post(n, "/v1/Instances.Deregister/i-2", ``)
 		assert.NilError(t, err)
 	}
-	d.checkAllRun("after the odd entries")
+	d.checkAllRun("after the invalid calls")
 	underLoad(t, d, func() { time.Sleep(time.Second) })
-	d.changePrimary("after the odd entries")
+	d.changePrimary("after the invalid calls")
 	d.checkAllRun("after the change of primary")
 
 	before := d.fetchConfiguration()
@@ -143,21 +143,21 @@
 	for name, p := range d.hosts {
 		for line := range strings.Lines(p.log.String()) {
 			used := strings.Contains(line, `"instance announced"`) || strings.Contains(line, `"place"`) || strings.Contains(line, `"instance left"`)
-			odd := strings.Contains(line, `odd`) || strings.Contains(line, "127.0.3.200") || strings.Contains(line, `"instance left"`)
-			assert.Check(t, !used || !odd, "%s: %s", name, line)
+			stray := strings.Contains(line, `stray`) || strings.Contains(line, "127.0.3.200") || strings.Contains(line, `"instance left"`)
+			assert.Check(t, !used || !stray, "%s: %s", name, line)
 		}
 	}
 }
 
-// TestNumbersAheadOfInstance guards against an entry of another writer that has numbers
+// TestNumbersAheadOfInstance guards against an announcement of an unknown sender that has numbers
 // ahead of those of a true instance and leaves its group without that instance for ever,
 // and then without a primary.
 func TestNumbersAheadOfInstance(t *testing.T) {
 	d := startDeployment(t)
 	for n, id := range []string{"i-1", "i-2", "i-3"} {
-		body := strings.Replace(oddHeartbeat, `1700000000001`, `1900000000000`, 1)
+		body := strings.Replace(strayHeartbeat, `1700000000001`, `1900000000000`, 1)
 		if n == 1 {
-			body = strings.Replace(oddHeartbeat, `"sequence":1,"born":1700000000001`, `"sequence":4294967295,"born":1700000000000`, 1)
+			body = strings.Replace(strayHeartbeat, `"sequence":1,"born":1700000000001`, `"sequence":4294967295,"born":1700000000000`, 1)
 		}
 		status, err := d.post(n, "/v1/Instances.Heartbeat/"+id, body)
 		assert.NilError(t, err)
--- a/internal/host/instances_test.go
+++ b/internal/host/instances_test.go
@@ -122,7 +122,7 @@
 	l.propose = func(c control.Command) { commands = append(commands, c) }
 	l.handleAnnouncement(1, numberedAnnouncement("i-1", "10.0.0.1:80", 100, 5))
 	for name, change := range map[string]func(*dbedge.Announcement){
-		"port out of range":          func(a *dbedge.Announcement) { a.Instance, a.Address = "odd", "10.0.0.2:99999" },
+		"port out of range":          func(a *dbedge.Announcement) { a.Instance, a.Address = "stray", "10.0.0.2:99999" },
 		"id of two words":            func(a *dbedge.Announcement) { a.Instance = "i 2" },
 		"slots too large":            func(a *dbedge.Announcement) { a.Slots = 9e18 },
 		"start too large":            func(a *dbedge.Announcement) { a.Born = 1 << 63 },
@@ -171,18 +171,18 @@
 	l.propose = func(c control.Command) { commands = append(commands, c) }
 	good := instanceFromAnnouncement(numberedAnnouncement("i-1", "10.0.0.1:80", 100, 5))
 	stored, fromTables := good, good
-	stored.ID, stored.Address = "odd-1", "10.0.0.2:99999"
-	fromTables.ID, fromTables.Slots = "odd-2", 9e18
+	stored.ID, stored.Address = "stray-1", "10.0.0.2:99999"
+	fromTables.ID, fromTables.Slots = "stray-2", 9e18
 	view := control.NewView()
 	view.Instances = map[table.InstanceID]table.Instance{good.ID: good, stored.ID: stored}
 	l.instances[fromTables.ID] = fromTables
 	l.restoreInstances(1, view)
 	assert.Equal(t, len(l.instances), 1)
 	assert.Equal(t, len(commands), 1)
-	assert.DeepEqual(t, commands[0].NoteInstances.Gone, []table.InstanceID{"odd-1", "odd-2"})
+	assert.DeepEqual(t, commands[0].NoteInstances.Gone, []table.InstanceID{"stray-1", "stray-2"})
 }
 
-// An entry of another writer with numbers that an instance may have, but that are ahead
+// An announcement of an unknown sender with numbers that an instance may have, but that are ahead
 // of it, must not make the announcements of the instance count as late for ever: the
 // group would do without it, or without a primary.
 func TestInstanceOutlivesNumbersAheadOfIt(t *testing.T) {
