A control host that stops as planned gives up its vote before it exits

No control leader for good, 503 for each read of the configuration, no entry host in service.

Cause: Server.handOver gave up the leadership and nothing else. The vote stayed with the host that was gone until it had been silent for 1.8 s, and the successor, a standby, had none. Voters were the gone host, the identity on the lost disk, and one more. At the exit no "control membership changed"; 26 times "no control leader: hears 1 of 2 other voters" with the voters of the first start, while the successor follows with the whole log as a learner. Ruled out by the same logs: that the successor had not joined (it was a learner 10 s before), and that the wiped host disturbs the election (it has no vote and only asks to join).

Fix: before it exits, a host of an open membership asks to leave, with the hello by which hosts ask to join (Leave, LeaveAnswer), and goes on voting and confirming until its removal is committed. The leader promotes the standby, removes the leaving voter, and only then answers. A leader that leaves first hands over to a voter that stays. So there is no moment at which fewer than a majority of the voters run. Without anyone to take the vote the host is refused at once and keeps it. It waits for at most nine election timeouts, after which a leader that does not hear it has removed it as silent. A request counts only with a fresh echo. Leaving hosts are not promoted, not handed the leadership, and a leaving standby is removed at once. The drain of a control host ends half a second earlier to leave time for it.

--- a/cmd/amaranthweir/control_hosts_test.go
+++ b/cmd/amaranthweir/control_hosts_test.go
@@ -161,3 +161,33 @@
 		return len(leaderLine.FindStringSubmatch(next.log.String())) > 0
 	})
 }
+
+// Guards against a control host that keeps its vote when it has stopped as planned,
+// although its successor could take it: another control host loses its disk right after
+// that, and no leader is left, for good.
+func TestDiskLostRightAfterAPlannedReplacement(t *testing.T) {
+	for _, leads := range []bool{false, true} {
+		t.Run(fmt.Sprintf("the replaced host leads: %t", leads), func(t *testing.T) {
+			d := startDeploymentWith(t, "fault_tolerance.machines=1\n")
+			old, lost := d.controlFollowers()[0], d.controlLeader()
+			if leads {
+				old, lost = lost, old
+			}
+			successor := &hostProcess{name: "new", ip: "127.0.1.11", control: true, seeds: d.seedNodes()}
+			d.startHost(successor, zones[0])
+			time.Sleep(catchUpTime)
+			d.replaceConfiguration(2, "")
+			assert.NilError(t, d.stopHost(old, syscall.SIGTERM))
+			delete(d.hosts, old)
+
+			p := d.hosts[lost]
+			_ = d.stopHost(lost, syscall.SIGKILL) // reports that the process was killed
+			p.seeds = d.seedNodes()
+			d.writeSettings(p, zones[0])
+			assert.NilError(t, os.RemoveAll(p.data))
+			d.startProcess(p)
+			body, status := d.fetchWithin(recoveryTime)
+			assert.Assert(t, strings.Contains(body, `"version":2`), "%q, last status %q\n%s", body, status, d.logs())
+		})
+	}
+}
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -129,26 +129,36 @@
 	}
 }
 
-// Handover gives up the leadership and its lease. If another voter holds every
-// entry of the log, Handover asks that voter to campaign immediately; among
-// several such voters it picks the one that confirmed a message last. The
-// caller must stop using the lease before it sends the messages of the next
-// Ready.
+// Handover is HandoverTo with the best successor, if there is one.
 func (n *Node) Handover() {
+	successor, _ := n.Successor(func(NodeID) bool { return true })
+	n.HandoverTo(successor)
+}
+
+// HandoverTo gives up the leadership and its lease, and asks successor, unless it is
+// zero, to campaign immediately. The caller must stop using the lease before it sends
+// the messages of the next Ready.
+func (n *Node) HandoverTo(successor NodeID) {
 	if n.role != RoleLeader {
 		return
 	}
-	var successor NodeID
+	n.becomeFollower(n.term, NodeID{})
+	if !successor.IsZero() {
+		n.send(Message{Type: MsgHandover, To: successor})
+	}
+}
+
+// Successor returns the voter that can follow this leader best: of those that eligible
+// accepts and that hold every entry of the log, the one that confirmed a message last.
+// It returns false if there is none or this node does not lead.
+func (n *Node) Successor(eligible func(NodeID) bool) (successor NodeID, found bool) {
 	ack := uint64(0)
 	for _, id := range n.Members().Voters {
-		if pr := n.progress[id]; pr != nil && pr.match == n.log.lastIndex() && pr.ackTick > ack {
+		if pr := n.progress[id]; pr != nil && pr.match == n.log.lastIndex() && pr.ackTick > ack && eligible(id) {
 			successor, ack = id, pr.ackTick
 		}
 	}
-	n.becomeFollower(n.term, NodeID{})
-	if !successor.IsZero() {
-		n.send(Message{Type: MsgHandover, To: successor})
-	}
+	return successor, !successor.IsZero()
 }
 
 func (n *Node) handleHandover(m Message) {
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -163,6 +163,10 @@
 // on, even before that entry is committed.
 func (n *Node) Members() Members { return n.log.members() }
 
+// MembersCommitted reports whether the latest membership in the log is committed, so
+// that no later leader has an earlier one.
+func (n *Node) MembersCommitted() bool { return n.log.membersIndex() <= n.log.commit }
+
 // CommitIndex returns the commit index.
 func (n *Node) CommitIndex() uint64 { return n.log.commit }
 
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -57,7 +57,7 @@
 	if n.role != RoleLeader {
 		return ErrNotLeader
 	}
-	if n.log.membersIndex() > n.log.commit || n.log.commit < n.termStartIndex {
+	if !n.MembersCommitted() || n.log.commit < n.termStartIndex {
 		return ErrPendingChange
 	}
 	if err := n.checkChange(change); err != nil {
--- a/internal/control/hello.go
+++ b/internal/control/hello.go
@@ -10,13 +10,17 @@
 )
 
 // hello is the message by which a control host that is not a member asks to
-// join, and the answer to it.
+// join, or one that stops asks to leave, and the answer to it.
 type hello struct {
 	From consensus.NodeID
 	To   table.HostID
 	// Ask requests an answer. A host sets it while it is not a member, or while
 	// it has had no contact with a leader for a long time.
 	Ask bool
+	// Leave is set while the sender stops as planned and asks to be removed from the
+	// members. LeaveAnswer is the answer to it.
+	Leave       bool        `json:",omitempty"`
+	LeaveAnswer leaveAnswer `json:",omitempty"`
 	// Blank is set while the sender has no log.
 	Blank bool
 	// Pinned is the founding membership that the sender has made durable.
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -79,25 +79,44 @@
 	return slices.Collect(maps.Keys(r.referrals))
 }
 
-func (r *replica) sendHello(to table.HostID, ask bool) {
-	h := hello{
-		From: r.id, To: to, Ask: ask, Blank: r.isBlank(),
+// askHosts sends a question to each of hosts.
+func (r *replica) askHosts(hosts []table.HostID) {
+	for _, host := range hosts {
+		h := r.newHello(host)
+		h.Ask = true
+		r.sendHello(h)
+	}
+}
+
+// answerHello answers the question h.
+func (r *replica) answerHello(h hello) {
+	answer := r.newHello(h.From.Host)
+	answer.Members = memberHosts(r.node.Members())
+	if h.Leave {
+		answer.LeaveAnswer = r.answerLeave(h.From)
+	}
+	r.sendHello(answer)
+}
+
+func (r *replica) newHello(to table.HostID) hello {
+	return hello{
+		From: r.id, To: to, Blank: r.isBlank(), Leave: r.leave != nil,
 		Pinned: r.founding.pinned,
 		Stamp:  r.stampBase + r.node.Now(),
 		Echo:   r.echoes[to],
 	}
-	if !ask {
-		h.Members = memberHosts(r.node.Members())
-	}
-	r.cfg.Transport.Send(to, encodeHello(h))
 }
 
+func (r *replica) sendHello(h hello) { r.cfg.Transport.Send(h.To, encodeHello(h)) }
+
 func (r *replica) handleHello(h hello) error {
 	if h.To != r.id.Host || h.From.Host == r.id.Host || !r.cfg.isPossibleMember(h.From.Host) {
 		return nil
 	}
 	r.echoes[h.From.Host] = h.Stamp
 	r.recordReferrals(h)
+	r.recordLeave(h)
+	r.handleLeaveAnswer(h)
 	if r.isBlank() {
 		if r.founding.record(h) {
 			r.log.WithField("from", h.From.String()).
@@ -106,10 +125,10 @@
 		return r.continueFounding()
 	}
 	if h.Ask {
-		r.sendHello(h.From.Host, false)
+		r.answerHello(h)
 	}
 	current, isMember := r.node.Members().OnHost(h.From.Host)
-	mayJoin := !isMember || h.Blank && current != h.From
+	mayJoin := !h.Leave && (!isMember || h.Blank && current != h.From)
 	if h.Ask && mayJoin && r.isFreshEcho(h.Echo) {
 		r.joinRequests[h.From.Host] = joinRequest{id: h.From, tick: r.node.Now()}
 	}
@@ -169,19 +188,25 @@
 // that asked to join is admitted first, because the number of members decides which
 // silent voters may be removed.
 func (r *replica) reconcileMembers() {
-	if r.admitHosts() || r.cfg.Open && (r.removeUnresponsiveVoter() || r.removeUnresponsiveLearner() || r.removeEvenVoter()) {
+	if r.admitHosts() || r.cfg.Open && r.removeMember() {
 		return
 	}
 	if r.cfg.Open && !r.needsVoter() {
 		return
 	}
-	for _, id := range r.node.Members().Learners {
+	for _, id := range r.stayingLearners() {
 		if r.proposeChange(consensus.PromoteLearner, id) {
 			return
 		}
 	}
 }
 
+// removeMember proposes the removal of a member of an open membership, if one should
+// not stay. It reports whether it proposed a change.
+func (r *replica) removeMember() bool {
+	return r.removeLeavingMember() || r.removeUnresponsiveVoter() || r.removeUnresponsiveLearner() || r.removeEvenVoter()
+}
+
 // admitHosts proposes to make a host that asked to join a learner. The old
 // identity of a host that lost its disk is removed first; only a blank host may
 // replace another identity. It reports whether it proposed a change.
@@ -229,13 +254,13 @@
 // needsVoter reports whether a learner of an open membership should become a
 // voter. The number of voters is kept odd, so that one side has a majority when
 // a partition splits the control hosts in two. A single remaining learner is a
-// standby that replaces a voter which becomes unresponsive. While it is not known
-// yet whether a silent voter comes back, the number of voters does not grow.
+// standby that replaces a voter which leaves or becomes unresponsive. While it is not
+// known yet whether a silent voter comes back, the number of voters does not grow.
 func (r *replica) needsVoter() bool {
 	members := r.node.Members()
 	silent := r.countSilent(members.Voters, 1)
 	switch {
-	case len(members.Voters) < r.voterFloor():
+	case len(members.Voters) < r.voterFloor(), r.hasLeavingVoter():
 		return true
 	case len(members.Voters)%2 == 0:
 		return silent == 0
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -27,8 +27,10 @@
 	founding     *founding
 	echoes       map[table.HostID]uint64 // latest stamp received from each host
 	joinRequests map[table.HostID]joinRequest
-	referrals    map[table.HostID]uint64 // tick at which each host was last named as a member
-	heard        map[table.HostID]uint64 // tick of the latest message from each host
+	referrals    map[table.HostID]uint64     // tick at which each host was last named as a member
+	heard        map[table.HostID]uint64     // tick of the latest message from each host
+	leaving      map[consensus.NodeID]uint64 // tick at which each member last asked to leave
+	leave        *leave                      // nil unless this host leaves
 
 	pending map[uint64]pendingProposal
 	// answers holds one function for each answered proposal, which calls its
@@ -88,6 +90,7 @@
 		joinRequests:  map[table.HostID]joinRequest{},
 		referrals:     map[table.HostID]uint64{},
 		heard:         map[table.HostID]uint64{},
+		leaving:       map[consensus.NodeID]uint64{},
 		pending:       map[uint64]pendingProposal{},
 		snapshotIndex: contents.Snapshot.Index,
 	}
@@ -133,23 +136,25 @@
 }
 
 // tick advances the node by one tick. Once per heartbeat interval the leader
-// checks the membership, and a host that is not a member asks to join.
+// checks the membership, a host that leaves asks to be removed, and a host that is not
+// a member asks to join.
 func (r *replica) tick() error {
 	r.node.Tick()
 	r.reportAbsence()
 	if r.node.Now()%uint64(r.cfg.HeartbeatTicks) != 0 {
 		return nil
 	}
+	if r.leave != nil {
+		r.continueLeave()
+	}
 	if r.node.Role() == consensus.RoleLeader {
 		r.reconcileMembers()
 		return nil
 	}
-	if r.node.Members().Contains(r.id) && !r.shouldAskAgain() {
+	if r.leave != nil || r.node.Members().Contains(r.id) && !r.shouldAskAgain() {
 		return nil
 	}
-	for _, host := range r.hostsToAsk() {
-		r.sendHello(host, true)
-	}
+	r.askHosts(r.hostsToAsk())
 	return r.continueFounding()
 }
 
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -182,6 +182,7 @@
 	replica   *replica // used only by the goroutine of Run
 	inbox     chan inbound
 	proposals chan proposal
+	leaves    chan *leave
 	stopped   chan struct{}
 	status    atomic.Pointer[status]
 	// queuedBytes is the size of the proposals without an answer.
@@ -240,6 +241,7 @@
 		replica:    r,
 		inbox:      make(chan inbound, inboxCapacity),
 		proposals:  make(chan proposal, proposalQueueCapacity),
+		leaves:     make(chan *leave, 1),
 		stopped:    make(chan struct{}),
 		tickOrigin: cfg.Now(),
 	}
@@ -297,6 +299,8 @@
 			first = func() error { return s.handleInbound(in) }
 		case p := <-s.proposals:
 			first = func() error { s.replica.propose(p); return nil }
+		case l := <-s.leaves:
+			first = func() error { s.replica.startLeave(l); return nil }
 		}
 		if err := s.processBatch(first); err != nil {
 			return err
@@ -319,6 +323,9 @@
 	if err := s.drainQueues(); err != nil {
 		return err
 	}
+	if s.replica.handOverToLeave() {
+		s.publishStatus() // readers must see the end of the lease before the successor campaigns
+	}
 	if err := s.replica.flush(); err != nil {
 		return err
 	}
--- a/internal/control/server_test.go
+++ b/internal/control/server_test.go
@@ -124,9 +124,18 @@
 	n.stopServer(t, host, false)
 }
 
-// stopServer stops a server. Only a graceful stop lets it hand over the
-// leadership. Unsynced data is lost in both cases.
+// stopServer stops a server. Only a graceful stop lets it leave the membership and hand
+// over the leadership. Unsynced data is lost in both cases.
 func (n *network) stopServer(t *testing.T, host table.HostID, graceful bool) {
+	t.Helper()
+	if graceful {
+		n.server(host).Leave(t.Context())
+	}
+	n.endServer(t, host, graceful)
+}
+
+// endServer ends a server that has left if it is to leave.
+func (n *network) endServer(t *testing.T, host table.HostID, graceful bool) {
 	t.Helper()
 	n.mu.Lock()
 	cancel, done := n.cancel[host], n.done[host]
--- a/internal/host/reconcile.go
+++ b/internal/host/reconcile.go
@@ -24,6 +24,9 @@
 	lingerHeartbeats = 3
 	// drainPollInterval is how often a shutdown checks whether the work has ended.
 	drainPollInterval = 20 * time.Millisecond
+	// leaveReserve is the part of the time limit of a shutdown in which a control host
+	// is removed from the membership, after everything else.
+	leaveReserve = 500 * time.Millisecond
 )
 
 // reconcile releases and acquires instances so that the owned instances match
@@ -90,12 +93,23 @@
 
 // shutdown shuts this host down gracefully: the host reports that it is not
 // ready, disconnects its callers, hands its instances over while requests finish,
-// and releases its lease. It logs the work that is unfinished at the timeout.
+// and releases its lease. A control host then gives up its vote.
 func (h *Host) shutdown(ctx context.Context) {
 	close(h.stopping)
 	h.log.Info("shutting down: not ready")
 	ctx, stop := context.WithTimeout(ctx, h.shutdownTimeout())
 	defer stop()
+	h.drain(ctx)
+	if h.control != nil {
+		h.control.server.Leave(ctx)
+	}
+	h.log.Info("shutting down: done")
+}
+
+// drain ends the work of this host and logs what is unfinished at its time limit.
+func (h *Host) drain(ctx context.Context) {
+	ctx, stop := context.WithTimeout(ctx, h.drainTimeout())
+	defer stop()
 	h.heartbeats.startDraining()
 	select {
 	case <-ctx.Done():
@@ -109,7 +123,6 @@
 	h.linger(ctx)
 	h.dir.releaseLease()
 	h.heartbeats.send(context.WithoutCancel(ctx), true)
-	h.log.Info("shutting down: done")
 }
 
 // shutdownTimeout returns the time limit of a graceful shutdown.
@@ -120,6 +133,14 @@
 	return defaultShutdownTimeout
 }
 
+// drainTimeout returns the time limit of the drain within a shutdown.
+func (h *Host) drainTimeout() time.Duration {
+	if h.control == nil {
+		return h.shutdownTimeout()
+	}
+	return h.shutdownTimeout() - leaveReserve
+}
+
 // notReadyDelay returns how long the load balancer needs to notice that this
 // host is not ready.
 func (h *Host) notReadyDelay() time.Duration {
