A control host that left and starts again asks to join after one timeout

Its log does not hold the entry of its removal, so it waited four election timeouts for a leader that does not know it.

A member that has not heard a leader since its start now asks after one. The leader ignores the question of a member; it costs a message to each control host per election timeout until a leader is heard.

--- a/internal/control/leave_test.go
+++ b/internal/control/leave_test.go
@@ -277,3 +277,24 @@
 		assert.Assert(t, n.isMember(t, host))
 	})
 }
+
+// Guards against a host that left as planned, starts again with its disk and waits for
+// the leader, which does not know it any more, as long as a member waits that has been
+// cut off.
+func TestHostThatLeftIsBackSoonAfterItsRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newOpenNetworkOf(4)
+		n.startAll(t)
+		defer n.crashAll(t)
+		waitForMembership()
+		host := n.followers(t)[0]
+		n.stopServer(t, host, true)
+		time.Sleep(time.Second)
+		start := time.Now()
+		n.start(t, host)
+		for !n.server(host).CaughtUp() && time.Since(start) < 10*time.Second {
+			time.Sleep(DefaultTickInterval)
+		}
+		assert.Assert(t, time.Since(start) < time.Second, "took %v", time.Since(start))
+	})
+}
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -26,11 +26,15 @@
 
 // shouldAskAgain reports whether this host must ask to join although its log
 // lists it as a member. If it has had no contact with a leader for stampTimeouts
-// election timeouts, it may have been removed without receiving the entry of its
-// removal. It then asks once per election timeout.
+// election timeouts, or for one since its start, it may have been removed without
+// receiving the entry of its removal. It then asks once per election timeout.
 func (r *replica) shouldAskAgain() bool {
-	election := uint64(r.cfg.ElectionTicks)
-	return r.node.TicksSinceLeaderContact() >= stampTimeouts*election && r.node.Now()%election < uint64(r.cfg.HeartbeatTicks)
+	election, silence := uint64(r.cfg.ElectionTicks), r.node.TicksSinceLeaderContact()
+	patience := stampTimeouts * election
+	if silence == r.node.Now() { // no contact since the start
+		patience = election
+	}
+	return silence >= patience && r.node.Now()%election < uint64(r.cfg.HeartbeatTicks)
 }
 
 // hostsToAsk returns the other hosts that may be members: the voters of the
