A host without callers does not wait for callers to disconnect when it stops

The phase is left out where there is no listener for callers.

Before: TestHostWithoutCallersDoesNotWaitForThem fails (retiring is called).

--- a/internal/host/reconcile.go
+++ b/internal/host/reconcile.go
@@ -151,10 +151,10 @@
 }
 
 // retireCallers disconnects the callers that have no request in flight,
-// repeatedly for retireDuration, if the listener supports that.
+// repeatedly for retireDuration, if it has a listener that supports that.
 func (h *Host) retireCallers(ctx context.Context) {
 	callers, ok := h.callers.(retirer)
-	if !ok {
+	if !ok || h.callerSocket == nil {
 		return
 	}
 	ctx, stop := context.WithTimeout(ctx, retireDuration)
