A new control leader does not remove a voter that runs

The new leader removed the standby, which runs, and kept the lost voter; with the next tolerated loss no majority was left. A planned stop of the leader makes this likelier: it changes the leadership and the membership at the same time.

Cause: removeEvenVoter asks that no voter be silent. Silence is counted from the election, so to a new leader nobody is silent, also who has long been gone. A member that has confirmed nothing in this leadership now counts as silent (as not known to run) in all rules that count on members that run: removing an even voter, growing the membership, removing a silent or leaving voter, choosing a successor. The 1.8 s after which a voter may be removed are still counted from the election.

The schedules now also cut off or silence the host that stops, after whose exit the tolerated losses are still to be borne.

Before: TestNewLeaderKeepsTheStandbyThatReplacedALostVoter fails: voters h1, h2 and h3, of which h3 is gone, and not h4.

--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -102,6 +102,13 @@
 	return n.tick - min(n.tick, max(pr.ackTick, pr.addedTick))
 }
 
+// HasConfirmed reports whether the member id has confirmed a message of this leader, or
+// is this node.
+func (n *Node) HasConfirmed(id NodeID) bool {
+	pr := n.progress[id]
+	return id == n.cfg.ID || pr != nil && pr.ackTick > 0
+}
+
 // hasCaughtUp reports whether the member id holds all committed entries and has
 // confirmed a message within an election timeout.
 func (n *Node) hasCaughtUp(id NodeID) bool {
--- a/internal/control/leave.go
+++ b/internal/control/leave.go
@@ -107,7 +107,7 @@
 // staysAndAnswers reports whether a member is not leaving and has confirmed a message
 // within an election timeout.
 func (r *replica) staysAndAnswers(id consensus.NodeID) bool {
-	return !r.isLeaving(id) && r.countSilent([]consensus.NodeID{id}, 1) == 0
+	return !r.isLeaving(id) && r.countSilent([]consensus.NodeID{id}) == 0
 }
 
 // hasStayingVoter reports whether the membership has another voter that is not leaving.
@@ -197,6 +197,6 @@
 		return true
 	}
 	rest := slices.DeleteFunc(slices.Clone(members.Voters), func(v consensus.NodeID) bool { return v == id })
-	responsive := len(rest) - r.countSilent(rest, 1)
+	responsive := len(rest) - r.countSilent(rest)
 	return len(rest) >= r.voterFloor() && responsive > len(rest)/2
 }
--- a/internal/control/leave_test.go
+++ b/internal/control/leave_test.go
@@ -15,20 +15,16 @@
 )
 
 // lossKind is a way in which a host is lost.
-type lossKind int
+type lossKind string
 
 const (
-	lossStopped lossKind = iota // the process ends and keeps its disk
-	lossSilent                  // it sends nothing
-	lossWiped                   // it starts again with an empty disk
-	lossCutOff                  // it sends and receives nothing
-	lossKindCount
+	lossNone    lossKind = ""
+	lossStopped lossKind = "stopped" // the process ends and keeps its disk
+	lossSilent  lossKind = "silent"  // it sends nothing
+	lossWiped   lossKind = "wiped"   // it starts again with an empty disk
+	lossCutOff  lossKind = "cut off" // it sends and receives nothing
 )
 
-func (k lossKind) String() string {
-	return [...]string{"stopped", "silent", "wiped", "cut off"}[k]
-}
-
 // plannedStopRun is a random schedule of planned replacements, during or right after
 // each of which as many other hosts are lost as the deployment tolerates.
 type plannedStopRun struct {
@@ -44,26 +40,37 @@
 
 // lose loses a host that is not lost yet.
 func (r *plannedStopRun) lose(stopping table.HostID) {
-	hosts := slices.DeleteFunc(r.running(), func(h table.HostID) bool {
-		_, isLost := r.absent[h]
-		return h == stopping || isLost
-	})
-	host, kind := hosts[0], lossKind(r.rng.IntN(int(lossKindCount)))
-	r.note("%s %s", host, kind)
-	r.absent[host] = kind
-	switch kind {
-	case lossStopped:
+	hosts := slices.DeleteFunc(r.running(), func(h table.HostID) bool { return h == stopping || r.absent[h] != lossNone })
+	host := hosts[0]
+	switch r.rng.IntN(3) {
+	case 0:
+		r.record(host, lossStopped)
 		r.crash(r.t, host)
-	case lossSilent:
-		r.muteAbsent()
-	case lossWiped:
+	case 1:
+		r.record(host, lossWiped)
 		r.crash(r.t, host)
 		r.add(r.t, host, r.pickSeeds(""))
 	default:
-		r.setIsolated(host, true)
+		r.disconnect(host)
 	}
 }
 
+// disconnect cuts a host off or silences it.
+func (r *plannedStopRun) disconnect(host table.HostID) {
+	if r.rng.IntN(2) == 0 {
+		r.record(host, lossSilent)
+		r.muteAbsent()
+		return
+	}
+	r.record(host, lossCutOff)
+	r.setIsolated(host, true)
+}
+
+func (r *plannedStopRun) record(host table.HostID, kind lossKind) {
+	r.note("%s %s", host, kind)
+	r.absent[host] = kind
+}
+
 // muteAbsent lets the silent hosts send nothing.
 func (r *plannedStopRun) muteAbsent() {
 	muted := map[table.HostID]bool{}
@@ -87,7 +94,8 @@
 
 // replaceAsPlanned adds a successor, lets it catch up and stops another host for good.
 // At random times from before the request to stop until 2 s after the exit, as many
-// hosts are lost as the deployment tolerates.
+// hosts are lost as the deployment tolerates. The host that stops may be one of them; it
+// no longer counts once it has stopped.
 func (r *plannedStopRun) replaceAsPlanned() {
 	r.added++
 	next := table.HostID(fmt.Sprint("n", r.added))
@@ -101,9 +109,16 @@
 		r.pass(time.Duration(r.rng.IntN(3000)) * time.Millisecond)
 	}
 	r.note("%s asked to stop, successor %s", old, next)
-	left := make(chan bool, 1)
-	go func() { left <- r.server(old).Leave(r.t.Context()) }()
-	for losses > 0 && r.rng.IntN(2) == 0 { // some are lost while it stops
+	isOldLost := losses == r.disks && r.rng.IntN(3) == 0
+	if isOldLost && r.rng.IntN(2) == 0 {
+		r.disconnect(old)
+	}
+	left := r.leaving(r.t, old)
+	if isOldLost && r.absent[old] == lossNone {
+		time.Sleep(time.Duration(r.rng.IntN(400)) * time.Millisecond)
+		r.disconnect(old)
+	}
+	for losses > 0 && !isOldLost && r.rng.IntN(2) == 0 { // some are lost while it stops
 		time.Sleep(time.Duration(r.rng.IntN(400)) * time.Millisecond)
 		r.lose(old)
 		losses--
@@ -111,6 +126,7 @@
 	r.note("%s has stopped, left: %t", old, <-left)
 	r.endServer(r.t, old, true)
 	r.voters = slices.DeleteFunc(slices.Clone(r.voters), func(h table.HostID) bool { return h == old })
+	delete(r.absent, old)
 	for ; losses > 0; losses-- {
 		time.Sleep(time.Duration(r.rng.IntN(2000)) * time.Millisecond)
 		r.lose(old)
@@ -298,3 +314,56 @@
 		assert.Assert(t, time.Since(start) < time.Second, "took %v", time.Since(start))
 	})
 }
+
+// Guards against a host that is cut off while it stops and exits while the others still
+// count its vote: from then on another host may be lost.
+func TestHostCutOffWhileItStopsIsReplacedBeforeItExits(t *testing.T) {
+	for _, leads := range []bool{false, true} {
+		for _, delay := range []time.Duration{0, 20, 60, 110, 160} { // milliseconds
+			t.Run(fmt.Sprintf("leads: %t, cut off after %d ms", leads, delay), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					n := newOpenNetworkOf(4)
+					n.startAll(t)
+					defer n.crashAll(t)
+					waitForMembership()
+					host := n.leader(t).cfg.Host
+					if !leads {
+						host = slices.DeleteFunc(voters(n.leader(t)), func(h table.HostID) bool { return h == host })[0]
+					}
+					if delay == 0 {
+						n.setIsolated(host, true)
+					}
+					left := n.leaving(t, host)
+					time.Sleep(delay * time.Millisecond)
+					n.setIsolated(host, true)
+					<-left
+					n.endServer(t, host, true)
+					assert.Assert(t, !slices.Contains(voters(n.leader(t)), host), "%v", n.leader(t).Members())
+				})
+			})
+		}
+	}
+}
+
+// Guards against a new leader that removes a voter that runs, because it does not know yet
+// which one is silent: the standby that has just replaced a lost voter was removed again.
+func TestNewLeaderKeepsTheStandbyThatReplacedALostVoter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newOpenNetworkOf(4)
+		n.startAll(t)
+		defer n.crashAll(t)
+		waitForMembership()
+		leader := n.leader(t)
+		standby := leader.Members().Learners[0].Host
+		lost := slices.DeleteFunc(voters(leader), func(h table.HostID) bool { return h == leader.cfg.Host })[0]
+		n.crash(t, lost)
+		for len(leader.Members().Voters) != 4 {
+			time.Sleep(time.Millisecond)
+		}
+		n.leaving(t, leader.cfg.Host)
+		for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+			assert.Assert(t, slices.Contains(voters(n.leader(t)), standby), "%v", n.leader(t).Members())
+		}
+		assert.Equal(t, len(n.leader(t).Members().Voters), 3)
+	})
+}
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -262,31 +262,42 @@
 // known yet whether a silent voter comes back, the number of voters does not grow.
 func (r *replica) needsVoter() bool {
 	members := r.node.Members()
-	silent := r.countSilent(members.Voters, 1)
+	silent := r.countSilent(members.Voters)
 	switch {
 	case len(members.Voters) < r.voterFloor(), r.hasLeavingVoter():
 		return true
 	case len(members.Voters)%2 == 0:
 		return silent == 0
-	case r.countSilent(members.Voters, unresponsiveTimeouts) > 0:
+	case slices.ContainsFunc(members.Voters, r.isUnresponsive):
 		return true
 	default:
-		return silent == 0 && len(members.Learners)-r.countSilent(members.Learners, 1) > 1
+		return silent == 0 && len(members.Learners)-r.countSilent(members.Learners) > 1
 	}
 }
 
-// countSilent returns how many of ids are other members that have been without
-// contact for the given number of election timeouts.
-func (r *replica) countSilent(ids []consensus.NodeID, timeouts int) int {
+// countSilent returns how many of ids are other members that have confirmed nothing for
+// an election timeout, or nothing yet: a new leader does not know who still runs.
+func (r *replica) countSilent(ids []consensus.NodeID) int {
 	silent := 0
 	for _, id := range ids {
-		if id != r.id && r.node.TicksSinceAck(id) >= uint64(timeouts*r.cfg.ElectionTicks) {
+		if r.isSilentFor(id, 1) || !r.node.HasConfirmed(id) {
 			silent++
 		}
 	}
 	return silent
 }
 
+// isSilentFor reports whether id is another member that has been without contact for
+// the given number of election timeouts, counted from the election at the earliest.
+func (r *replica) isSilentFor(id consensus.NodeID, timeouts int) bool {
+	return id != r.id && r.node.TicksSinceAck(id) >= uint64(timeouts*r.cfg.ElectionTicks)
+}
+
+// isUnresponsive reports whether a voter may be removed because it is silent.
+func (r *replica) isUnresponsive(id consensus.NodeID) bool {
+	return r.isSilentFor(id, unresponsiveTimeouts)
+}
+
 // removeUnresponsiveVoter removes the voter of an open membership that has been
 // unresponsive for longest, so that hosts that never come back do not count towards the
 // quorum. It does so only if the other voters are enough, and enough of them are
@@ -295,17 +306,14 @@
 func (r *replica) removeUnresponsiveVoter() bool {
 	voters := r.node.Members().Voters
 	remaining := len(voters) - 1
-	responsive := len(voters) - r.countSilent(voters, 1)
+	responsive := len(voters) - r.countSilent(voters)
 	if remaining < r.voterFloor() || responsive < remaining/2+2 {
 		return false
 	}
 	longest := slices.MaxFunc(voters, func(a, b consensus.NodeID) int {
 		return cmp.Compare(r.node.TicksSinceAck(a), r.node.TicksSinceAck(b))
 	})
-	if r.countSilent([]consensus.NodeID{longest}, unresponsiveTimeouts) == 0 {
-		return false
-	}
-	return r.proposeChange(consensus.RemoveMember, longest)
+	return r.isUnresponsive(longest) && r.proposeChange(consensus.RemoveMember, longest)
 }
 
 // removeEvenVoter removes a voter if the number of voters is even and no learner is there
@@ -314,7 +322,7 @@
 func (r *replica) removeEvenVoter() bool {
 	members := r.node.Members()
 	voters := members.Voters
-	if len(voters)%2 == 1 || len(members.Learners) > 0 || len(voters) <= r.voterFloor() || r.countSilent(voters, 1) > 0 {
+	if len(voters)%2 == 1 || len(members.Learners) > 0 || len(voters) <= r.voterFloor() || r.countSilent(voters) > 0 {
 		return false
 	}
 	for _, id := range slices.Backward(voters) {
@@ -330,7 +338,7 @@
 // reports whether it proposed a change.
 func (r *replica) removeUnresponsiveLearner() bool {
 	for _, id := range r.node.Members().Learners {
-		if r.node.TicksSinceAck(id) >= uint64(learnerTimeouts*r.cfg.ElectionTicks) {
+		if r.isSilentFor(id, learnerTimeouts) {
 			return r.proposeChange(consensus.RemoveMember, id)
 		}
 	}
