A control host that stops has the time to be removed although it is cut off

The wait for the removal takes up to ten election timeouts now, 3 s: if the host that is cut off led, the others first elect a leader (up to 0.9 s), which then counts 1.8 s of silence and changes the membership twice.

To have these 3 s within the 5.3 s of the users' platform, a host without callers also leaves out the 2.2 s (platform) or 0.5 s that a load balancer of callers needs to notice that it is not ready.

--- a/internal/control/leave.go
+++ b/internal/control/leave.go
@@ -10,8 +10,9 @@
 )
 
 // leaveTimeouts is the number of election timeouts for which a host that stops waits
-// to be removed. A leader that does not hear it has removed it as unresponsive by then.
-const leaveTimeouts = unresponsiveTimeouts + 3
+// to be removed. A leader that does not hear it has removed it as unresponsive by then,
+// also if that leader had to be elected first.
+const leaveTimeouts = unresponsiveTimeouts + 4
 
 // leaveAnswer is what a control host answers to one that asks to leave.
 type leaveAnswer uint8
--- a/internal/host/reconcile.go
+++ b/internal/host/reconcile.go
@@ -111,6 +111,19 @@
 	ctx, stop := context.WithTimeout(ctx, h.drainTimeout())
 	defer stop()
 	h.heartbeats.startDraining()
+	h.drainCallers(ctx)
+	h.awaitHandOver(ctx)
+	h.linger(ctx)
+	h.dir.releaseLease()
+	h.heartbeats.send(context.WithoutCancel(ctx), true)
+}
+
+// drainCallers disconnects the callers of this host, if it serves any, once the load
+// balancer has noticed that it is not ready.
+func (h *Host) drainCallers(ctx context.Context) {
+	if h.callerSocket == nil {
+		return
+	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(h.notReadyDelay()):
@@ -119,10 +132,6 @@
 	for _, unfinished := range h.callers.Drain(ctx) {
 		h.log.WithField("left", unfinished).Warn("shutting down: not finished")
 	}
-	h.awaitHandOver(ctx)
-	h.linger(ctx)
-	h.dir.releaseLease()
-	h.heartbeats.send(context.WithoutCancel(ctx), true)
 }
 
 // shutdownTimeout returns the time limit of a graceful shutdown.
@@ -151,10 +160,10 @@
 }
 
 // retireCallers disconnects the callers that have no request in flight,
-// repeatedly for retireDuration, if it has a listener that supports that.
+// repeatedly for retireDuration, if the listener supports that.
 func (h *Host) retireCallers(ctx context.Context) {
 	callers, ok := h.callers.(retirer)
-	if !ok || h.callerSocket == nil {
+	if !ok {
 		return
 	}
 	ctx, stop := context.WithTimeout(ctx, retireDuration)
--- a/internal/host/shutdown_test.go
+++ b/internal/host/shutdown_test.go
@@ -29,7 +29,7 @@
 				h.callerSocket = &net.TCPListener{}
 			}
 			start := time.Now()
-			h.retireCallers(t.Context())
+			h.drainCallers(t.Context())
 			assert.Equal(t, callers.calls > 0, serves)
 			assert.Equal(t, time.Since(start) > 0, serves)
 		})
