--- a/internal/control/hello.go
+++ b/internal/control/hello.go
@@ -14,8 +14,8 @@
 type hello struct {
 	From consensus.NodeID
 	To   table.HostID
-	// Ask requests an answer. A host sets it while it is not a member, or while
-	// it has had no contact with a leader for a long time.
+	// Ask requests an answer. A host sets it while it is not a member, while it has
+	// had no contact with a leader for a long time, and while it leaves.
 	Ask bool
 	// Leave is set while the sender stops as planned and asks to be removed from the
 	// members. LeaveAnswer is the answer to it.
