--- a/review/platform-3/hosts.go
+++ b/review/platform-3/hosts.go
@@ -46,7 +46,7 @@
 	return fmt.Sprintf("127.0.2.%d:%d", n+1, d.ports.callers)
 }
 
-// freePorts returns ports that no loopback address uses now.
+// freePorts returns ports that are free now.
 func freePorts() (ports, error) {
 	var found []int
 	var listeners []net.Listener
@@ -56,7 +56,7 @@
 		}
 	}()
 	for len(found) < 7 {
-		l, err := net.Listen("tcp", ":0")
+		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return ports{}, err
 		}
