--- a/review/platform-3/main.go
+++ b/review/11/platform/main.go
@@ -1,4 +1,4 @@
-// Command platform-3 is the stand-in for the users' platform in the scripts of the
+// Command platform is the stand-in for the users' platform in the scripts of the
 // third review: instances of a database service, the operator, callers, the platform's
 // promotion call and the network between them. It starts the system's processes, plays
 // one case and judges it.
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,4 +4,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-CGO_ENABLED=1 go build -o target/review/ ./review/platform-3
+CGO_ENABLED=1 go build -o target/review/platform-3 ./review/11/platform
