What became of an order to promote, and which log term an instance follows, are known

The control leader could not tell three results of a promotion call apart: refused, accepted and not seen yet, and no answer. Nor could it see through another instance that a promotion has taken effect: a replica's report carried the term of its last entry, not the one that it follows.

- Promotion.MinLogTerm: a primary of a lower log term is an old one and doesn't count as the result of the promotion.
Zero, as here, changes nothing.
- Report.LogTerm: the log term that the instance leads or follows.
A host that doesn't send it counts as not telling.

--- a/cmd/amaranthweir/lines_test.go
+++ b/cmd/amaranthweir/lines_test.go
@@ -78,7 +78,7 @@
 
 // AppendState implements typed.Codec.
 func (instanceLines) AppendState(s typedproto.State) string {
-	return fmt.Sprintf("%s %d %d.%d %d 0 0 %d", s.Role, s.Mark.Term, s.Mark.Term, s.Mark.Position, s.Held, s.Connections)
+	return fmt.Sprintf("%s %d %d.%d %d 0 0 %d", s.Role, max(s.Term, s.Mark.Term), s.Mark.Term, s.Mark.Position, s.Held, s.Connections)
 }
 
 // caller is the connection of a caller to an entry host.
--- a/internal/dbedge/dbedge.go
+++ b/internal/dbedge/dbedge.go
@@ -49,6 +49,9 @@
 	Mark table.Mark
 	// TermStart is the position at which the term in Mark began.
 	TermStart table.Position
+	// Term is the term that the instance leads or follows, zero if the prober does
+	// not tell. It is above that of Mark until an entry of the term was received.
+	Term table.Term
 	// Held is the term given to the Hold that is in effect on a replica; zero
 	// while the replica receives from its primary.
 	Held table.Term
@@ -80,6 +83,10 @@
 	// Leadership identifies the leadership of the control leader that orders the
 	// promotion. A later leadership has a higher number.
 	Leadership uint64
+	// MinLogTerm is the lowest log term in which the instance counts as promoted,
+	// on platforms that assign log terms themselves. A primary of a lower one is an
+	// old primary.
+	MinLogTerm table.Term
 }
 
 // Prober asks an instance for its state. It returns an error if no answer arrives
@@ -96,9 +103,18 @@
 // term, or the same term under another primary.
 var ErrStaleTerm = errors.New("the term is stale at the instance")
 
+// ErrPromotionRefused is returned by a Promoter or its platform if the order had no
+// effect and will have none.
+var ErrPromotionRefused = errors.New("the promotion was refused")
+
+// ErrPromotionPending is returned by a Promoter whose platform accepted the order,
+// if the instance was not seen to lead in time. The order may still take effect.
+var ErrPromotionPending = errors.New("the promotion was accepted and has not been seen")
+
 // Promoter makes a replica the primary of its group in the given term. Promote is
 // idempotent: a second call with the same term succeeds. It returns ErrStaleTerm
-// if the instance has seen a higher term.
+// if the instance has seen a higher term. After any error but ErrPromotionRefused
+// and ErrStaleTerm the order may still take effect.
 type Promoter interface {
 	Promote(ctx context.Context, p Promotion) (Status, error)
 }
--- a/internal/dbedge/typededge/typededge.go
+++ b/internal/dbedge/typededge/typededge.go
@@ -33,7 +33,9 @@
 
 // Requester requests promotions from the platform.
 type Requester interface {
-	// RequestPromotion returns once the platform has accepted the request.
+	// RequestPromotion returns once the platform has accepted the request. It
+	// returns dbedge.ErrPromotionRefused if the request has no effect. After any
+	// other error it may have been accepted.
 	RequestPromotion(ctx context.Context, p dbedge.Promotion) error
 }
 
@@ -109,7 +111,7 @@
 }
 
 // Promote implements dbedge.Promoter. It returns once a probe shows that the
-// instance is primary.
+// instance is primary in p.MinLogTerm or above.
 func (cl *Client) Promote(ctx context.Context, p dbedge.Promotion) (dbedge.Status, error) {
 	requestCtx, stop := context.WithTimeout(ctx, requestTimeout)
 	err := cl.requester.RequestPromotion(requestCtx, p)
@@ -119,12 +121,12 @@
 	}
 	for {
 		status, err := cl.Probe(ctx, p.Target)
-		if err == nil && status.Role == table.RolePrimary {
+		if err == nil && status.Role == table.RolePrimary && status.Mark.Term >= p.MinLogTerm {
 			return status, nil
 		}
 		select {
 		case <-ctx.Done():
-			return dbedge.Status{}, fmt.Errorf("promote %s: %w", p.Instance, context.Cause(ctx))
+			return dbedge.Status{}, fmt.Errorf("promote %s: %w: %w", p.Instance, dbedge.ErrPromotionPending, context.Cause(ctx))
 		case <-time.After(promotionPollInterval):
 		}
 	}
@@ -166,7 +168,7 @@
 		return dbedge.Status{}, fmt.Errorf("ask %s: %w", t.Instance, err)
 	}
 	cl.putIdle(t, c)
-	return dbedge.Status{Role: s.Role, Mark: s.Mark, Held: s.Held, ConnectedAt: c.openedAt}, err
+	return dbedge.Status{Role: s.Role, Mark: s.Mark, Term: s.Term, Held: s.Held, ConnectedAt: c.openedAt}, err
 }
 
 // takeIdle removes and returns the idle connection to t, and false if there is
--- a/internal/host/heartbeat.go
+++ b/internal/host/heartbeat.go
@@ -264,7 +264,7 @@
 // must learn at once. The position alone does not count.
 func reportChanged(old, r failover.Report) bool {
 	return old.Reachable != r.Reachable || old.Role != r.Role || old.Leaving != r.Leaving ||
-		old.Mark.Term != r.Mark.Term || old.SeenTerm != r.SeenTerm || old.Quiesced != r.Quiesced || old.Held != r.Held
+		old.Mark.Term != r.Mark.Term || old.LogTerm != r.LogTerm || old.SeenTerm != r.SeenTerm || old.Quiesced != r.Quiesced || old.Held != r.Held
 }
 
 // handleFailure handles a heartbeat that the leader did not process: the next
--- a/internal/owner/report.go
+++ b/internal/owner/report.go
@@ -58,6 +58,7 @@
 		Role:       h.status.Role,
 		Mark:       h.status.Mark,
 		TermStart:  h.status.TermStart,
+		LogTerm:    h.status.Term,
 		Held:       h.status.Held,
 		After:      h.leaderStamp,
 		SeenTerm:   seenTerm,
--- a/internal/system/failover/report.go
+++ b/internal/system/failover/report.go
@@ -18,8 +18,8 @@
 }
 
 // Report describes one instance in a heartbeat of a host. An owner reports an
-// instance when its Reachable, Role, Leaving, Mark.Term, SeenTerm, Quiesced or
-// Held changed, when an order asks for a report, and when the leadership
+// instance when its Reachable, Role, Leaving, Mark.Term, LogTerm, SeenTerm, Quiesced
+// or Held changed, when an order asks for a report, and when the leadership
 // changed. A change of Reachable is sent at once, without waiting for the next
 // heartbeat.
 type Report struct {
@@ -41,6 +41,9 @@
 	Role      table.Role
 	Mark      table.Mark
 	TermStart table.Position
+	// LogTerm is the log term that the instance led or followed at the latest
+	// successful probe, zero if it does not tell. It may be above Mark.Term.
+	LogTerm table.Term
 	// Held is the term in which the replica was ordered to stop receiving, zero
 	// while it receives.
 	Held table.Term
--- a/internal/typedproto/typedproto.go
+++ b/internal/typedproto/typedproto.go
@@ -137,6 +137,9 @@
 type State struct {
 	Role table.Role
 	Mark table.Mark
+	// Term is the term that the instance leads or follows. It is above that of Mark
+	// until an entry of the term was received.
+	Term table.Term
 	// Held is the term of the Pause in effect, zero if there is none.
 	Held        table.Term
 	Connections int
--- a/standin/typed/session.go
+++ b/standin/typed/session.go
@@ -344,7 +344,7 @@
 
 func (s *session) status() typedproto.Answer {
 	in := s.in
-	state := typedproto.State{Role: in.role, Mark: in.mark(), Held: in.held, Connections: len(in.conns)}
+	state := typedproto.State{Role: in.role, Mark: in.mark(), Term: in.term, Held: in.held, Connections: len(in.conns)}
 	return typedproto.Answer{Rows: []string{in.group.codec.AppendState(state)}}
 }
 
