No instance serves while the ordered promotion of another may still take effect

Commits that were acknowledged from then on (138 and 147) are gone half a second later, when that promotion takes effect.

Cause: an order to a platform that promotes by itself can't be withdrawn, and control treated it as if it were. Ruled out: a floor that was too low (i-2 held all 1,026 entries from before the crash; what is lost came after), and two leaders (one leadership, one fencing token).

Now an order is open until it was seen to have taken effect, was refused, or PromotionLapse (3.5 s) has passed. Meanwhile no other instance is ordered and none serves. If it lapsed unseen, another instance serves only once its own promotion, ordered after that, is seen, or such an order was accepted and has changed nothing until it lapsed too (the old primary). A new leader knows: the candidate of BeginTerm may have been ordered; LogTermInDoubt and PromotionOpen say what was ordered before.

--- a/cmd/amaranthweir/deployment_test.go
+++ b/cmd/amaranthweir/deployment_test.go
@@ -52,8 +52,11 @@
 	// controlSettings are further lines of the settings of each control host.
 	controlSettings string
 
+	instances []*typed.Instance
+
 	mu         sync.Mutex
-	promotions []string // the fencing tokens of the promotions, in order of arrival
+	promotions []string           // the fencing tokens of the promotions, in order of arrival
+	promoted   []table.InstanceID // the instances that they name
 	sequence   uint64
 }
 
@@ -236,6 +239,7 @@
 		}
 		d.mu.Lock()
 		d.promotions = append(d.promotions, r.Header.Get("Fencing-Token"))
+		d.promoted = append(d.promoted, in.Instance)
 		d.mu.Unlock()
 		if d.group.Promote(in.Instance) != nil {
 			w.WriteHeader(http.StatusConflict)
@@ -248,11 +252,10 @@
 func (d *deployment) startInstances() {
 	d.group = typed.NewGroup("g1", instanceLines{})
 	d.group.SetPromoteTime(promotionTime)
-	var instances []*typed.Instance
 	for n := range zones {
 		in, err := d.group.Add(table.InstanceID(fmt.Sprint("i-", n+1)), fmt.Sprintf("127.0.3.%d:%s", n+1, d.ports["instances"]))
 		assert.NilError(d.t, err)
-		instances = append(instances, in)
+		d.instances = append(d.instances, in)
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	d.stopHeartbeats = stop
@@ -260,7 +263,7 @@
 		tick := time.NewTicker(100 * time.Millisecond)
 		defer tick.Stop()
 		for {
-			for n, in := range instances {
+			for n, in := range d.instances {
 				d.sendHeartbeat(n, in)
 			}
 			select {
--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -45,6 +45,9 @@
 	Group     table.GroupName  `json:"group"`
 	Term      table.Term       `json:"term"`
 	Candidate table.InstanceID `json:"candidate"`
+	// LogTermInDoubt becomes that of the group, see table.Group. It stays set until
+	// the next SetPrimary.
+	LogTermInDoubt bool `json:"log_term_in_doubt,omitempty"`
 }
 
 // SetPrimary records that the candidate of Term is promoted. It is refused
@@ -56,6 +59,8 @@
 	TermStart table.Position   `json:"term_start"`
 	// LogTerm is the term of Primary's log, or zero if that is Term.
 	LogTerm table.Term `json:"log_term,omitempty"`
+	// PromotionOpen becomes that of the group, see table.Group.
+	PromotionOpen bool `json:"promotion_open,omitempty"`
 }
 
 // NoteInstances records the addresses of instances and removes the instances in
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -186,6 +186,8 @@
 	}
 	next := current
 	next.Term, next.Candidate, next.Phase = b.Term, b.Candidate, table.PhasePromoting
+	next.LogTermInDoubt = current.LogTermInDoubt || b.LogTermInDoubt
+	next.PromotionOpen = false
 	return s.putGroup(next)
 }
 
@@ -208,6 +210,7 @@
 	next := current
 	next.Phase, next.Primary, next.TermStart = table.PhaseStable, p.Primary, p.TermStart
 	next.LogTerm = p.LogTerm
+	next.LogTermInDoubt, next.PromotionOpen = false, p.PromotionOpen
 	next.History.Add(next.EffectiveLogTerm(), p.TermStart)
 	return s.putGroup(next)
 }
--- a/internal/host/adapter.go
+++ b/internal/host/adapter.go
@@ -78,6 +78,10 @@
 	// is chosen. Platforms take up to about one second for a promotion.
 	promoteTimeout       = 4 * time.Second
 	promoteRetryInterval = 1500 * time.Millisecond
+	// promotionLapse is how long after an order the platform may promote an
+	// instance: the timeout of the order and three times the longest promotion that
+	// platforms state, rounded up.
+	promotionLapse = 3500 * time.Millisecond
 	// heartbeatInterval and lateAfter are short, because the leader notices by
 	// missing heartbeats that a host is cut off, and callers wait for a new
 	// primary until then.
@@ -107,6 +111,7 @@
 	t.ProbeTimeout = statementProbeTimeout
 	t.Lease.Heartbeat, t.Lease.LateAfter = heartbeatInterval, lateAfter
 	t.PromoteTimeout, t.PromoteRetry = promoteTimeout, promoteRetryInterval
+	t.PromotionLapse = promotionLapse
 	t.AnnounceTimeout = maxMissedAnnouncements * a.AnnounceInterval
 	return t
 }
--- a/internal/host/leader_actions.go
+++ b/internal/host/leader_actions.go
@@ -105,15 +105,19 @@
 		Target:     dbedge.Target{Group: a.Group, Instance: a.Instance, Address: a.Address},
 		Term:       a.Term,
 		Leadership: a.Leadership,
+		MinLogTerm: a.MinLogTerm,
 	})
+	refused := errors.Is(err, dbedge.ErrPromotionRefused)
 	if err != nil {
-		l.log.WithError(err).WithField("instance", a.Instance).Warn("promotion failed")
+		fields := logrus.Fields{"instance": a.Instance, "term": a.Term, "may_take_effect": !refused}
+		l.log.WithError(err).WithFields(fields).Warn("promotion failed")
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.host.clock()
 	l.failover.HandlePromoteResult(now, failover.PromoteResult{
-		Group: a.Group, Instance: a.Instance, Term: a.Term, OK: err == nil, Status: st,
+		Group: a.Group, Instance: a.Instance, Term: a.Term, OK: err == nil, Status: st, OrderedAt: a.OrderedAt,
+		Refused: refused, Accepted: err == nil || errors.Is(err, dbedge.ErrPromotionPending),
 	})
 	l.step(now)
 }
--- a/internal/system/failover/action.go
+++ b/internal/system/failover/action.go
@@ -1,6 +1,8 @@
 package failover
 
 import (
+	"time"
+
 	"github.com/amaranthweir/amaranthweir/internal/control"
 	"github.com/amaranthweir/amaranthweir/internal/dbedge"
 	"github.com/amaranthweir/amaranthweir/internal/table"
@@ -25,6 +27,11 @@
 	Owner    table.HostID // owner of Instance, empty if it has none
 	// Leadership identifies the leadership that ordered the promotion.
 	Leadership uint64
+	// MinLogTerm is the lowest log term in which Instance counts as promoted, zero
+	// without external terms.
+	MinLogTerm table.Term
+	// OrderedAt is the time of the order, to be returned with the result.
+	OrderedAt time.Duration
 }
 
 // Fence tells an old primary that all terms below Term have ended. If the
@@ -70,7 +77,8 @@
 	Group  table.GroupName
 	Reason WaitReason
 	// Missing names the instances that do not count as answers of a change of primary
-	// that has waited for them for some time, and why. It is empty otherwise.
+	// that has waited for them for some time, and why, or the instance whose promotion
+	// is open. It is empty otherwise.
 	Missing string
 }
 
@@ -112,6 +120,10 @@
 	WaitSafeReplica
 	// WaitPromotion means that the candidate is being promoted.
 	WaitPromotion
+	// WaitPromotionLapse means that the promotion of an earlier candidate, or a
+	// further one of the primary, was ordered and may still take effect. No other
+	// instance may serve before.
+	WaitPromotionLapse
 	// WaitBootstrap means that the group is new and that too few of its
 	// instances have announced themselves, or that they disagree on the
 	// primary.
@@ -129,20 +141,21 @@
 )
 
 var waitNames = [waitCount]string{
-	WaitNothing:       "nothing",
-	WaitReport:        "the owner to report on the primary",
-	WaitEvidence:      "other hosts try to reach the primary",
-	WaitOwnerLease:    "the lease of the owner to run out",
-	WaitOwnerMove:     "the primary to move to an owner that reaches it",
-	WaitCommit:        "the control hosts to agree",
-	WaitOwnerRelease:  "the owner of the old primary to release it or to lose its lease",
-	WaitPositions:     "the positions of enough instances",
-	WaitSafeReplica:   "a replica that holds every acknowledged write",
-	WaitPromotion:     "the candidate to be promoted",
-	WaitBootstrap:     "enough instances to agree on the first primary",
-	WaitQuiesce:       "running writes to end",
-	WaitCatchUp:       "the candidate to catch up",
-	WaitSwitchReplica: "a replica to switch to",
+	WaitNothing:        "nothing",
+	WaitReport:         "the owner to report on the primary",
+	WaitEvidence:       "other hosts try to reach the primary",
+	WaitOwnerLease:     "the lease of the owner to run out",
+	WaitOwnerMove:      "the primary to move to an owner that reaches it",
+	WaitCommit:         "the control hosts to agree",
+	WaitOwnerRelease:   "the owner of the old primary to release it or to lose its lease",
+	WaitPositions:      "the positions of enough instances",
+	WaitSafeReplica:    "a replica that holds every acknowledged write",
+	WaitPromotion:      "the candidate to be promoted",
+	WaitPromotionLapse: "an ordered promotion to take effect or to lapse",
+	WaitBootstrap:      "enough instances to agree on the first primary",
+	WaitQuiesce:        "running writes to end",
+	WaitCatchUp:        "the candidate to catch up",
+	WaitSwitchReplica:  "a replica to switch to",
 }
 
 // String returns the reason as it appears in the status and in logs.
@@ -164,4 +177,9 @@
 	// HigherTerm is a term above Term that the instance has seen, zero if it
 	// reported none.
 	HigherTerm table.Term
+	// Refused is set if the order has no effect, and Accepted if the platform has
+	// accepted it. If neither is set, it may have been accepted.
+	Refused, Accepted bool
+	// OrderedAt is that of the Promote action.
+	OrderedAt time.Duration
 }
--- a/internal/system/failover/bootstrap.go
+++ b/internal/system/failover/bootstrap.go
@@ -37,7 +37,7 @@
 	case announced <= g.size()/2 || primaries > 1:
 		return WaitBootstrap
 	case primaries == 1:
-		s.proposeTerm(now, g, max(1, highestTerm), primary.inst.ID)
+		s.proposeTerm(now, g, max(1, highestTerm), primary.inst.ID, false)
 		return WaitCommit
 	case announced < g.size():
 		return WaitBootstrap
@@ -49,6 +49,6 @@
 	if best == nil {
 		return WaitBootstrap
 	}
-	s.proposeTerm(now, g, highestTerm+1, best.inst.ID)
+	s.proposeTerm(now, g, highestTerm+1, best.inst.ID, false)
 	return WaitCommit
 }
--- a/internal/system/failover/config.go
+++ b/internal/system/failover/config.go
@@ -55,6 +55,10 @@
 	// PromoteTimeout is how long a candidate may take to be promoted before
 	// another candidate is chosen.
 	PromoteTimeout time.Duration
+	// PromotionLapse is how long after a promotion was ordered it may take effect,
+	// on platforms that promote by themselves (ExternalTerms). It includes the time
+	// in which the order may reach the platform.
+	PromotionLapse time.Duration
 	// FenceRetry is how long to wait for the answer of an old primary before it
 	// is fenced again.
 	FenceRetry time.Duration
@@ -79,6 +83,7 @@
 		ProposeRetry:          300 * time.Millisecond,
 		PromoteRetry:          150 * time.Millisecond,
 		PromoteTimeout:        600 * time.Millisecond,
+		PromotionLapse:        3500 * time.Millisecond,
 		FenceRetry:            200 * time.Millisecond,
 		QuiesceTimeout:        250 * time.Millisecond,
 		SwitchRetry:           2 * time.Second,
@@ -94,7 +99,7 @@
 	positive := []time.Duration{
 		c.ProbeInterval, c.ProbeTimeout, c.FastHeartbeatInterval, c.MoveAfter, c.CheckTimeout,
 		c.AnnounceTimeout, c.ReadTimeout, c.ProposeRetry, c.PromoteRetry, c.PromoteTimeout,
-		c.FenceRetry, c.QuiesceTimeout, c.SwitchRetry,
+		c.PromotionLapse, c.FenceRetry, c.QuiesceTimeout, c.SwitchRetry,
 	}
 	for _, d := range positive {
 		if d <= 0 {
--- a/internal/system/failover/copies.go
+++ b/internal/system/failover/copies.go
@@ -108,8 +108,12 @@
 	return m.readSince(check.startedAt) && !g.entryMark(m.readMark).Less(check.mark) && s.isOfKnownStart(m)
 }
 
-// missing names the instances whose answers a change of primary lacks.
+// missing names the instances whose answers a change of primary lacks, or the one whose
+// promotion is open.
 func (s *System) missing(now time.Duration, g *group, reason WaitReason) string {
+	if reason == WaitPromotionLapse {
+		return g.missingPromotion()
+	}
 	lacksAnswers := reason == WaitPositions || reason == WaitSafeReplica
 	if !lacksAnswers || g.agreed.Phase != table.PhasePromoting || now < g.waitSince+missingDelay {
 		return ""
--- a/internal/system/failover/copies_control_test.go
+++ b/internal/system/failover/copies_control_test.go
@@ -29,9 +29,11 @@
 func (w *copiesWorld) startLeading() {
 	cfg := failover.DefaultConfig()
 	cfg.ExternalTerms = true
+	cfg.PromoteTimeout, cfg.PromoteRetry = worldPromoteTimeout, worldPromoteRetry
 	w.leadership++
 	w.leading = true
 	w.sys = failover.New(cfg, w)
+	w.platform.polls = nil
 	w.contact = map[table.HostID]time.Duration{}
 	w.known, w.left = map[table.InstanceID]table.Instance{}, map[table.InstanceID]uint64{}
 	w.sys.SetGroupSize(groupName, 2)
@@ -60,7 +62,7 @@
 // announce delivers an announcement of c to the leader, which treats it like
 // internal/host.
 func (w *copiesWorld) announce(c *nodeCopy) {
-	if !w.reachesControl(c.zone) {
+	if !w.reachesControl(c.zone) || c.hidden {
 		return
 	}
 	in := table.Instance{
@@ -134,7 +136,7 @@
 		p = &worldProbe{report: failover.Report{Group: groupName, Instance: id}, failingSince: w.now}
 		h.probes[id] = p
 	}
-	if c := w.running(id); c != nil {
+	if c := w.running(id); c != nil && !c.hidden {
 		if p.connected != c {
 			p.connected, p.connectedAt = c, w.now
 		}
@@ -155,7 +157,7 @@
 	p.report = failover.Report{
 		ConnectedFor: w.now - p.connectedAt + 1,
 		Group:        groupName, Instance: c.id, Address: c.address, Reachable: true, Role: c.role, Mark: c.mark(),
-		Held: c.held, Leaving: c.leaving,
+		Held: c.held, Leaving: c.leaving, LogTerm: c.term,
 	}
 	if c.role != table.RolePrimary {
 		return
@@ -177,7 +179,7 @@
 			h.quietUntil = w.now + o.Bound
 		case o.Kind == failover.OrderResume:
 			h.quietUntil = 0
-		case c == nil || c.role != table.RoleReplica:
+		case c == nil || c.hidden || c.role != table.RoleReplica:
 		case o.Kind == failover.OrderHold && o.Term > c.term:
 			c.held = o.Term
 		case o.Kind == failover.OrderReceive:
@@ -187,7 +189,7 @@
 }
 
 func (w *copiesWorld) witness(h *worldHost, o failover.Order, c *nodeCopy) {
-	reachable := c != nil && w.linked(c.zone, w.zoneOf(h))
+	reachable := c != nil && !c.hidden && w.linked(c.zone, w.zoneOf(h))
 	w.sys.HandleReports(w.now, h.id, []failover.Report{{
 		Group: groupName, Instance: o.Instance, Witness: true, Reachable: reachable, After: h.stamp,
 	}})
@@ -226,35 +228,9 @@
 	}
 }
 
-// promote orders a promotion from the platform. For the present primary it changes
-// nothing.
-func (w *copiesWorld) promote(a failover.Promote) {
-	c := w.running(a.Instance)
-	if c == nil {
-		return
-	}
-	if c == w.lead {
-		w.reportPromotion(c, a)
-		return
-	}
-	if w.promoting == nil {
-		w.note("promote %s in term %d", a.Instance, a.Term)
-		w.promoting, w.promotingAt, w.order = c, w.now+worldPromoteTime, a
-	}
-}
-
-// reportPromotion tells the leader that c is primary.
-func (w *copiesWorld) reportPromotion(c *nodeCopy, a failover.Promote) {
-	if w.reachesControl(c.zone) && a.Leadership == w.leadership {
-		w.sys.HandlePromoteResult(w.now, failover.PromoteResult{
-			Group: groupName, Instance: c.id, Term: a.Term, OK: true, Status: c.status(),
-		})
-	}
-}
-
 func (w *copiesWorld) fence(a failover.Fence) {
 	c := w.running(a.Instance)
-	if c == nil || !w.reachesControl(c.zone) {
+	if c == nil || c.hidden || !w.reachesControl(c.zone) {
 		return
 	}
 	if c.role == table.RolePrimary && c.term < a.Term {
--- a/internal/system/failover/copies_test.go
+++ b/internal/system/failover/copies_test.go
@@ -22,7 +22,9 @@
 	// copiesRecovery is how long after the last fault a group may take to serve. It
 	// includes the time in which an old primary steps down.
 	copiesRecovery = 8 * time.Second
-	maxCopies      = 8
+	// changeTarget is the longest time that a change of primary may take.
+	changeTarget = 16 * time.Second
+	maxCopies    = 8
 )
 
 // event is a kind of event of a history. It reports whether it could happen.
@@ -168,10 +170,11 @@
 
 // recover ends all faults, brings the primary of the latest term back if it crashed,
 // and checks that the group then serves: that primary holds every acknowledged write.
-func (w *copiesWorld) recover(t fataler) {
+func (w *copiesWorld) recover(t fataler, within time.Duration) {
 	w.cut = -1
+	w.platform.faults = platformFaults{}
 	for _, c := range w.copies {
-		c.deaf = false
+		c.deaf, c.hidden = false, false
 	}
 	if !w.lead.up {
 		if !w.mayReturn(w.lead) {
@@ -188,7 +191,7 @@
 	if len(w.replicas()) == 0 {
 		w.join(0) // a primary acknowledges nothing without a replica
 	}
-	w.run(copiesRecovery)
+	w.run(within)
 	if w.lead.leaving {
 		return // an instance that was leaving was promoted meanwhile
 	}
@@ -208,8 +211,9 @@
 }
 
 // checkHistories plays random histories of events. At each promotion it checks that
-// nothing acknowledged is lost, and at the end, if so asked, that the group serves.
-func checkHistories(t *testing.T, recovers bool, events ...event) {
+// nothing acknowledged is lost, and at the end, unless recovery is zero, that the group
+// serves after that time.
+func checkHistories(t *testing.T, recovery time.Duration, events ...event) {
 	t.Helper()
 	assert.NilError(t, setRapidFlags())
 	t.Parallel()
@@ -220,8 +224,8 @@
 			w.note("%s", e.name)
 			e.apply(w, rt)
 		}
-		if recovers {
-			w.recover(rt)
+		if recovery > 0 {
+			w.recover(rt, recovery)
 		}
 	})
 }
@@ -243,23 +247,23 @@
 // TestHistoriesOfUnknownReplicas guards against the loss of writes that only a
 // replica confirmed that control had not heard of.
 func TestHistoriesOfUnknownReplicas(t *testing.T) {
-	checkHistories(t, true, writes, writes, passes, cuts, heals, joins)
+	checkHistories(t, copiesRecovery, writes, writes, passes, cuts, heals, joins)
 }
 
 // TestHistoriesOfEmptiedReplicas guards against the loss of writes that only a
 // replica confirmed that started again without its log.
 func TestHistoriesOfEmptiedReplicas(t *testing.T) {
-	checkHistories(t, false, writes, writes, passes, deafens, crashes, returns)
+	checkHistories(t, 0, writes, writes, passes, deafens, crashes, returns)
 }
 
 // TestHistoriesOfCopiesThatNeverReturn guards against a group that serves nothing
 // although the primary that holds every acknowledged write is back.
 func TestHistoriesOfCopiesThatNeverReturn(t *testing.T) {
-	checkHistories(t, true, writes, passes, crashes, returns, powerLoss)
+	checkHistories(t, copiesRecovery, writes, passes, crashes, returns, powerLoss)
 }
 
 // TestHistoriesOfAllKinds guards against the faults above where they meet, and
 // beside replicas that leave and changes of the leader.
 func TestHistoriesOfAllKinds(t *testing.T) {
-	checkHistories(t, true, writes, writes, passes, cuts, heals, joins, leaves, crashes, returns, deafens, powerLoss, elections)
+	checkHistories(t, copiesRecovery, writes, writes, passes, cuts, heals, joins, leaves, crashes, returns, deafens, powerLoss, elections)
 }
--- a/internal/system/failover/copies_world_test.go
+++ b/internal/system/failover/copies_world_test.go
@@ -18,7 +18,7 @@
 	worldZones       = 3
 	worldAnnounce    = 500 * ms    // between two announcements of a copy
 	worldFirstNotice = 100 * ms    // from the start of a copy to its first announcement
-	worldPromoteTime = 100 * ms    // from the order until the instance leads
+	worldPromoteTime = 100 * ms    // from the order until the instance leads, usually
 	worldStepDown    = time.Second // from when an old primary reaches the new one
 )
 
@@ -32,6 +32,7 @@
 	up      bool
 	leaving bool
 	deaf    bool // receives nothing
+	hidden  bool // no host reaches it, and it reaches none
 	role    table.Role
 	term    table.Term // that it leads or follows
 	held    table.Term
@@ -89,27 +90,25 @@
 // power. It checks that each promoted instance holds each acknowledged write.
 // Messages that are not cut off take one tick.
 type copiesWorld struct {
-	t           fataler
-	now         time.Duration
-	copies      []*nodeCopy
-	lead        *nodeCopy // primary of the latest term according to the platform
-	term        table.Term
-	hosts       []*worldHost
-	cut         int // zone that is cut off, -1 if none is
-	state       *control.State
-	sys         *failover.System
-	leading     bool
-	leadership  uint64
-	contact     map[table.HostID]time.Duration // latest heartbeat of each host at the leader
-	known       map[table.InstanceID]table.Instance
-	left        map[table.InstanceID]uint64
-	promoting   *nodeCopy
-	promotingAt time.Duration
-	order       failover.Promote // of promoting
-	acked       []worldWrite
-	writes      int
-	starts      uint64
-	trace       []string
+	t          fataler
+	now        time.Duration
+	copies     []*nodeCopy
+	lead       *nodeCopy // primary of the latest term according to the platform
+	term       table.Term
+	hosts      []*worldHost
+	cut        int // zone that is cut off, -1 if none is
+	state      *control.State
+	sys        *failover.System
+	leading    bool
+	leadership uint64
+	contact    map[table.HostID]time.Duration // latest heartbeat of each host at the leader
+	known      map[table.InstanceID]table.Instance
+	left       map[table.InstanceID]uint64
+	platform   worldPlatform
+	acked      []worldWrite
+	writes     int
+	starts     uint64
+	trace      []string
 }
 
 type fataler interface {
@@ -179,9 +178,7 @@
 			w.tickCopy(c)
 		}
 	}
-	if w.promoting != nil && w.now >= w.promotingAt {
-		w.completePromotion()
-	}
+	w.tickPlatform()
 	for _, h := range w.hosts {
 		if h.up {
 			w.acknowledge(h)
@@ -190,6 +187,7 @@
 	if !w.leading {
 		return
 	}
+	w.tickPolls()
 	for z, h := range w.hosts {
 		if h.up && w.reachesControl(z) {
 			w.heartbeat(h)
@@ -261,7 +259,7 @@
 // exit ends a copy that was leaving. Its log is gone.
 func (w *copiesWorld) exit(c *nodeCopy) {
 	c.up, c.log = false, nil
-	if w.reachesControl(c.zone) {
+	if w.reachesControl(c.zone) && !c.hidden {
 		w.markLeft(c.id, c.born)
 	}
 }
@@ -270,7 +268,7 @@
 // replicas that receive from it, only the given one receives at once.
 func (w *copiesWorld) writeTo(p *nodeCopy, first int) {
 	h := w.ownerOf(p)
-	if !p.up || p.role != table.RolePrimary || !h.up || h.view == nil || w.now < h.quietUntil {
+	if !p.up || p.hidden || p.role != table.RolePrimary || !h.up || h.view == nil || w.now < h.quietUntil {
 		return
 	}
 	if g := h.view.Groups[groupName]; !w.maySend(h, p, g) {
@@ -303,13 +301,17 @@
 	kept := h.pending[:0]
 	for _, wr := range h.pending {
 		p := wr.at
-		if !p.up || p.role != table.RolePrimary || !p.holds(wr) || !w.maySend(h, p, h.view.Groups[groupName]) {
+		if !p.up || p.hidden || p.role != table.RolePrimary || !p.holds(wr) || !w.maySend(h, p, h.view.Groups[groupName]) {
 			continue // the outcome is unknown to the caller
 		}
 		if !w.isReceived(h, wr) {
 			kept = append(kept, wr)
 			continue
 		}
+		if !w.lead.holds(wr) {
+			w.t.Fatalf("LOST: write %d of term %d is acknowledged, and %v leads term %d without it: %v",
+				wr.entry.id, wr.entry.term, w.lead.id, w.term, w.describe())
+		}
 		w.acked = append(w.acked, wr)
 		m := table.Mark{Term: wr.entry.term, Position: table.Position(wr.pos)}
 		if probe := h.probes[p.id]; probe.acked.Less(m) {
@@ -325,25 +327,10 @@
 	return slices.ContainsFunc(w.copies, func(r *nodeCopy) bool {
 		in, counted := h.view.Instances[r.id]
 		counted = counted && !in.Leaving
-		return r != wr.at && r.up && r.role == table.RoleReplica && w.linked(r.zone, wr.at.zone) && r.holds(wr) && counted
+		return r != wr.at && r.up && !r.hidden && r.role == table.RoleReplica && w.linked(r.zone, wr.at.zone) && r.holds(wr) && counted
 	})
 }
 
-// completePromotion makes the ordered instance the primary of the next term.
-func (w *copiesWorld) completePromotion() {
-	c := w.promoting
-	w.promoting = nil
-	if !c.up || c == w.lead {
-		return
-	}
-	w.checkHoldsAcked(c)
-	w.term++
-	w.lead = c
-	c.role, c.term, c.held, c.copying = table.RolePrimary, w.term, 0, 0
-	w.note("%s leads term %d with %d entries", c.id, w.term, len(c.log))
-	w.reportPromotion(c, w.order)
-}
-
 func (w *copiesWorld) checkHoldsAcked(c *nodeCopy) {
 	w.t.Helper()
 	for _, wr := range w.acked {
--- a/internal/system/failover/external_test.go
+++ b/internal/system/failover/external_test.go
@@ -28,7 +28,10 @@
 	now       time.Duration
 	group     table.Group
 	heldTerms map[table.InstanceID]table.Term
+	logTerms  map[table.InstanceID]table.Term // led or followed, the term of the mark if zero
 	actions   []failover.Action
+	// oldPrimary is whether nextOrder also reports i-1, as the primary of log term 7.
+	oldPrimary bool
 }
 
 const externalGroup = table.GroupName("orders")
@@ -39,8 +42,8 @@
 	leases := &fakeLeases{late: map[table.HostID]bool{}, expired: map[table.HostID]bool{}}
 	e := &externalFixture{
 		t: t, s: failover.New(cfg, leases), leases: leases, now: time.Minute,
-		heldTerms: map[table.InstanceID]table.Term{},
-		group:     table.Group{Name: externalGroup, Term: 1, Phase: table.PhaseStable, Primary: "i-1", Candidate: "i-1", LogTerm: 7},
+		heldTerms: map[table.InstanceID]table.Term{}, logTerms: map[table.InstanceID]table.Term{},
+		group: table.Group{Name: externalGroup, Term: 1, Phase: table.PhaseStable, Primary: "i-1", Candidate: "i-1", LogTerm: 7},
 	}
 	e.s.Lead(e.now, 1)
 	e.s.SetGroupSize(externalGroup, 2)
@@ -63,7 +66,7 @@
 func (e *externalFixture) report(id table.InstanceID, role table.Role, mark table.Mark) {
 	e.s.HandleReports(e.now, table.HostID("h-"+string(id[2])), []failover.Report{{
 		Group: externalGroup, Instance: id, Reachable: true, Role: role, Mark: mark,
-		Held: e.heldTerms[id], After: e.s.Stamp(e.now), SeenTerm: e.group.Term - 1,
+		LogTerm: max(e.logTerms[id], mark.Term), Held: e.heldTerms[id], After: e.s.Stamp(e.now), SeenTerm: e.group.Term - 1,
 	}})
 }
 
@@ -89,9 +92,11 @@
 		}
 		if b := p.Command.BeginTerm; b != nil {
 			e.group.Term, e.group.Candidate, e.group.Phase = b.Term, b.Candidate, table.PhasePromoting
+			e.group.LogTermInDoubt, e.group.PromotionOpen = e.group.LogTermInDoubt || b.LogTermInDoubt, false
 		}
 		if b := p.Command.SetPrimary; b != nil {
 			e.group.Phase, e.group.Primary, e.group.LogTerm = table.PhaseStable, b.Primary, b.LogTerm
+			e.group.LogTermInDoubt, e.group.PromotionOpen = false, b.PromotionOpen
 		}
 		e.s.SetGroup(e.group)
 	}
--- a/internal/system/failover/group.go
+++ b/internal/system/failover/group.go
@@ -79,6 +79,8 @@
 	term      table.Term
 	candidate table.InstanceID
 	at        time.Duration
+
+	logTermInDoubt bool // of a proposedTerm
 }
 
 type proposalKind uint8
@@ -119,6 +121,7 @@
 	floorKnown bool
 	floor      table.Mark // at or above every acknowledged write
 	promotion  promotion
+	lastOrder  promotionOrder
 	ackedKnown bool
 	acked      table.Mark // highest acknowledged position according to the old primary's owner
 	proposal   proposal
@@ -140,6 +143,7 @@
 	ordered        bool
 	firstOrderedAt time.Duration
 	lastOrderedAt  time.Duration
+	termAtCall     table.Term // log term that the candidate led or followed at the first order
 	done           bool
 	termStart      table.Position // position at which the term begins
 	logTerm        table.Term     // term of the log, zero without external terms
@@ -242,6 +246,9 @@
 	}
 	g.stable = false
 	g.promotion = promotion{}
+	if a.Phase == table.PhaseStable {
+		g.settleOrder()
+	}
 	g.planned = g.planned.carryOver(a)
 	// The fence and the floor remain valid for the next candidate as long as no
 	// primary can have served in between.
--- a/internal/system/failover/promote.go
+++ b/internal/system/failover/promote.go
@@ -14,7 +14,7 @@
 func (s *System) stepPromotion(now time.Duration, g *group) WaitReason {
 	c := g.member(g.agreed.Candidate)
 	fenced := s.ownerFenced(now, g)
-	if begin, ok := s.candidateTermBegin(g, c); ok {
+	if begin, ok := s.candidateTermBegin(g, c); ok && s.leadsLatestTerm(now, g, c, begin.logTerm) {
 		// With external terms the candidate may already be primary while the
 		// owner of the old primary may still serve reads from it.
 		if s.cfg.ExternalTerms && !fenced {
@@ -34,21 +34,44 @@
 		return s.replaceCandidate(now, g, c)
 	}
 	if !g.promotion.ordered && !g.holdsQuiescedMark(c) {
-		if safest := s.safestMember(now, g, nil); safest != nil && g.isMoreAdvanced(safest, c) {
+		if safest := s.safestMember(now, g); safest != nil && g.isMoreAdvanced(safest, c) {
 			return s.replaceCandidate(now, g, c)
 		}
 	}
 	return s.orderPromotion(now, g, c)
 }
 
-// safestMember returns the most advanced safe instance other than c whose owner
-// sends heartbeats, nil if there is none.
-func (s *System) safestMember(now time.Duration, g *group, c *member) *member {
+// safestMember returns the most advanced safe instance whose owner sends heartbeats,
+// nil if there is none. The excluded ones do not count.
+func (s *System) safestMember(now time.Duration, g *group, excluded ...*member) *member {
 	return g.mostAdvanced(func(m *member) bool {
-		return m != c && g.isSafe(m) && !s.leases.Late(now, m.owner)
+		return !slices.Contains(excluded, m) && g.isSafe(m) && !s.leases.Late(now, m.owner)
 	})
 }
 
+// replacement returns the instance to promote in place of c, nil if there is none.
+// Once the log term is in doubt, the old primary comes last: an order to promote it
+// shows only after PromotionLapse whether it still is the primary.
+func (s *System) replacement(now time.Duration, g *group, c *member) *member {
+	if s.cfg.ExternalTerms && g.leavesLogTermInDoubt() {
+		if m := s.safestMember(now, g, c, g.returnedPrimary()); m != nil {
+			return m
+		}
+	}
+	return s.safestMember(now, g, c)
+}
+
+// returnedPrimary returns the reachable primary of the committed log term, nil if there
+// is none.
+func (g *group) returnedPrimary() *member {
+	for _, m := range g.members {
+		if m.reachable() && m.report.Role == table.RolePrimary && m.report.Mark.Term == g.agreed.EffectiveLogTerm() {
+			return m
+		}
+	}
+	return nil
+}
+
 // candidateTermBegin returns how the log of the candidate begins the term, and
 // whether the candidate is already promoted.
 func (s *System) candidateTermBegin(g *group, c *member) (termBegin, bool) {
@@ -60,7 +83,8 @@
 		return termBegin{}, false
 	}
 	if s.cfg.ExternalTerms {
-		return termBegin{start: r.Mark.Position, logTerm: r.Mark.Term}, r.Mark.Term > g.agreed.LogTerm
+		mayServe := r.Mark.Term > g.agreed.LogTerm || g.agreed.LogTermInDoubt && r.Mark.Term == g.agreed.LogTerm
+		return termBegin{start: r.Mark.Position, logTerm: r.Mark.Term}, mayServe
 	}
 	return termBegin{start: r.TermStart}, r.Mark.Term == g.agreed.Term
 }
@@ -293,10 +317,17 @@
 	if pr.ordered && now < pr.lastOrderedAt+s.cfg.PromoteRetry {
 		return WaitPromotion
 	}
-	pr.ordered, pr.lastOrderedAt = true, now
+	if reason := s.awaitOrder(now, g, c); reason != WaitNothing {
+		return reason
+	}
+	if !pr.ordered {
+		pr.ordered, pr.termAtCall = true, max(c.report.LogTerm, c.report.Mark.Term)
+	}
+	pr.lastOrderedAt = now
+	g.lastOrder.add(now, c.inst.ID)
 	s.emit(Promote{
 		Group: g.name(), Instance: c.inst.ID, Address: c.inst.Address, Term: g.agreed.Term, Owner: c.owner,
-		Leadership: s.leadership,
+		Leadership: s.leadership, MinLogTerm: s.minLogTerm(g), OrderedAt: now,
 	})
 	return WaitPromotion
 }
@@ -314,7 +345,7 @@
 		// is reachable.
 		return WaitPositions
 	}
-	replacement := s.safestMember(now, g, c)
+	replacement := s.replacement(now, g, c)
 	if replacement == nil && g.isSafe(c) {
 		return s.retryCandidate(now, g, c)
 	}
@@ -322,7 +353,10 @@
 		g.lowerFloor()
 		return WaitSafeReplica
 	}
-	s.proposeTerm(now, g, g.nextTerm(), replacement.inst.ID)
+	if s.promotionOpen(now, g) {
+		return WaitPromotionLapse
+	}
+	s.proposeTerm(now, g, g.nextTerm(), replacement.inst.ID, s.cfg.ExternalTerms && g.leavesLogTermInDoubt())
 	return WaitCommit
 }
 
@@ -330,7 +364,7 @@
 // the candidate knows a higher term, otherwise in the same term.
 func (s *System) retryCandidate(now time.Duration, g *group, c *member) WaitReason {
 	if g.minTerm > g.agreed.Term {
-		s.proposeTerm(now, g, g.nextTerm(), c.inst.ID)
+		s.proposeTerm(now, g, g.nextTerm(), c.inst.ID, false)
 		return WaitCommit
 	}
 	c.failedTerm = 0
--- a/internal/system/failover/switchover.go
+++ b/internal/system/failover/switchover.go
@@ -68,6 +68,9 @@
 		s.orderPrimary(now, g, p, OrderResume)
 		return WaitSwitchReplica
 	}
+	if !w.started && s.promotionOpen(now, g) {
+		return WaitPromotionLapse
+	}
 	if !w.started || w.paused {
 		*w = switchOver{requested: w.requested, started: true, startedAt: now}
 	}
@@ -148,7 +151,7 @@
 	if c.report.Mark.Less(w.mark) {
 		return WaitCatchUp
 	}
-	s.proposeTerm(now, g, g.nextTerm(), w.candidate)
+	s.proposeTerm(now, g, g.nextTerm(), w.candidate, false)
 	return WaitCommit
 }
 
--- a/internal/system/failover/system.go
+++ b/internal/system/failover/system.go
@@ -70,6 +70,7 @@
 	for _, name := range slices.Sorted(maps.Keys(s.groups)) {
 		g := s.groups[name]
 		g.reset()
+		s.assumeOrders(now, g)
 		s.activate(g)
 	}
 }
@@ -211,7 +212,14 @@
 // HandlePromoteResult applies the result of a Promote action.
 func (s *System) HandlePromoteResult(now time.Duration, r PromoteResult) {
 	g := s.groups[r.Group]
-	if g == nil || g.agreed.Term != r.Term || g.agreed.Candidate != r.Instance {
+	if g == nil {
+		return
+	}
+	if r.OrderedAt >= s.leaderSince {
+		g.lastOrder.handleResult(r)
+		s.activate(g)
+	}
+	if g.agreed.Term != r.Term || g.agreed.Candidate != r.Instance {
 		return
 	}
 	s.activate(g)
@@ -219,7 +227,7 @@
 		g.minTerm = max(g.minTerm, r.HigherTerm+1)
 		g.promotion.firstOrderedAt = now - s.cfg.PromoteTimeout
 	}
-	if r.OK {
+	if r.OK && r.Status.Mark.Term >= s.minLogTerm(g) {
 		g.promotion.done = true
 		g.promotion.termStart = r.Status.TermStart
 		if s.cfg.ExternalTerms {
@@ -406,9 +414,9 @@
 	s.emit(Propose{Command: c})
 }
 
-func (s *System) proposeTerm(now time.Duration, g *group, term table.Term, candidate table.InstanceID) {
-	p := proposal{kind: proposedTerm, term: term, candidate: candidate}
-	c := control.BeginTerm{Group: g.name(), Term: term, Candidate: candidate}
+func (s *System) proposeTerm(now time.Duration, g *group, term table.Term, candidate table.InstanceID, logTermInDoubt bool) {
+	p := proposal{kind: proposedTerm, term: term, candidate: candidate, logTermInDoubt: logTermInDoubt}
+	c := control.BeginTerm{Group: g.name(), Term: term, Candidate: candidate, LogTermInDoubt: logTermInDoubt}
 	s.propose(now, g, p, control.Command{BeginTerm: &c})
 }
 
@@ -416,6 +424,9 @@
 	a := g.agreed
 	g.primaryProposedTerm = a.Term
 	p := proposal{kind: proposedPrimary, term: a.Term, candidate: a.Candidate}
-	c := control.SetPrimary{Group: a.Name, Term: a.Term, Primary: a.Candidate, TermStart: begin.start, LogTerm: begin.logTerm}
+	c := control.SetPrimary{
+		Group: a.Name, Term: a.Term, Primary: a.Candidate, TermStart: begin.start, LogTerm: begin.logTerm,
+		PromotionOpen: s.cfg.ExternalTerms && g.leavesPromotionOpen(begin.logTerm),
+	}
 	s.propose(now, g, p, control.Command{SetPrimary: &c})
 }
--- a/internal/system/failover/watch.go
+++ b/internal/system/failover/watch.go
@@ -178,7 +178,10 @@
 	if c == nil || c.leaving() && s.awaitStayingReplica(now, g, p) {
 		return WaitSafeReplica
 	}
-	s.proposeTerm(now, g, g.nextTerm(), c.inst.ID)
+	if s.promotionOpen(now, g) {
+		return WaitPromotionLapse
+	}
+	s.proposeTerm(now, g, g.nextTerm(), c.inst.ID, false)
 	return WaitCommit
 }
 
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -142,6 +142,13 @@
 	// History holds the start positions of the latest terms. It includes the
 	// current term once its primary is promoted.
 	History TermHistory
+	// LogTermInDoubt is set in PhasePromoting if the promotion of an earlier
+	// candidate was ordered since LogTerm was committed. It may have begun a later
+	// log term that no host has seen.
+	LogTermInDoubt bool `json:",omitempty"`
+	// PromotionOpen is set in PhaseStable if a further order to promote Primary may
+	// still take effect.
+	PromotionOpen bool `json:",omitempty"`
 }
 
 // GroupPhase is the progress of a change of primary.
