failover: the fence and the floor have files of their own; a proposed term is one value

promote.go had grown to 417 lines with three jobs. The functions are moved as they were. proposeTerm takes the control.BeginTerm that it proposes in place of three arguments of which the last was a bare false.

--- a/internal/system/failover/bootstrap.go
+++ b/internal/system/failover/bootstrap.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/amaranthweir/amaranthweir/internal/control"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
@@ -37,7 +38,7 @@
 	case announced <= g.size()/2 || primaries > 1:
 		return WaitBootstrap
 	case primaries == 1:
-		s.proposeTerm(now, g, max(1, highestTerm), primary.inst.ID, false)
+		s.proposeTerm(now, g, control.BeginTerm{Term: max(1, highestTerm), Candidate: primary.inst.ID})
 		return WaitCommit
 	case announced < g.size():
 		return WaitBootstrap
@@ -49,6 +50,6 @@
 	if best == nil {
 		return WaitBootstrap
 	}
-	s.proposeTerm(now, g, highestTerm+1, best.inst.ID, false)
+	s.proposeTerm(now, g, control.BeginTerm{Term: highestTerm + 1, Candidate: best.inst.ID})
 	return WaitCommit
 }
--- a/internal/system/failover/openpromotion_test.go
+++ b/internal/system/failover/openpromotion_test.go
@@ -17,8 +17,14 @@
 	e.t.Helper()
 	e.leases.expired["h-1"] = true
 	e.cutOffPrimary()
-	for range 100 {
-		e.reportReplicas()
+	return e.runUntilOrder(e.reportReplicas)
+}
+
+// runUntilOrder runs until a promotion is ordered, with reports before each step.
+func (e *externalFixture) runUntilOrder(report func()) failover.Promote {
+	e.t.Helper()
+	for range 1000 {
+		report()
 		e.step()
 		if p := e.promoteAction(); p != nil {
 			return *p
@@ -107,20 +113,13 @@
 // nextOrder runs until another instance than lost is ordered.
 func (e *externalFixture) nextOrder(lost table.InstanceID) failover.Promote {
 	e.t.Helper()
-	for range 1000 {
+	return e.runUntilOrder(func() {
 		e.report(other(lost), table.RoleReplica, table.Mark{Term: 7, Position: 100})
 		if e.oldPrimary {
 			e.report("i-1", table.RolePrimary, table.Mark{Term: 7, Position: 100})
 		}
 		e.reportLost(lost)
-		e.step()
-		if p := e.promoteAction(); p != nil {
-			return *p
-		}
-		e.applyProposals()
-	}
-	e.t.Fatalf("nothing is promoted: %+v", e.group)
-	return failover.Promote{}
+	})
 }
 
 // TestRefusedPromotionIsNotOpen guards against a group that waits for a promotion that
--- a/internal/system/failover/promote.go
+++ b/internal/system/failover/promote.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/amaranthweir/amaranthweir/internal/system/lease"
+	"github.com/amaranthweir/amaranthweir/internal/control"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
@@ -97,209 +97,6 @@
 	logTerm table.Term
 }
 
-// ownerFenced reports whether the owner of the old primary can acknowledge no
-// further write. This is the case if the owner has seen the term, if its lease
-// expired, or if every lease that was granted before the term began has
-// expired. It relies on hosts applying the control state of a heartbeat answer
-// before they use the lease that came with it.
-func (s *System) ownerFenced(now time.Duration, g *group) bool {
-	if g.fenced {
-		return true
-	}
-	if g.termSeen != g.agreed.Term {
-		g.termSeen, g.termSeenAt = g.agreed.Term, now
-	}
-	if g.agreed.Primary != "" && !s.primaryFenced(now, g, g.member(g.agreed.Primary)) {
-		return false
-	}
-	g.fenced = true
-	g.fencedAt = now
-	return true
-}
-
-func (s *System) primaryFenced(now time.Duration, g *group, p *member) bool {
-	released := p.hasReport && p.report.SeenTerm >= g.agreed.Term
-	switch {
-	case released:
-		g.ackedKnown = p.report.AckedKnown
-		g.acked = p.report.Acked
-		return true
-	case now >= g.termSeenAt+lease.GrantorTime(s.cfg.Lease.Duration):
-		return true
-	case p.owner == "":
-		return false
-	case s.leases.Expired(now, p.owner):
-		return true
-	}
-	s.sendOrder(now, p.owner, Order{
-		Kind: OrderTerm, Group: g.name(), Instance: p.inst.ID, Address: p.inst.Address, Term: g.agreed.Term,
-	})
-	return false
-}
-
-// logFenced reports whether the old primary can acknowledge no further write
-// because every replica reports that it is held and so receives nothing from the
-// old primary. This is sufficient only on platforms whose primary itself waits
-// for a replica before it acknowledges a write.
-func (s *System) logFenced(now time.Duration, g *group) bool {
-	if !s.cfg.ExternalTerms || g.expected < 2 || g.agreed.Primary == "" {
-		return false
-	}
-	if g.held {
-		return true
-	}
-	term := g.heldTerm()
-	allHeld, replicas := true, 0
-	for _, id := range g.order {
-		m := g.members[id]
-		if id == g.agreed.Primary {
-			continue
-		}
-		replicas++
-		if m.reachable() && m.readSince(g.termSeenAt) && m.report.Held >= term {
-			continue
-		}
-		allHeld = false
-		if m.owner != "" && !s.leases.Late(now, m.owner) {
-			s.sendOrder(now, m.owner, Order{
-				Kind: OrderHold, Group: g.name(), Instance: id, Address: m.inst.Address, Term: term,
-			})
-		}
-	}
-	if allHeld && replicas > 0 {
-		g.held, g.heldAt = true, now
-	}
-	return g.held
-}
-
-// heldTerm returns a term above those of all logs of the group.
-func (g *group) heldTerm() table.Term {
-	term := g.agreed.EffectiveLogTerm()
-	for _, id := range g.order {
-		if mark := g.members[id].mark(); g.plausible(mark) {
-			term = max(term, mark.Term)
-		}
-	}
-	return term + 1
-}
-
-// orderReceive orders the held replicas of a stable group to receive again. It
-// reports whether a reachable replica is still held.
-func (s *System) orderReceive(now time.Duration, g *group) bool {
-	if !g.hasAgreed || g.agreed.Phase != table.PhaseStable {
-		return false
-	}
-	anyHeld := false
-	for _, id := range g.order {
-		m := g.members[id]
-		if id == g.agreed.Primary || m.report.Held == 0 || !m.reachable() || s.leases.Late(now, m.owner) {
-			continue
-		}
-		anyHeld = true
-		s.sendOrder(now, m.owner, Order{Kind: OrderReceive, Group: g.name(), Instance: id, Address: m.inst.Address})
-	}
-	return anyHeld
-}
-
-// fenceTime returns the time from which read positions are valid: every write
-// that the old primary acknowledges, even later, had reached a replica by then.
-func (g *group) fenceTime() time.Duration {
-	if g.held && (!g.fenced || g.heldAt < g.fencedAt) {
-		return g.heldAt
-	}
-	return g.fencedAt
-}
-
-// readPositions orders probes of the instances whose positions were not read
-// after the fence.
-func (s *System) readPositions(now time.Duration, g *group) {
-	for _, id := range g.order {
-		if m := g.members[id]; !m.readSince(g.fenceTime()) {
-			s.orderProbe(now, m)
-		}
-	}
-}
-
-// findFloor determines a position at or above every acknowledged write, and
-// reports whether one is known. A write is acknowledged once the primary and
-// one replica hold it. If the group has n instances, any n-1 instances that were
-// read after the fence therefore include one that holds the write, and the
-// highest position of the n-1 least advanced instances is a valid floor. Fewer
-// reads suffice if the owner of the old primary reported its highest
-// acknowledged position, or if the primary of the latest log term itself was read,
-// which holds every write. Further reads can only lower the floor.
-//
-// A write is acknowledged only once the owner has seen it at an instance of the
-// group that the control hosts know, so those that they do not know do not count.
-func (s *System) findFloor(now time.Duration, g *group, c *member) bool {
-	if g.holdsQuiescedMark(c) {
-		g.setFloor(g.entryMark(g.planned.mark))
-		return true
-	}
-	var marks []table.Mark
-	pending := false
-	for _, id := range g.order {
-		m := g.members[id]
-		switch {
-		case m.readSince(g.fenceTime()) && s.answers(m):
-			marks = append(marks, g.entryMark(g.agreed.History.Surviving(m.readMark)))
-		case m.reachable() && !s.leases.Late(now, m.owner):
-			pending = true
-		}
-	}
-	if m := s.readLeader(g); m != nil {
-		g.setFloor(g.entryMark(m.readMark))
-	}
-	timedOut := now >= g.fenceTime()+s.cfg.ReadTimeout
-	need := max(1, g.size()-1)
-	switch {
-	case pending && !timedOut && !g.floorKnown:
-	case len(marks) >= need:
-		slices.SortFunc(marks, compareMarks)
-		g.setFloor(marks[need-1])
-	case g.ackedKnown && timedOut:
-		g.setFloor(g.entryMark(g.acked))
-	}
-	return g.floorKnown
-}
-
-func compareMarks(a, b table.Mark) int {
-	switch {
-	case a.Less(b):
-		return -1
-	case b.Less(a):
-		return 1
-	default:
-		return 0
-	}
-}
-
-func (g *group) setFloor(m table.Mark) {
-	if !g.floorKnown || m.Less(g.floor) {
-		g.floorKnown = true
-		g.floor = m
-	}
-}
-
-// isSafe reports whether the instance holds every acknowledged write and none that
-// was lost. An old primary that has not followed a later term yet still holds writes
-// beyond the start of that term, which callers were told have not run.
-func (g *group) isSafe(m *member) bool {
-	if !m.reachable() || g.entryMark(m.report.Mark).Less(g.floor) {
-		return false
-	}
-	if g.holdsLostWrites(m) {
-		return false
-	}
-	return m.readSince(g.fenceTime()) || g.holdsQuiescedMark(m)
-}
-
-// holdsLostWrites reports whether the log of the instance continues beyond the start
-// of a later term.
-func (g *group) holdsLostWrites(m *member) bool {
-	return g.agreed.History.Survives(m.report.Mark) == table.SurvivedNo
-}
-
 // orderPromotion orders the promotion of the candidate and replaces the
 // candidate after PromoteTimeout.
 func (s *System) orderPromotion(now time.Duration, g *group, c *member) WaitReason {
@@ -356,7 +153,9 @@
 	if s.promotionOpen(now, g) {
 		return WaitPromotionLapse
 	}
-	s.proposeTerm(now, g, g.nextTerm(), replacement.inst.ID, s.cfg.ExternalTerms && g.leavesLogTermInDoubt())
+	s.proposeTerm(now, g, control.BeginTerm{
+		Term: g.nextTerm(), Candidate: replacement.inst.ID, LogTermInDoubt: s.cfg.ExternalTerms && g.leavesLogTermInDoubt(),
+	})
 	return WaitCommit
 }
 
@@ -364,54 +163,10 @@
 // the candidate knows a higher term, otherwise in the same term.
 func (s *System) retryCandidate(now time.Duration, g *group, c *member) WaitReason {
 	if g.minTerm > g.agreed.Term {
-		s.proposeTerm(now, g, g.nextTerm(), c.inst.ID, false)
+		s.proposeTerm(now, g, control.BeginTerm{Term: g.nextTerm(), Candidate: c.inst.ID})
 		return WaitCommit
 	}
 	c.failedTerm = 0
 	g.promotion = promotion{}
 	return WaitPromotion
 }
-
-// lowerFloor lowers the floor to the acknowledged position that the owner of
-// the old primary reported. It is used when no reachable instance holds the
-// most advanced position that was read.
-func (g *group) lowerFloor() {
-	if g.ackedKnown {
-		g.setFloor(g.entryMark(g.acked))
-	}
-}
-
-// fenceStalePrimaries fences instances that still serve as primary of an older
-// term, and reports whether one of them has not answered yet.
-func (s *System) fenceStalePrimaries(now time.Duration, g *group) bool {
-	pending := false
-	for _, id := range g.order {
-		m := g.members[id]
-		if !s.needsFence(now, g, m) {
-			continue
-		}
-		pending = true
-		if m.fenceSent && now < m.fenceSentAt+s.cfg.FenceRetry {
-			continue
-		}
-		m.fenceSent, m.fenceSentAt = true, now
-		s.emit(Fence{
-			Group: g.name(), Instance: id, Address: m.inst.Address,
-			Term: g.agreed.EffectiveLogTerm(), Epoch: m.epoch, Owner: m.owner,
-		})
-	}
-	return pending
-}
-
-func (s *System) needsFence(now time.Duration, g *group, m *member) bool {
-	id := m.inst.ID
-	isCurrent := id == g.agreed.Candidate || g.agreed.Phase == table.PhaseStable && id == g.agreed.Primary
-	if !g.hasAgreed || isCurrent || m.inst.Address == "" || m.role() != table.RolePrimary || m.mark().Term >= g.agreed.EffectiveLogTerm() {
-		return false
-	}
-	if s.cfg.ExternalTerms && g.agreed.Phase != table.PhaseStable {
-		return false // the log term of the candidate may not be committed yet
-	}
-	alive := m.reachable() || m.announced && now < m.inst.SeenAt+s.cfg.AnnounceTimeout
-	return alive && m.fencedTerm < g.agreed.EffectiveLogTerm()
-}
--- a/internal/system/failover/promotionorder.go
+++ b/internal/system/failover/promotionorder.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/amaranthweir/amaranthweir/internal/control"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
@@ -189,7 +190,7 @@
 	case p.kind == proposedTerm && p.term > g.agreed.Term:
 		// The proposed term may be committed at any time. It states that c was not
 		// ordered.
-		s.proposeTerm(now, g, p.term, p.candidate, p.logTermInDoubt)
+		s.proposeTerm(now, g, control.BeginTerm{Term: p.term, Candidate: p.candidate, LogTermInDoubt: p.logTermInDoubt})
 		return WaitCommit
 	case s.foreignOrderOpen(now, g, c):
 		return WaitPromotionLapse
--- a/internal/system/failover/switchover.go
+++ b/internal/system/failover/switchover.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/amaranthweir/amaranthweir/internal/control"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
@@ -151,7 +152,7 @@
 	if c.report.Mark.Less(w.mark) {
 		return WaitCatchUp
 	}
-	s.proposeTerm(now, g, g.nextTerm(), w.candidate, false)
+	s.proposeTerm(now, g, control.BeginTerm{Term: g.nextTerm(), Candidate: w.candidate})
 	return WaitCommit
 }
 
--- a/internal/system/failover/system.go
+++ b/internal/system/failover/system.go
@@ -414,10 +414,11 @@
 	s.emit(Propose{Command: c})
 }
 
-func (s *System) proposeTerm(now time.Duration, g *group, term table.Term, candidate table.InstanceID, logTermInDoubt bool) {
-	p := proposal{kind: proposedTerm, term: term, candidate: candidate, logTermInDoubt: logTermInDoubt}
-	c := control.BeginTerm{Group: g.name(), Term: term, Candidate: candidate, LogTermInDoubt: logTermInDoubt}
-	s.propose(now, g, p, control.Command{BeginTerm: &c})
+// proposeTerm proposes the term b of the group.
+func (s *System) proposeTerm(now time.Duration, g *group, b control.BeginTerm) {
+	b.Group = g.name()
+	p := proposal{kind: proposedTerm, term: b.Term, candidate: b.Candidate, logTermInDoubt: b.LogTermInDoubt}
+	s.propose(now, g, p, control.Command{BeginTerm: &b})
 }
 
 func (s *System) proposePrimary(now time.Duration, g *group, begin termBegin) {
--- a/internal/system/failover/watch.go
+++ b/internal/system/failover/watch.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/amaranthweir/amaranthweir/internal/control"
 	"github.com/amaranthweir/amaranthweir/internal/table"
 )
 
@@ -181,7 +182,7 @@
 	if s.promotionOpen(now, g) {
 		return WaitPromotionLapse
 	}
-	s.proposeTerm(now, g, g.nextTerm(), c.inst.ID, false)
+	s.proposeTerm(now, g, control.BeginTerm{Term: g.nextTerm(), Candidate: c.inst.ID})
 	return WaitCommit
 }
 
