--- a/internal/system/failover/simulation_test.go
+++ b/internal/system/failover/simulation_test.go
@@ -464,11 +464,10 @@
 	if other, ok := sim.promotedIn[term]; ok && other != i.id {
 		sim.t.Fatalf("%v: %v and %v promoted in term %d", sim.now, other, i.id, term)
 	}
-	switch {
-	case sim.promotedIn[term] != "" || term <= i.mark.Term:
-	case term < sim.committed.group.Term:
+	if sim.promotedIn[term] == "" && term < sim.committed.group.Term {
 		sim.overTerms[term] = true // it serves nothing, see acknowledge
-	default:
+	}
+	if sim.promotedIn[term] == "" && term > i.mark.Term {
 		sim.checkHoldsAckedWrites(i)
 	}
 	sim.promotedIn[term] = i.id
