failover: a candidate gives way only to the instance that replaces it

In the histories a group without a primary for good, with a new term committed at each step (term 629 after 12.5 s).

Cause: stepPromotion replaced a candidate if any safe instance was further ahead, and replaceCandidate names another one than the old primary while the log term is in doubt. An old primary that is ahead, with writes that were never acknowledged, so made each of two replicas give way to the other one.

Why it works: the check asks for the replacement itself. Each one is further ahead than the candidate before it, so no two take turns.

The model of the histories: writes that are on their way to a dark primary arrive when it is back; an answer arrives late; a write of an earlier term is acknowledged if a later one is known to contain it; instances are cut off from their group; results of orders arrive late; replicas may notice a new primary late, and a promotion may end all holds. It acknowledges more than before: a write was dropped once its primary was cut off.

--- a/internal/system/failover/copies_control_test.go
+++ b/internal/system/failover/copies_control_test.go
@@ -23,6 +23,9 @@
 	for _, h := range w.hosts {
 		h.up = false
 	}
+	for n := range w.sent {
+		w.sent[n].host = nil
+	}
 }
 
 // startLeading begins a leadership in the order of internal/host.
--- a/internal/system/failover/copies_platform_test.go
+++ b/internal/system/failover/copies_platform_test.go
@@ -23,6 +23,7 @@
 	accepted   int // orders accepted so far
 	promotions []worldPromotion
 	polls      []worldPoll
+	results    []worldResult
 }
 
 // platformFaults are the faults of the platform.
@@ -31,6 +32,14 @@
 	losesOrder   bool            // the next order does not arrive
 	voidsOrder   bool            // the next order is accepted and never takes effect
 	losesAnswer  bool            // the next order takes effect, and its answer is lost
+	answerDelay  time.Duration   // until the leader hears of the results of orders
+}
+
+// worldResult is the result of an order on its way to the leader.
+type worldResult struct {
+	order  failover.Promote
+	result failover.PromoteResult
+	at     time.Duration
 }
 
 // worldPromotion is an order that the platform has accepted.
@@ -55,7 +64,7 @@
 		w.note("the order to promote %s in term %d does not arrive", a.Instance, a.Term)
 		return
 	case c == nil:
-		w.reportOrder(a, failover.PromoteResult{Refused: true})
+		w.answerOrder(a, failover.PromoteResult{Refused: true})
 		return
 	}
 	w.note("promote %s in term %d, log term %d or above", a.Instance, a.Term, a.MinLogTerm)
@@ -103,6 +112,12 @@
 	w.checkHoldsAcked(c)
 	w.term++
 	c.role, c.term, c.held, c.copying = table.RolePrimary, w.term, 0, 0
+	for _, other := range w.copies {
+		other.sawNewer = false
+		if w.endsHolds {
+			other.held = 0
+		}
+	}
 	w.note("%s leads term %d with %d entries", c.id, w.term, len(c.log))
 }
 
@@ -115,14 +130,33 @@
 		reached := c != nil && !c.hidden && w.reachesControl(c.zone)
 		switch {
 		case reached && c.role == table.RolePrimary && c.term >= p.order.MinLogTerm:
-			w.reportOrder(p.order, failover.PromoteResult{OK: true, Accepted: true, Status: c.status()})
+			w.answerOrder(p.order, failover.PromoteResult{OK: true, Accepted: true, Status: c.status()})
 		case w.now >= p.until:
-			w.reportOrder(p.order, failover.PromoteResult{Accepted: true})
+			w.answerOrder(p.order, failover.PromoteResult{Accepted: true})
 		default:
 			kept = append(kept, p)
 		}
 	}
 	w.platform.polls = kept
+	w.deliverResults()
+}
+
+// answerOrder sends the result of an order to the leader.
+func (w *copiesWorld) answerOrder(a failover.Promote, r failover.PromoteResult) {
+	w.platform.results = append(w.platform.results, worldResult{a, r, w.now + w.platform.faults.answerDelay})
+}
+
+// deliverResults tells the leader the results that have arrived.
+func (w *copiesWorld) deliverResults() {
+	var later []worldResult
+	for _, r := range w.platform.results {
+		if w.now >= r.at {
+			w.reportOrder(r.order, r.result)
+		} else {
+			later = append(later, r)
+		}
+	}
+	w.platform.results = later
 }
 
 // reportOrder tells the leader the result of an order.
@@ -173,7 +207,66 @@
 	}}
 	shows = event{"all cuts heal", func(w *copiesWorld, _ *rapid.T) bool {
 		for _, c := range w.copies {
-			c.hidden = false
+			c.hidden, c.alone = false, false
+		}
+		return true
+	}}
+	hidesReplicas = event{"all replicas are cut off", func(w *copiesWorld, t *rapid.T) bool {
+		alone := rapid.Bool().Draw(t, "also from their primary")
+		for _, c := range w.replicas() {
+			c.hidden, c.alone = true, alone
+		}
+		return true
+	}}
+	isolates = event{"cut one off from its group or back", func(w *copiesWorld, t *rapid.T) bool {
+		c := w.draw(t, func(c *nodeCopy) bool { return c.up })
+		if c != nil {
+			c.alone = !c.alone
+		}
+		return c != nil
+	}}
+	darkens = event{"primary goes dark", func(w *copiesWorld, _ *rapid.T) bool {
+		w.lead.hidden, w.lead.alone = true, true
+		return w.lead.up
+	}}
+	lightens = event{"dark primaries are back", func(w *copiesWorld, _ *rapid.T) bool {
+		for _, c := range w.copies {
+			if c.role == table.RolePrimary {
+				c.hidden, c.alone = false, false
+			}
+		}
+		return true
+	}}
+	delaysAnswers = event{"platform's answers are late", func(w *copiesWorld, t *rapid.T) bool {
+		w.platform.faults.answerDelay = time.Duration(rapid.SampledFrom([]int{0, 200, 1000, 3000}).Draw(t, "answer ms")) * ms
+		return true
+	}}
+	noticesLate = event{"replicas notice a new primary late", func(w *copiesWorld, t *rapid.T) bool {
+		w.noticeTime = time.Duration(rapid.SampledFrom([]int{0, 100, 500}).Draw(t, "notice ms")) * ms
+		return true
+	}}
+	endsHolds = event{"each promotion ends the holds of all", func(w *copiesWorld, _ *rapid.T) bool {
+		w.endsHolds = true
+		return true
+	}}
+	// cutsAll lets the primary go dark, passes until a promotion is ordered, cuts all
+	// replicas off and lets the primary come back with its connections.
+	cutsAll = event{"replicas cut off beside a returning primary", func(w *copiesWorld, t *rapid.T) bool {
+		slowsPlatform.apply(w, t)
+		writes.apply(w, t)
+		if !darkens.apply(w, t) {
+			return false
+		}
+		writes.apply(w, t) // on their way while it is dark
+		w.runUntilOrder()
+		meanwhile := []event{
+			hidesReplicas, hidesReplicas, lightens, lightens, writes, writes, passesShortly, passesShortly, hides, isolates, shows,
+			elections, powerLoss, delaysAnswers, losesAnswer, waitsForOrder,
+		}
+		for range rapid.IntRange(3, 12).Draw(t, "events meanwhile") {
+			e := meanwhile[rapid.IntRange(0, len(meanwhile)-1).Draw(t, "event meanwhile")]
+			w.note("%s", e.name)
+			e.apply(w, t)
 		}
 		return true
 	}}
@@ -242,3 +335,11 @@
 	checkHistories(t, 0, writes, writes, passes, passes, interruptsChange, waitsForOrder, crashesPrimary, primaryReturns, hides, hidesCandidate, shows,
 		slowsPlatform, losesAnswer, voidsOrder, elections, crashes, returns, deafens, cuts, heals, powerLoss)
 }
+
+// TestHistoriesOfReplicasCutOffAtOnce guards against the loss of writes that are
+// acknowledged, or whose answers arrive late, while all replicas are cut off beside an open
+// promotion and their primary is back, also where all hosts end meanwhile.
+func TestHistoriesOfReplicasCutOffAtOnce(t *testing.T) {
+	checkHistories(t, changeTarget, writes, writes, passesShortly, passes, cutsAll, cutsAll, cutsAll, darkens, lightens, hidesReplicas, isolates,
+		shows, crashesPrimary, primaryReturns, voidsOrder, losesAnswer, delaysAnswers, elections, powerLoss, noticesLate, endsHolds, cuts, heals)
+}
--- a/internal/system/failover/copies_test.go
+++ b/internal/system/failover/copies_test.go
@@ -174,7 +174,7 @@
 	w.cut = -1
 	w.platform.faults = platformFaults{}
 	for _, c := range w.copies {
-		c.deaf, c.hidden = false, false
+		c.deaf, c.hidden, c.alone = false, false, false
 	}
 	if !w.lead.up {
 		if !w.mayReturn(w.lead) {
--- a/internal/system/failover/copies_world_test.go
+++ b/internal/system/failover/copies_world_test.go
@@ -16,10 +16,11 @@
 const (
 	worldTick        = 20 * ms
 	worldZones       = 3
-	worldAnnounce    = 500 * ms    // between two announcements of a copy
-	worldFirstNotice = 100 * ms    // from the start of a copy to its first announcement
-	worldPromoteTime = 100 * ms    // from the order until the instance leads, usually
-	worldStepDown    = time.Second // from when an old primary reaches the new one
+	worldAnnounce    = 500 * ms        // between two announcements of a copy
+	worldFirstNotice = 100 * ms        // from the start of a copy to its first announcement
+	worldPromoteTime = 100 * ms        // from the order until the instance leads, usually
+	worldStepDown    = time.Second     // from when an old primary reaches the new one
+	worldDeadline    = 3 * time.Second // of a write
 )
 
 // nodeCopy is one start of an instance whose platform assigns the terms of logs. It
@@ -33,6 +34,7 @@
 	leaving bool
 	deaf    bool // receives nothing
 	hidden  bool // no host reaches it, and it reaches none
+	alone   bool // it does not reach the others of its group
 	role    table.Role
 	term    table.Term // that it leads or follows
 	held    table.Term
@@ -58,9 +60,19 @@
 
 // worldWrite is a write that a primary has run.
 type worldWrite struct {
-	entry entry
-	pos   int
-	at    *nodeCopy
+	entry    entry
+	pos      int
+	at       *nodeCopy
+	until    time.Duration // when its caller gives up
+	received bool          // a replica of the primary has received it
+	answered bool          // the answer of the primary has arrived at the host
+}
+
+// sentWrite is a write on its way to a primary that can't be reached.
+type sentWrite struct {
+	to   *nodeCopy
+	term table.Term // of the log when it was sent
+	host *worldHost // nil if the host has ended meanwhile
 }
 
 // worldHost is the host that owns the instances of its zone.
@@ -108,6 +120,9 @@
 	acked      []worldWrite
 	writes     int
 	starts     uint64
+	sent       []sentWrite   // arrive once their primary is reached again
+	endsHolds  bool          // each promotion ends the holds of all replicas
+	noticeTime time.Duration // until a replica that reaches a new primary follows it
 	trace      []string
 }
 
@@ -150,6 +165,11 @@
 // linked reports whether two zones reach each other.
 func (w *copiesWorld) linked(a, b int) bool { return a == b || a != w.cut && b != w.cut }
 
+// reach reports whether two copies reach each other.
+func (w *copiesWorld) reach(a, b *nodeCopy) bool {
+	return w.linked(a.zone, b.zone) && !a.alone && !b.alone
+}
+
 // reachesControl reports whether the zone reaches the leader, which is never in the
 // zone that is cut off.
 func (w *copiesWorld) reachesControl(zone int) bool { return w.leading && zone != w.cut }
@@ -179,8 +199,10 @@
 		}
 	}
 	w.tickPlatform()
+	w.deliverSent()
 	for _, h := range w.hosts {
-		if h.up {
+		if h.up && h.view != nil {
+			w.answerPending(h)
 			w.acknowledge(h)
 		}
 	}
@@ -205,10 +227,10 @@
 
 // tickCopy lets a copy follow, receive, announce itself and leave.
 func (w *copiesWorld) tickCopy(c *nodeCopy) {
-	if c != w.lead && c.term < w.term && w.lead.up && w.linked(c.zone, w.lead.zone) {
+	if c != w.lead && c.term < w.term && w.lead.up && w.reach(c, w.lead) {
 		w.noticeNewer(c)
 	}
-	if c.copying != 0 && w.now >= c.copying && w.lead.up && w.linked(c.zone, w.lead.zone) {
+	if c.copying != 0 && w.now >= c.copying && w.lead.up && w.reach(c, w.lead) {
 		c.copying = 0
 	}
 	if w.receives(c, w.lead) {
@@ -225,18 +247,19 @@
 	}
 }
 
-// noticeNewer makes a copy follow the primary of the latest term: a replica at once,
-// an old primary after a second.
+// noticeNewer makes a copy follow the primary of the latest term: a replica after
+// noticeTime, an old primary after a second.
 func (w *copiesWorld) noticeNewer(c *nodeCopy) {
+	if !c.sawNewer {
+		c.sawNewer, c.sawNewerAt = true, w.now
+	}
+	notice := w.noticeTime
 	if c.role == table.RolePrimary {
-		if !c.sawNewer {
-			c.sawNewer, c.sawNewerAt = true, w.now
-		}
-		if w.now < c.sawNewerAt+worldStepDown {
-			return
-		}
+		notice = worldStepDown
+	}
+	if w.now >= c.sawNewerAt+notice {
+		w.follow(c)
 	}
-	w.follow(c)
 }
 
 // follow makes a copy a replica of the latest term and rolls back what the new
@@ -253,7 +276,7 @@
 // receives reports whether a replica receives from a primary.
 func (w *copiesWorld) receives(r, p *nodeCopy) bool {
 	return r != p && r.up && p.up && r.role == table.RoleReplica && p.role == table.RolePrimary &&
-		r.term == p.term && !r.deaf && r.held == 0 && r.copying == 0 && w.linked(r.zone, p.zone)
+		r.term == p.term && !r.deaf && r.held == 0 && r.copying == 0 && w.reach(r, p)
 }
 
 // exit ends a copy that was leaving. Its log is gone.
@@ -264,20 +287,34 @@
 	}
 }
 
-// writeTo runs a write at the primary that the host of its zone serves. Of the
+// writeTo sends a write to the primary that the host of its zone serves. Of the
 // replicas that receive from it, only the given one receives at once.
 func (w *copiesWorld) writeTo(p *nodeCopy, first int) {
 	h := w.ownerOf(p)
-	if !p.up || p.hidden || p.role != table.RolePrimary || !h.up || h.view == nil || w.now < h.quietUntil {
+	if !p.up || p.role != table.RolePrimary || !h.up || h.view == nil || w.now < h.quietUntil {
 		return
 	}
 	if g := h.view.Groups[groupName]; !w.maySend(h, p, g) {
 		return
 	}
+	if p.hidden {
+		w.sent = append(w.sent, sentWrite{to: p, term: p.term, host: h})
+		return
+	}
+	w.runWrite(h, p, p.term, first)
+	w.answerPending(h)
+	w.acknowledge(h)
+}
+
+// runWrite runs a write at a primary. Its host, if it has not ended, takes it for written
+// in sentIn.
+func (w *copiesWorld) runWrite(h *worldHost, p *nodeCopy, sentIn table.Term, first int) {
 	w.writes++
 	e := entry{term: p.term, id: w.writes}
 	p.log = append(slices.Clone(p.log), e)
-	h.pending = append(h.pending, worldWrite{entry: e, pos: len(p.log), at: p})
+	if h != nil && e.term == sentIn {
+		h.pending = append(h.pending, worldWrite{entry: e, pos: len(p.log), at: p, until: w.now + worldDeadline})
+	}
 	var receivers []*nodeCopy
 	for _, r := range w.copies {
 		if w.receives(r, p) {
@@ -287,7 +324,22 @@
 	if len(receivers) > 0 {
 		receivers[first%len(receivers)].log = slices.Clone(p.log)
 	}
-	w.acknowledge(h)
+}
+
+// deliverSent lets the writes arrive whose primary is reached again, over the connections
+// that were open before.
+func (w *copiesWorld) deliverSent() {
+	sent := w.sent
+	w.sent = nil
+	for _, s := range sent {
+		switch {
+		case !s.to.up || s.to.role != table.RolePrimary && !s.to.hidden:
+		case s.to.hidden:
+			w.sent = append(w.sent, s)
+		default:
+			w.runWrite(s.host, s.to, s.term, 0)
+		}
+	}
 }
 
 // maySend reports whether the host serves p as the primary of the group.
@@ -300,11 +352,10 @@
 func (w *copiesWorld) acknowledge(h *worldHost) {
 	kept := h.pending[:0]
 	for _, wr := range h.pending {
-		p := wr.at
-		if !p.up || p.hidden || p.role != table.RolePrimary || !p.holds(wr) || !w.maySend(h, p, h.view.Groups[groupName]) {
-			continue // the outcome is unknown to the caller
-		}
-		if !w.isReceived(h, wr) {
+		switch {
+		case w.now >= wr.until || w.outcome(h, wr) == table.SurvivedNo:
+			continue // the outcome is unknown to the caller, or the write was lost
+		case !w.mayAcknowledge(h, wr):
 			kept = append(kept, wr)
 			continue
 		}
@@ -314,13 +365,54 @@
 		}
 		w.acked = append(w.acked, wr)
 		m := table.Mark{Term: wr.entry.term, Position: table.Position(wr.pos)}
-		if probe := h.probes[p.id]; probe.acked.Less(m) {
+		if probe := h.probes[wr.at.id]; probe.acked.Less(m) {
 			probe.acked = m
 		}
 	}
 	h.pending = kept
 }
 
+// mayAcknowledge reports whether the answer of the primary has arrived and the host may
+// acknowledge the write: under its lease, or because a later term contains it.
+func (w *copiesWorld) mayAcknowledge(h *worldHost, wr worldWrite) bool {
+	p := wr.at
+	if !wr.answered {
+		return false
+	}
+	underLease := w.maySend(h, p, h.view.Groups[groupName]) && p.term == wr.entry.term
+	return underLease && w.isReceived(h, wr) || w.outcome(h, wr) == table.SurvivedYes
+}
+
+// outcome returns what the control state that the host knows tells about a write of an
+// earlier term.
+func (w *copiesWorld) outcome(h *worldHost, wr worldWrite) table.Survived {
+	g := h.view.Groups[groupName]
+	if g.Phase != table.PhaseStable || g.EffectiveLogTerm() <= wr.entry.term {
+		return table.SurvivedUnknown
+	}
+	return g.History.Survives(table.Mark{Term: wr.entry.term, Position: table.Position(wr.pos)})
+}
+
+// answerPending lets the answers of primaries arrive. A primary answers once a replica of
+// its own has received the write, and the answer arrives once the primary is reached.
+func (w *copiesWorld) answerPending(h *worldHost) {
+	for n := range h.pending {
+		wr := &h.pending[n]
+		p := wr.at
+		if !wr.received && p.up && p.role == table.RolePrimary && p.term == wr.entry.term && p.holds(*wr) {
+			wr.received = w.hasReceiver(*wr)
+		}
+		wr.answered = wr.answered || wr.received && p.up && !p.hidden
+	}
+}
+
+// hasReceiver reports whether a replica that follows the primary of a write holds it.
+func (w *copiesWorld) hasReceiver(wr worldWrite) bool {
+	return slices.ContainsFunc(w.copies, func(r *nodeCopy) bool {
+		return r != wr.at && r.up && r.role == table.RoleReplica && r.term == wr.entry.term && w.reach(r, wr.at) && r.holds(wr)
+	})
+}
+
 // isReceived reports whether a replica of its primary holds a write, and whether the
 // host has seen it at a replica that the control state counts.
 func (w *copiesWorld) isReceived(h *worldHost, wr worldWrite) bool {
--- a/internal/system/failover/openpromotion_test.go
+++ b/internal/system/failover/openpromotion_test.go
@@ -258,3 +258,27 @@
 		assert.Equal(t, e.group.Phase, table.PhaseStable, "another candidate is named beside the second order")
 	}
 }
+
+// TestCandidatesDoNotReplaceEachOther guards against a group that never gets a primary: once
+// a lapsed order leaves the log term in doubt, the old primary, which is ahead with writes
+// that were not acknowledged, made each replica give way to the other one.
+func TestCandidatesDoNotReplaceEachOther(t *testing.T) {
+	e := newExternalFixture(t)
+	ordered := e.orderCandidate()
+	e.returnPrimary()
+	reportPrimary := func() { e.report("i-1", table.RolePrimary, table.Mark{Term: 7, Position: 107}) }
+	for e.group.Candidate == ordered.Instance && e.now < 2*time.Minute {
+		reportPrimary()
+		e.report(other(ordered.Instance), table.RoleReplica, table.Mark{Term: 7, Position: 100})
+		e.reportLost(ordered.Instance)
+		e.step()
+		e.applyProposals()
+	}
+	assert.Equal(t, e.group.LogTermInDoubt, true)
+	inDoubt := e.group.Term
+	next := e.runUntilOrder(func() {
+		reportPrimary()
+		e.reportReplicas()
+	})
+	assert.Equal(t, next.Term, inDoubt)
+}
--- a/internal/system/failover/promote.go
+++ b/internal/system/failover/promote.go
@@ -34,7 +34,7 @@
 		return s.replaceCandidate(now, g, c)
 	}
 	if !g.promotion.ordered && !g.holdsQuiescedMark(c) {
-		if safest := s.safestMember(now, g); safest != nil && g.isMoreAdvanced(safest, c) {
+		if r := s.replacement(now, g, c); r != nil && g.isMoreAdvanced(r, c) {
 			return s.replaceCandidate(now, g, c)
 		}
 	}
