Simulation of failover: a replica that follows an earlier term stays held

The histories showed a loss ( of TestHistoriesOfReplicasCutOffAtOnce, "LOST: i-0 leads term 3 without write 7 of term 2"): a replica that was cut off from its group was held for term 3, then reached the primary of term 2, followed it, and that ended its hold. It confirmed writes of the old owner, whose lease was still valid.

--- a/internal/system/failover/copies_world_test.go
+++ b/internal/system/failover/copies_world_test.go
@@ -263,9 +263,12 @@
 }
 
 // follow makes a copy a replica of the latest term and rolls back what the new
-// primary does not hold.
+// primary does not hold. A hold in a later term stays.
 func (w *copiesWorld) follow(c *nodeCopy) {
-	c.role, c.term, c.held, c.sawNewer = table.RoleReplica, w.term, 0, false
+	c.role, c.term, c.sawNewer = table.RoleReplica, w.term, false
+	if c.held <= c.term {
+		c.held = 0
+	}
 	common := 0
 	for common < min(len(c.log), len(w.lead.log)) && c.log[common] == w.lead.log[common] {
 		common++
