--- a/cmd/amaranthweir/deployment_test.go
+++ b/cmd/amaranthweir/deployment_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -43,7 +44,8 @@
 type deployment struct {
 	t              *testing.T
 	binary         string
-	group          *typed.Group
+	group          *typed.Group // the first one of groups
+	groups         []*typed.Group
 	ports          map[string]string // by purpose, the same on all hosts
 	hosts          map[string]*hostProcess
 	cloud          *http.Server // serves the promotion call
@@ -109,6 +111,12 @@
 // startDeploymentWith is like startDeployment, with further settings of each
 // control host.
 func startDeploymentWith(t *testing.T, controlSettings string) *deployment {
+	t.Helper()
+	return startDeploymentOf(t, controlSettings, "g1")
+}
+
+// startDeploymentOf is like startDeploymentWith, with the given groups.
+func startDeploymentOf(t *testing.T, controlSettings string, groups ...table.GroupName) *deployment {
 	t.Helper()
 	binary := filepath.Join(t.TempDir(), "amaranthweir")
 	out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
@@ -122,7 +130,7 @@
 		_, d.ports[purpose], _ = net.SplitHostPort(free[n])
 	}
 	d.startCloud()
-	d.startInstances()
+	d.startInstances(groups)
 	for n, zone := range zones {
 		d.startHost(&hostProcess{name: "core-" + zone, ip: fmt.Sprintf("127.0.1.%d", n+1), control: true}, zone)
 		d.startHost(&hostProcess{name: "edge-" + zone, ip: fmt.Sprintf("127.0.2.%d", n+1)}, zone)
@@ -220,7 +228,9 @@
 	}
 	d.stopHeartbeats()
 	_ = d.cloud.Close()
-	d.group.Close()
+	for _, g := range d.groups {
+		g.Close()
+	}
 }
 
 // startCloud serves the promotion call of the platform. It promotes the instance
@@ -230,6 +240,7 @@
 	assert.NilError(d.t, err)
 	d.cloud = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		var in struct {
+			Group    table.GroupName  `json:"service"`
 			Instance table.InstanceID `json:"instance_id"`
 		}
 		body, _ := io.ReadAll(r.Body)
@@ -241,22 +252,29 @@
 		d.promotions = append(d.promotions, r.Header.Get("Fencing-Token"))
 		d.promoted = append(d.promoted, in.Instance)
 		d.mu.Unlock()
-		if d.group.Promote(in.Instance) != nil {
+		at := slices.IndexFunc(d.groups, func(g *typed.Group) bool { return g.Name == in.Group })
+		if at < 0 || d.groups[at].Promote(in.Instance) != nil {
 			w.WriteHeader(http.StatusConflict)
 		}
 	})}
 	go func() { _ = d.cloud.Serve(l) }()
 }
 
-// startInstances starts the group and sends the heartbeats of its instances.
-func (d *deployment) startInstances() {
-	d.group = typed.NewGroup("g1", instanceLines{})
-	d.group.SetPromoteTime(promotionTime)
-	for n := range zones {
-		in, err := d.group.Add(table.InstanceID(fmt.Sprint("i-", n+1)), fmt.Sprintf("127.0.3.%d:%s", n+1, d.ports["instances"]))
-		assert.NilError(d.t, err)
-		d.instances = append(d.instances, in)
+// startInstances starts the groups and sends the heartbeats of their instances.
+func (d *deployment) startInstances(names []table.GroupName) {
+	for at, name := range names {
+		g := typed.NewGroup(name, instanceLines{})
+		g.SetPromoteTime(promotionTime)
+		d.groups = append(d.groups, g)
+		for range zones {
+			n := len(d.instances)
+			address := fmt.Sprintf("127.0.%d.%d:%s", 3+at, n%len(zones)+1, d.ports["instances"])
+			in, err := g.Add(table.InstanceID(fmt.Sprint("i-", n+1)), address)
+			assert.NilError(d.t, err)
+			d.instances = append(d.instances, in)
+		}
 	}
+	d.group = d.groups[0]
 	ctx, stop := context.WithCancel(context.Background())
 	d.stopHeartbeats = stop
 	go func() {
@@ -278,7 +296,7 @@
 // sendHeartbeat sends one heartbeat of an instance that is up. Consecutive
 // heartbeats go to different control hosts.
 func (d *deployment) sendHeartbeat(n int, in *typed.Instance) {
-	if !in.IsRunning() {
+	if !in.IsRunning() || in.IsCutFromHosts() {
 		return
 	}
 	d.mu.Lock()
@@ -287,8 +305,8 @@
 	if d.leaving[in.ID] {
 		state = "draining"
 	}
-	body := fmt.Sprintf(`{"service":"g1","address":%q,"zone":%q,"version":"v1","capacity":4,"state":%q,"warmup_remaining_ms":0,"db_role":%q,"sequence":%d,"born":1700000000000}`,
-		in.Address, zones[n], state, in.Role(), d.sequence)
+	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","capacity":4,"state":%q,"warmup_remaining_ms":0,"db_role":%q,"sequence":%d,"born":1700000000000}`,
+		in.Group(), in.Address, zones[n%len(zones)], state, in.Role(), d.sequence)
 	at := int(d.sequence) % len(zones)
 	d.mu.Unlock()
 	_, _ = d.post(at, "/v1/Instances.Heartbeat/"+string(in.ID), body) // the next heartbeat replaces a lost one
@@ -307,8 +325,8 @@
 	return resp.StatusCode, err
 }
 
-// configuration returns a valid configuration with the version. The JSON in
-// extra is added to its routes.
+// configuration returns a valid configuration of the group g1 with the version. The JSON
+// in extra is added to its routes.
 func configuration(version int, extra string) string {
 	return fmt.Sprintf(`{"version":%d,"routes":[
 {"name":"r1","host":"orders","path_prefix":"/","kind":"read_your_writes","timeout_ms":3000,"target_latency_ms":250,"priority":1,"service":"g1","max_staleness_ms":2500},
@@ -316,6 +334,18 @@
 "services":[{"name":"g1","max_connections":16,"sync_replicas":1}],"limits":{"txn_idle_ms":3000}}`, version, extra)
 }
 
+// configuration returns a valid configuration of all groups with the version. Each group
+// but the first has a database of its name. The JSON in extra is added to the routes.
+func (d *deployment) configuration(version int, extra string) string {
+	body := configuration(version, extra)
+	for _, g := range d.groups[1:] {
+		route := fmt.Sprintf(`"routes":[{"name":"r-%s","host":%q,"path_prefix":"/","kind":"primary","timeout_ms":3000,"target_latency_ms":100,"priority":0,"service":%q},`, g.Name, g.Name, g.Name)
+		body = strings.Replace(body, `"routes":[`, route, 1)
+		body = strings.Replace(body, `"services":[`, fmt.Sprintf(`"services":[{"name":%q,"max_connections":16,"sync_replicas":1},`, g.Name), 1)
+	}
+	return body
+}
+
 // replaceConfiguration sends a configuration to the control hosts in turn until
 // one of them acknowledges it.
 func (d *deployment) replaceConfiguration(version int, extra string) {
@@ -323,7 +353,7 @@
 	n := 0
 	d.waitFor(fmt.Sprintf("configuration %d is acknowledged", version), func() bool {
 		n++
-		status, err := d.post(n%len(zones), "/v1/Config.Replace", configuration(version, extra))
+		status, err := d.post(n%len(zones), "/v1/Config.Replace", d.configuration(version, extra))
 		return err == nil && status == http.StatusOK
 	})
 }
--- a/cmd/amaranthweir/openpromotion_test.go
+++ b/cmd/amaranthweir/openpromotion_test.go
@@ -55,10 +55,16 @@
 
 // waitForWrite waits until a write is acknowledged.
 func (d *deployment) waitForWrite(name string) {
+	d.t.Helper()
+	d.waitForWriteTo("payments", name)
+}
+
+// waitForWriteTo waits until a write to a database is acknowledged.
+func (d *deployment) waitForWriteTo(database, name string) {
 	d.t.Helper()
 	n := 0
 	d.waitFor("a write is acknowledged", func() bool {
-		c, err := connect(d.entryAddress(n%len(zones)), "payments")
+		c, err := connect(d.entryAddress(n%len(zones)), database)
 		if err != nil {
 			return false
 		}
--- a/standin/typed/group.go
+++ b/standin/typed/group.go
@@ -47,6 +47,10 @@
 	Lag time.Duration
 	// PromoteTime is the duration of a promotion.
 	PromoteTime time.Duration
+	// FollowTime is how long an old primary that reaches the new one goes on.
+	FollowTime time.Duration
+	// NoticeTime is how long a replica that reaches a new primary goes on with the old one.
+	NoticeTime time.Duration
 
 	mu        sync.Mutex
 	changed   *sync.Cond
@@ -55,12 +59,15 @@
 	runs      map[string]int // how often a statement ran, by its id
 	// workspaces holds the workspaces on whose behalf a statement ran, by its id.
 	workspaces map[string][]string
+	// acknowledged holds the ids of acknowledged writes, lost those that an instance
+	// lacked when it was promoted.
+	acknowledged, lost []string
 }
 
 // NewGroup returns a group in term 1 without instances.
 func NewGroup(name table.GroupName, codec Codec) *Group {
 	g := &Group{
-		Name: name, codec: codec, Lag: 2 * time.Millisecond, PromoteTime: 30 * time.Millisecond,
+		Name: name, codec: codec, Lag: 2 * time.Millisecond, PromoteTime: 30 * time.Millisecond, FollowTime: time.Second,
 		term: 1, instances: map[table.InstanceID]*Instance{}, runs: map[string]int{},
 		workspaces: map[string][]string{},
 	}
@@ -85,8 +92,12 @@
 	opened         int  // connections opened so far
 	maxConns       int  // further connections are refused; 0 means no limit
 	silent         bool // reads statements but sends no answer
-	lostAnswers    int  // the number of commits whose answer is to be lost
-	busyRefusals   int  // the number of statements to refuse with CodeBusy
+	cutFromHosts   bool
+	cutFromGroup   bool
+	receiptDelay   time.Duration
+	sentTo         int // the position up to which the log was sent with receiptDelay
+	lostAnswers    int // the number of commits whose answer is to be lost
+	busyRefusals   int // the number of statements to refuse with CodeBusy
 	statementDelay time.Duration
 	listener       net.Listener
 	conns          map[net.Conn]struct{}
@@ -122,10 +133,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	in.Address, in.listener, in.running, in.silent, in.held = l.Addr().String(), l, true, false, 0
-	if in.term < g.term {
+	if in.term < g.term && !in.cutFromGroup {
 		in.role, in.term = table.RoleReplica, g.term
 		in.copyPrimaryLog()
 	}
+	g.reconnect()
 	in.goroutines.Go(in.accept)
 	return nil
 }
@@ -168,6 +180,9 @@
 	in.group.changed.Broadcast()
 }
 
+// Group returns the name of the group of the instance.
+func (in *Instance) Group() table.GroupName { return in.group.Name }
+
 // IsRunning reports whether the instance is running.
 func (in *Instance) IsRunning() bool {
 	in.group.mu.Lock()
@@ -209,6 +224,13 @@
 	g.PromoteTime = d
 }
 
+// SetTimes sets PromoteTime for promotions that start from now on, and NoticeTime.
+func (g *Group) SetTimes(promote, notice time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.PromoteTime, g.NoticeTime = promote, notice
+}
+
 // completePromotion begins the next term with in as its primary and the log that in
 // has received. Replicas discard entries that this log does not contain.
 func (g *Group) completePromotion(in *Instance) {
@@ -219,12 +241,13 @@
 	}
 	g.term++
 	in.role, in.term, in.held, in.applied = table.RolePrimary, g.term, 0, len(in.log)
+	g.lost = append(g.lost, in.missing(g.acknowledged)...)
 	for _, other := range g.instances {
-		if other != in && other.role == table.RoleReplica {
-			other.term, other.held = g.term, 0
-			other.copyPrimaryLog()
+		if other.role == table.RoleReplica && !other.running {
+			other.follow(in)
 		}
 	}
+	g.reconnect()
 	g.changed.Broadcast()
 }
 
@@ -243,12 +266,7 @@
 func (g *Group) Primary() *Instance {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, in := range g.instances {
-		if in.role == table.RolePrimary && in.term == g.term {
-			return in
-		}
-	}
-	return nil
+	return g.primary()
 }
 
 // RunCount returns how often the statement with that id ran, whether or not it was
--- a/standin/typed/session.go
+++ b/standin/typed/session.go
@@ -102,6 +102,7 @@
 	for s.in.silent && s.in.running {
 		g.changed.Wait()
 	}
+	s.in.awaitHosts()
 	a.Mark, a.HasMark = s.in.mark(), true
 	g.mu.Unlock()
 	a.TxStatus = request.TxIdle
@@ -131,6 +132,7 @@
 	g := s.in.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	s.in.awaitHosts()
 	if s.in.busyRefusals > 0 && s.tx == nil {
 		s.in.busyRefusals--
 		return refusal(typedproto.CodeBusy, s.in), true
@@ -165,8 +167,8 @@
 		in.catchUp()
 	case typedproto.StepDown:
 		if in.role == table.RolePrimary && in.term < st.Term {
-			in.role, in.term = table.RoleReplica, in.group.term
-			in.copyPrimaryLog()
+			in.role = table.RoleReplica
+			in.group.reconnect()
 		}
 	default:
 		return typedproto.Answer{}, false
@@ -288,29 +290,41 @@
 func (in *Instance) replicate(position int, term table.Term) bool {
 	replicated := false
 	for _, r := range in.group.instances {
-		if r == in || !r.running || r.silent || r.held != 0 || r.role != table.RoleReplica || r.term != term || in.term != term {
+		if !r.receivesFrom(in) {
 			continue
 		}
-		r.receive(in)
+		if r.receiptDelay > 0 {
+			r.sendLater(in)
+		} else {
+			r.receive(in, len(in.log))
+		}
 		replicated = replicated || len(r.log) >= position
 	}
-	return replicated
+	return replicated && in.term == term
+}
+
+// receivesFrom reports whether the instance is a replica that can receive from p. The
+// caller must hold the lock of the group.
+func (in *Instance) receivesFrom(p *Instance) bool {
+	return in != p && in.linked(p) && !in.silent && in.held == 0 && in.role == table.RoleReplica &&
+		p.role == table.RolePrimary && in.term == p.term
 }
 
 // catchUp copies the log of the primary when replication resumes after a pause.
 func (in *Instance) catchUp() {
 	for _, p := range in.group.instances {
-		if p.role == table.RolePrimary && p.term == in.term && in.role == table.RoleReplica {
-			in.receive(p)
+		if in.receivesFrom(p) {
+			in.receive(p, len(p.log))
 		}
 	}
 	in.group.changed.Broadcast()
 }
 
-// receive copies the log of a primary. Reads see the new entries after the lag.
-func (in *Instance) receive(p *Instance) {
-	in.log = append(in.log[:0:0], p.log...)
-	upTo := len(in.log)
+// receive copies the log of a primary up to a position. Reads see the new entries after
+// the lag.
+func (in *Instance) receive(p *Instance, upTo int) {
+	in.log = append(in.log[:0:0], p.log[:upTo]...)
+	in.sentTo = max(in.sentTo, upTo)
 	g := in.group
 	time.AfterFunc(g.Lag, func() {
 		g.mu.Lock()
