--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -31,6 +31,7 @@
 	Out          string        `default:"soak-runs" help:"Folder for schedules, logs and reports."`
 	Keep         bool          `help:"Keep the folders of runs in which all promises were kept."`
 	Regressions  bool          `help:"Run the seeds that failed once instead, with their sizes."`
+	GroupCuts    bool          `help:"Cut the instances of groups off at once beside primaries that return, and kill all hosts meanwhile, instead of the usual faults."`
 	Schedule     bool          `help:"Print the schedules and run nothing."`
 	Verbose      bool          `short:"v" help:"Print the events as they happen and the whole report of each run."`
 }
@@ -71,7 +72,7 @@
 func (f flags) configs() []soak.Config {
 	base := soak.Config{
 		Duration: f.Duration, Hosts: f.Hosts, ControlHosts: f.ControlHosts, Groups: f.Groups, Callers: f.Callers,
-		Bin: f.Bin, Out: f.Out, Keep: f.Keep, Settle: soak.DefaultSettle,
+		GroupCuts: f.GroupCuts, Bin: f.Bin, Out: f.Out, Keep: f.Keep, Settle: soak.DefaultSettle,
 	}
 	if f.Verbose {
 		base.Progress = os.Stdout
--- a/standin/soak/run_test.go
+++ b/standin/soak/run_test.go
@@ -21,6 +21,9 @@
 // paused processes, cut and silent links, changes of the document and of a primary.
 const shortSeed = 1
 
+// groupCutsSeed is the seed of the short run of group cuts. It kills all hosts.
+const groupCutsSeed = 2
+
 // buildBinaries builds the programs that a run starts.
 func buildBinaries(t *testing.T) string {
 	t.Helper()
@@ -58,6 +61,22 @@
 	assert.Equal(t, len(left), 0, "a run without a finding leaves no files")
 }
 
+// TestShortRunOfGroupCuts guards against lost writes and lasting outages where all replicas
+// of a group are cut off beside a primary that is back, and all hosts are killed meanwhile.
+func TestShortRunOfGroupCuts(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs processes for several seconds")
+	}
+	cfg := Config{
+		Seed: groupCutsSeed, Duration: 10 * time.Second, Hosts: 3, ControlHosts: 3, Groups: 2, Callers: 8, GroupCuts: true,
+		Bin: buildBinaries(t), Out: t.TempDir(), Settle: time.Second,
+	}
+	report, err := Run(t.Context(), cfg)
+	assert.NilError(t, err)
+	t.Log(report.Text())
+	assert.NilError(t, report.Verdict())
+}
+
 // TestNoProcessIsLeftBehind interrupts a run in the ways in which it can end early. A
 // killed run stands for a panic as well: in both cases the run cannot stop its
 // processes, and the system kills them.
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -37,6 +37,7 @@
 	Duration time.Duration // how long faults are injected
 	// Hosts, ControlHosts, Groups and Callers are the size of the deployment.
 	Hosts, ControlHosts, Groups, Callers int
+	GroupCuts                            bool   // plays NewGroupCuts instead of NewSchedule
 	Bin                                  string // folder of the binaries
 	// Out is the folder in which the folder of the run is created. The folder holds
 	// the schedule, the logs and the report, and is kept if the run fails.
@@ -93,7 +94,7 @@
 		return nil, err
 	}
 	size := cfg.size()
-	r := &run{cfg: cfg, size: size, folder: folder, events: NewSchedule(cfg.Seed, size), recorder: newRecorder()}
+	r := &run{cfg: cfg, size: size, folder: folder, events: cfg.events(), recorder: newRecorder()}
 	if err := os.WriteFile(filepath.Join(folder, "schedule.txt"), []byte(FormatSchedule(cfg.Seed, r.events)), 0o600); err != nil {
 		return nil, err
 	}
@@ -248,4 +249,12 @@
 }
 
 // Schedule returns the text of the schedule of the run.
-func (c Config) Schedule() string { return FormatSchedule(c.Seed, NewSchedule(c.Seed, c.size())) }
+func (c Config) Schedule() string { return FormatSchedule(c.Seed, c.events()) }
+
+// events returns the schedule of the run.
+func (c Config) events() []Event {
+	if c.GroupCuts {
+		return NewGroupCuts(c.Seed, c.size())
+	}
+	return NewSchedule(c.Seed, c.size())
+}
